--- /dev/null
+++ b/src/bookkeeping/absence.c
@@ -0,0 +1,71 @@
+/* Proof that a task is not on a machine. A recorded task is placed anew only
+ * after one of: the worker showed that it is gone, with no order of ours still
+ * on its way; a later session; the cloud's 200 to the machine's deletion; a
+ * lease that is surely over. */
+#include "coordination/state.h"
+
+/* No launch that we sent may still take effect. */
+gboolean
+hr_absence_orders_settled (const HrMachine *m)
+{
+  return m->do_out == 0 && m->do_lost == 0 && m->reply_launch == 0;
+}
+
+gboolean
+hr_absence_lease_over (const HrCore *c, const HrMachine *m)
+{
+  /* Before a worker has seen our token an earlier owner may have answered it,
+   * for up to `hold` after our map was written. Afterwards only we can. */
+  double base = m->answered_at;
+  if (m->token < c->led_baton)
+    base = MAX (base, c->led_at + c->pol.hold_s);
+  return c->now > base + c->set->lease_s * 1.002 + c->pol.lease_margin_s;
+}
+
+void
+hr_absence_sessions (HrCore *c, HrMachine *m, guint32 upto, const char *why)
+{
+  g_autoptr (GArray) tasks = g_array_copy (m->tasks);
+  for (guint i = 0; i < tasks->len; i++) {
+    HrRef r = g_array_index (tasks, HrRef, i);
+    HrJob *j = c->jobs->pdata[r.job];
+    HrTask *t = j->tasks ? &j->tasks[r.task] : NULL;
+    if (t && t->state == HR_T_BOUND && t->machine == m->idx && t->session <= upto)
+      hr_task_gone (c, j, r.task, HR_X_NONE, why);
+  }
+}
+
+static double
+last_heard (const HrCore *c, const HrMachine *m)
+{
+  return MAX (m->heard_at, c->led_at);
+}
+
+void
+hr_absence_tick (HrCore *c)
+{
+  if (!c->leads)
+    return;
+  guint up = 0, silent = 0;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (m->state != HR_M_UP)
+      continue;
+    up++;
+    silent += c->now - last_heard (c, m) > c->pol.silent_s;
+  }
+  /* When many fall silent at once it is more likely us than them. */
+  gboolean us = silent > 2 && silent > c->pol.silent_share * up;
+  /* A new owner lets workers find it first. */
+  gboolean early = c->now - c->led_at < c->pol.silent_s + 6;
+  g_autoptr (GPtrArray) fleet = g_ptr_array_copy (c->fleet, NULL, NULL);
+  for (guint i = 0; i < fleet->len; i++) {
+    HrMachine *m = fleet->pdata[i];
+    if (m->state != HR_M_UP || c->now - last_heard (c, m) <= c->pol.silent_s)
+      continue;
+    if (hr_absence_lease_over (c, m) && m->tasks->len)
+      hr_absence_sessions (c, m, G_MAXUINT32, "its lease is surely over");
+    if (!us && !early && c->now - c->confirmed_at < 4)
+      hr_fleet_delete (c, m, "its worker is silent");
+  }
+}
--- /dev/null
+++ b/src/bookkeeping/follow.c
@@ -0,0 +1,341 @@
+/* Following the ledger: one full reading, then changes in order. A reading is
+ * /changes with no wait: it brings every change up to its epoch, so whoever
+ * asked before it was sent gets an answer as new as any that was given. */
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+#define PREFIX "h/"
+#define READ_TIMEOUT 2.0
+
+static void
+applied_map (HrCore *c, const json_t *v, guint64 stamp)
+{
+  guint64 baton = 0;
+  const char *o = hr_json_str (v, "o"), *inc = hr_json_str (v, "i");
+  if (!o || !inc || !hr_json_count (v, "b", G_MAXINT64, &baton)) {
+    g_warning ("the map in the state service makes no sense; left as it was");
+    return;
+  }
+  c->map_stamp = stamp;
+  c->baton = baton;
+  g_free (c->map_owner);
+  g_free (c->map_inc);
+  c->map_owner = g_strdup (o);
+  c->map_inc = g_strdup (inc);
+}
+
+static void
+applied_leader (HrCore *c, const json_t *v, guint64 stamp)
+{
+  g_clear_pointer (&c->leader_label, g_free);
+  g_clear_pointer (&c->leader_inc, g_free);
+  c->leader_stamp = v ? stamp : 0;
+  if (v) {
+    c->leader_label = g_strdup (hr_json_str (v, "o"));
+    c->leader_inc = g_strdup (hr_json_str (v, "i"));
+  } else /* jitter, so that the members do not all try in the same instant */
+    c->elect_at = c->now + g_rand_double_range (c->rand, 0, 0.4);
+}
+
+gboolean
+hr_follow_job (HrCore *c, HrJob *j, const json_t *v, guint64 stamp)
+{
+  HrRecord r;
+  if (j->known && stamp <= j->stamp)
+    return TRUE; /* known already: our own write, or a change read twice */
+  if (!hr_record_read (v, c->names, &r)) {
+    g_warning ("%s: its record makes no sense", j->id);
+    return FALSE;
+  }
+  HrPage *p = j->pages;
+  if (p && p->tag && g_str_equal (p->tag, r.tag)) {
+    hr_record_clear (&r);
+    hr_ledger_seen (c, j, p, stamp);
+    return TRUE;
+  }
+  gboolean fresh = !j->known;
+  j->known = TRUE;
+  j->stamp = stamp;
+  g_free (j->tag);
+  j->tag = g_steal_pointer (&r.tag);
+  if (r.tombstone) {
+    j->stance = r.stance;
+    j->ntasks = r.ntasks;
+    j->nrdone = r.ndone;
+    j->shrunk = TRUE;
+    if (!c->leads || !j->nlive)
+      hr_job_shrink (j);
+    return TRUE;
+  }
+  if (fresh || !j->tasks) {
+    hr_job_set_spec (j, &r.spec, r.per_page);
+    j->submitted = r.submitted;
+  }
+  /* The owner alone changes tasks; what others write leaves them as they were. */
+  if (!r.per_page && r.tasks && (!c->leads || fresh))
+    hr_record_tasks (j, 0, r.tasks, &c->machine_ids);
+  if (!r.per_page)
+    j->pages[0].stamp = stamp;
+  HrStance before = j->stance;
+  j->stance = r.stance;
+  hr_job_open (c, j);
+  if (c->leads && r.stance == HR_WITHDRAWN && before != HR_WITHDRAWN)
+    hr_job_withdrawn (c, j);
+  c->plan_dirty = TRUE;
+  return TRUE;
+}
+
+static void
+applied_page (HrCore *c, const char *rest, const json_t *v, guint64 stamp)
+{
+  const char *slash = strrchr (rest, '/');
+  if (!slash || !v)
+    return;
+  g_autofree char *id = g_strndup (rest, slash - rest);
+  HrJob *j = hr_job_find (c, id);
+  guint64 n = g_ascii_strtoull (slash + 1, NULL, 10);
+  const char *tag = hr_json_str (v, "w");
+  if (!j || !j->tasks || !j->per_page || n >= j->npages || stamp <= j->pages[n].stamp)
+    return;
+  HrPage *p = &j->pages[n];
+  if (p->tag && tag && g_str_equal (p->tag, tag)) {
+    hr_ledger_seen (c, j, p, stamp);
+    return;
+  }
+  p->stamp = stamp;
+  if (!c->leads)
+    hr_record_tasks (j, n * j->per_page, json_object_get (v, "x"), &c->machine_ids);
+}
+
+static void
+apply (HrCore *c, const char *key, const json_t *v, guint64 stamp)
+{
+  if (strcmp (key, "h/map") == 0) {
+    if (v && stamp > c->map_stamp)
+      applied_map (c, v, stamp);
+  } else if (strcmp (key, "h/leader") == 0)
+    applied_leader (c, v, stamp);
+  else if (strcmp (key, "h/types") == 0) {
+    c->types_stamp = v ? stamp : 0;
+    if (v && !c->types)
+      hr_types_load (c, v);
+  } else if (g_str_has_prefix (key, "h/j/")) {
+    if (v && hr_job_id_valid (key + 4))
+      hr_follow_job (c, hr_job_get (c, key + 4), v, stamp);
+  } else if (g_str_has_prefix (key, "h/t/"))
+    applied_page (c, key + 4, v, stamp);
+}
+
+static void
+store_answered (HrCore *c, gboolean ok)
+{
+  if (ok) {
+    if (c->store_down)
+      g_message ("the state service answers again");
+    c->store_down = FALSE;
+    c->store_fails = 0;
+  } else if (++c->store_fails == 2) {
+    c->store_down = TRUE;
+    g_warning ("the state service does not answer this node");
+  }
+}
+
+/* Applies the changes of a /changes answer, whose `after` was at most c->applied. */
+static gboolean
+apply_log (HrCore *c, const json_t *body)
+{
+  guint64 epoch;
+  json_t *log = json_object_get (body, "log"), *e;
+  size_t i;
+  if (!hr_json_count (body, "epoch", G_MAXINT64, &epoch))
+    return FALSE;
+  guint64 from = c->applied;
+  json_array_foreach (log, i, e)
+  {
+    const char *set = hr_json_str (e, "set"), *del = hr_json_str (e, "delete");
+    guint64 stamp;
+    if ((!set && !del) || !hr_json_count (e, "stamp", G_MAXINT64, &stamp)) {
+      g_info ("a change that makes no sense was dropped");
+      continue;
+    }
+    if (stamp <= from)
+      continue; /* the watch and a reading overlap: each change counts once */
+    apply (c, set ? set : del, set ? json_object_get (e, "value") : NULL, stamp);
+    epoch = MAX (epoch, stamp);
+  }
+  c->applied = MAX (c->applied, epoch);
+  hr_leader_map_read (c);
+  return TRUE;
+}
+
+static void on_page (HrCore *c, int status, json_t *body, double sent, gpointer data);
+
+static void
+ask_page (HrCore *c)
+{
+  char *path = c->sync_after ? g_strdup_printf ("/kv?starts=" PREFIX "&after=%s&limit=1000", c->sync_after)
+                             : g_strdup ("/kv?starts=" PREFIX "&limit=1000");
+  hr_call (c, HR_TO_STORE, NULL, HR_GET, path, NULL, 5, on_page, GUINT_TO_POINTER (c->sync_gen));
+}
+
+static void
+on_page (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  guint64 epoch;
+  gboolean more = FALSE;
+  if (GPOINTER_TO_UINT (data) != c->sync_gen)
+    return;
+  if (status != 200 || !hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
+    store_answered (c, FALSE);
+    c->sync = HR_SYNC_NONE;
+    c->sync_retry_at = c->now + g_rand_double_range (c->rand, 0.2, 0.6);
+    return;
+  }
+  store_answered (c, TRUE);
+  if (!c->sync_after)
+    c->sync_base = epoch; /* changes after the first page's epoch are read again, in order */
+  json_t *rows = json_object_get (body, "rows"), *e;
+  size_t i;
+  json_array_foreach (rows, i, e)
+  {
+    const char *path = hr_json_str (e, "path");
+    guint64 stamp;
+    if (!path || !hr_json_count (e, "stamp", G_MAXINT64, &stamp))
+      continue;
+    apply (c, path, json_object_get (e, "value"), stamp);
+    g_free (c->sync_after);
+    c->sync_after = g_strdup (path);
+  }
+  hr_json_bool (body, "more", &more);
+  if (more && json_array_size (rows)) {
+    ask_page (c);
+    return;
+  }
+  c->sync = HR_SYNC_FOLLOWING;
+  c->applied = c->sync_base;
+  c->watch_not_before = 0;
+  c->read_sent = 0;
+  g_message ("read the ledger: %u jobs, epoch %" G_GUINT64_FORMAT, c->jobs->len, c->applied);
+}
+
+/* Begins again from a full reading; what was known of final jobs stays. */
+void
+hr_follow_reset (HrCore *c)
+{
+  c->sync = HR_SYNC_NONE;
+  c->sync_gen++;
+  c->sync_retry_at = 0;
+}
+
+static void
+start_sync (HrCore *c)
+{
+  /* Rows of jobs not final are read anew: an owner's view goes beyond the record. */
+  for (guint i = 0; i < c->jobs->len; i++) {
+    HrJob *j = c->jobs->pdata[i];
+    if (j->known && j->tasks && !j->shrunk) {
+      hr_job_shrink (j);
+      j->stamp = 0;
+      j->nlive = j->nrdone = j->ndone = 0;
+      j->known = j->stance != HR_QUEUED; /* a final answer, once given, stays */
+      j->listed = FALSE;
+    }
+  }
+  g_array_set_size (c->open, 0);
+  c->map_stamp = c->leader_stamp = 0;
+  g_clear_pointer (&c->leader_label, g_free);
+  g_clear_pointer (&c->leader_inc, g_free);
+  g_clear_pointer (&c->sync_after, g_free);
+  c->sync = HR_SYNC_READING;
+  c->sync_gen++;
+  c->watching = c->reading = FALSE;
+  ask_page (c);
+}
+
+static void
+release_waiters (HrCore *c, GArray *list, gboolean ok)
+{
+  g_autoptr (GArray) now = g_array_copy (list);
+  g_array_set_size (list, 0);
+  for (guint i = 0; i < now->len; i++) {
+    HrWaiter *w = &g_array_index (now, HrWaiter, i);
+    w->fn (c, ok, w->data);
+  }
+}
+
+static void
+on_read (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  if (GPOINTER_TO_UINT (data) != c->sync_gen)
+    return;
+  c->reading = FALSE;
+  gboolean ok = status == 200 && apply_log (c, body);
+  /* 429 says that the service is there, only busy. */
+  store_answered (c, ok || status == 429 || status == 410);
+  if (ok) {
+    c->confirmed_at = MAX (c->confirmed_at, sent);
+    c->synced_once = TRUE;
+  }
+  if (status == 410)
+    hr_leader_step_down (c, "the changes since the last reading are gone");
+  release_waiters (c, c->waiters_now, ok);
+}
+
+static void
+on_watch (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  if (GPOINTER_TO_UINT (data) != c->sync_gen)
+    return;
+  c->watching = FALSE;
+  c->watch_not_before = c->now + 0.05;
+  if (status == 200)
+    apply_log (c, body);
+  else
+    c->watch_not_before = c->now + g_rand_double_range (c->rand, 0.3, 0.7);
+}
+
+void
+hr_follow_read (HrCore *c, HrReadFn fn, gpointer data)
+{
+  HrWaiter w = { fn, data };
+  if (c->sync != HR_SYNC_FOLLOWING || c->store_down) {
+    fn (c, FALSE, data); /* no reading is to be had now: say so at once */
+    return;
+  }
+  g_array_append_val (c->waiters, w);
+}
+
+void
+hr_follow_tick (HrCore *c)
+{
+  if (c->sync == HR_SYNC_NONE) {
+    release_waiters (c, c->waiters_now, FALSE);
+    release_waiters (c, c->waiters, FALSE);
+    if (c->now >= c->sync_retry_at)
+      start_sync (c);
+  }
+  if (c->sync != HR_SYNC_FOLLOWING)
+    return;
+  /* Readings are spaced so that three members stay well within the service's limit. */
+  double gap = c->waiters->len ? 6.0 / c->set->state_rps : c->store_down ? 0.5 : 1.0;
+  if (!c->reading && c->now - c->read_sent >= gap) {
+    GArray *t = c->waiters_now;
+    c->waiters_now = c->waiters;
+    c->waiters = t;
+    c->reading = TRUE;
+    c->read_sent = c->now;
+    hr_call (c, HR_TO_STORE, NULL, HR_GET,
+             g_strdup_printf ("/changes?starts=" PREFIX "&after=%" G_GUINT64_FORMAT "&hold_ms=0",
+                              c->applied),
+             NULL, READ_TIMEOUT, on_read, GUINT_TO_POINTER (c->sync_gen));
+  }
+  if (!c->watching && c->now >= c->watch_not_before) {
+    c->watching = TRUE;
+    hr_call (c, HR_TO_STORE, NULL, HR_GET,
+             g_strdup_printf ("/changes?starts=" PREFIX "&after=%" G_GUINT64_FORMAT
+                              "&hold_ms=10000",
+                              c->applied),
+             NULL, 14, on_watch, GUINT_TO_POINTER (c->sync_gen));
+  }
+}
--- /dev/null
+++ b/src/bookkeeping/ledger.c
@@ -0,0 +1,358 @@
+/* Writing the ledger. One write at a time per record; every write by the owner
+ * holds on the record's stamp and on the map's, which fences old owners. */
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+#define WRITE_TIMEOUT 2.0
+#define MAX_WRITES_OUT 8
+
+char *
+hr_job_key (const HrJob *j)
+{
+  return g_strconcat ("h/j/", j->id, NULL);
+}
+
+char *
+hr_page_key (const HrJob *j, guint page)
+{
+  return g_strdup_printf ("h/t/%s/%u", j->id, page);
+}
+
+json_t *
+hr_cond (json_t *when, const char *path, guint64 stamp)
+{
+  json_array_append_new (when, json_pack ("{sssI}", "path", path, "stamp", (json_int_t) stamp));
+  return when;
+}
+
+json_t *
+hr_set (json_t *writes, const char *path, char *value_text, guint64 claim)
+{
+  json_t *v = json_loads (value_text, JSON_DECODE_ANY, NULL);
+  json_t *o = json_pack ("{ssso}", "set", path, "value", v);
+  if (claim)
+    json_object_set_new (o, "claim", json_integer (claim));
+  json_array_append_new (writes, o);
+  g_free (value_text);
+  return writes;
+}
+
+void
+hr_commit (HrCore *c, HrTxnKind kind, json_t *when, json_t *writes, guint changes, double timeout,
+           HrResultFn fn, gpointer data)
+{
+  HrTxn *t = g_new0 (HrTxn, 1);
+  t->when = when;
+  t->writes = writes;
+  t->changes = changes;
+  t->timeout = timeout;
+  t->fn = fn;
+  t->data = data;
+  g_queue_push_tail (&c->txns[kind], t);
+}
+
+
+static void
+on_commit (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  HrTxn *t = data;
+  c->txns_out--;
+  if (status == 429) /* the allowance is shared: step back a little, out of step */
+    c->write_pause = c->now + g_rand_double_range (c->rand, 0.05, 0.15);
+  t->fn (c, status, body, sent, t->data);
+  json_decref (t->when);
+  json_decref (t->writes);
+  g_free (t);
+}
+
+static void
+send_txns (HrCore *c)
+{
+  static const double keep[HR_TXN_KINDS] = { 0, 0.05, 0.3 };
+  for (int k = 0; k < HR_TXN_KINDS; k++)
+    while (!g_queue_is_empty (&c->txns[k]) && c->txns_out < MAX_WRITES_OUT &&
+           c->now >= c->write_pause) {
+      HrTxn *t = g_queue_peek_head (&c->txns[k]);
+      if (!hr_bucket_take (&c->write_bucket, c->now, t->changes, keep[k] * c->write_bucket.burst))
+        break;
+      g_queue_pop_head (&c->txns[k]);
+      c->txns_out++;
+      json_t *o = json_pack ("{sOsO}", "when", t->when, "writes", t->writes);
+      hr_call (c, HR_TO_STORE, NULL, HR_POST, g_strdup ("/commit"), hr_json_take_text (o),
+               t->timeout, on_commit, t);
+    }
+}
+
+/* ---- the owner's records ---- */
+
+typedef struct {
+  guint32 job, page;
+  guint gen;
+  char *tag;
+  json_t *when, *writes;
+  HrTxnKind kind;
+} Write;
+
+static void send_write (HrCore *c, Write *w);
+
+static void
+write_free (Write *w)
+{
+  g_free (w->tag);
+  json_decref (w->when);
+  json_decref (w->writes);
+  g_free (w);
+}
+
+/* The page of a write that is still under way, or NULL when it was overtaken. */
+static HrPage *
+page_of (HrCore *c, Write *w)
+{
+  HrJob *j = c->jobs->pdata[w->job];
+  if (w->gen != c->sync_gen || w->page >= j->npages || g_strcmp0 (j->pages[w->page].tag, w->tag))
+    return NULL;
+  return &j->pages[w->page];
+}
+
+static void
+page_range (const HrJob *j, const HrPage *p, guint32 *from, guint32 *to)
+{
+  guint n = p - j->pages;
+  *from = j->per_page ? n * j->per_page : 0;
+  *to = j->per_page ? MIN (*from + j->per_page, j->ntasks) : j->ntasks;
+}
+
+static void
+mark_page (HrCore *c, HrJob *j, HrPage *p)
+{
+  if (p->dirty)
+    return;
+  p->dirty = TRUE;
+  HrDirty d = { j->idx, p - j->pages };
+  g_array_append_val (c->dirty, d);
+}
+
+void
+hr_ledger_mark (HrCore *c, HrJob *j, guint32 task)
+{
+  if (j->pages)
+    mark_page (c, j, hr_job_page (j, task));
+}
+
+/* Our write of this page is in the ledger, at this stamp. */
+void
+hr_ledger_seen (HrCore *c, HrJob *j, HrPage *p, guint64 stamp)
+{
+  guint32 from, to;
+  page_range (j, p, &from, &to);
+  gboolean final = p->final;
+  p->stamp = stamp;
+  p->final = FALSE;
+  if (!j->per_page || final) {
+    j->stamp = stamp;
+    g_free (j->tag);
+    j->tag = g_strdup (p->tag);
+  }
+  g_clear_pointer (&p->tag, g_free);
+  for (guint32 i = from; i < to; i++) {
+    HrTask *t = &j->tasks[i];
+    if (!t->inflight)
+      continue;
+    t->inflight = 0;
+    if (t->state == HR_T_ASSIGNING) {
+      t->rmachine = t->machine;
+      t->rsession = t->session;
+      t->rtry = t->try;
+      hr_task_bound (c, j, i);
+    } else if (t->state == HR_T_DONE && !t->rdone) {
+      t->rdone = 1;
+      j->nrdone++;
+    }
+  }
+  if (final) {
+    if (j->stance == HR_QUEUED) {
+      j->stance = HR_DONE;
+      g_info ("%s is done", j->id);
+    }
+    j->shrunk = TRUE;
+    hr_job_shrink (j);
+  } else if (j->stance == HR_QUEUED && j->nrdone == j->ntasks)
+    mark_page (c, j, j->pages);
+  c->plan_dirty = TRUE;
+}
+
+/* What was under way did not happen. */
+static void
+write_lost (HrCore *c, HrJob *j, HrPage *p)
+{
+  guint32 from, to;
+  page_range (j, p, &from, &to);
+  g_clear_pointer (&p->tag, g_free);
+  p->final = FALSE;
+  for (guint32 i = from; i < to; i++) {
+    HrTask *t = &j->tasks[i];
+    if (!t->inflight)
+      continue;
+    t->inflight = 0;
+    if (t->state == HR_T_ASSIGNING && j->stance != HR_QUEUED)
+      hr_task_unassign (c, j, i);
+  }
+  mark_page (c, j, p); /* what is still meant is written anew */
+}
+
+static void
+on_recheck (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  Write *w = data;
+  HrPage *p = page_of (c, w);
+  HrJob *j = c->jobs->pdata[w->job];
+  guint64 stamp = 0;
+  if (p && status != 200 && status != 404) {
+    send_write (c, w); /* still unknown: the same write again, it holds on the same stamps */
+    return;
+  }
+  if (p) {
+    const json_t *v = json_object_get (body, "value");
+    const char *tag = hr_json_str (v, "w");
+    hr_json_count (body, "stamp", G_MAXINT64, &stamp);
+    if (tag && g_str_equal (tag, w->tag))
+      hr_ledger_seen (c, j, p, stamp);
+    else {
+      if (!j->per_page || p->final) {
+        if (v)
+          hr_follow_job (c, j, v, stamp);
+      } else if (stamp > p->stamp)
+        p->stamp = stamp;
+      if (page_of (c, w))
+        write_lost (c, j, p);
+    }
+  }
+  write_free (w);
+}
+
+static void
+ask_record (HrCore *c, Write *w)
+{
+  HrJob *j = c->jobs->pdata[w->job];
+  gboolean main = !j->per_page || j->pages[w->page].final;
+  g_autofree char *key = main ? hr_job_key (j) : hr_page_key (j, w->page);
+  hr_call (c, HR_TO_STORE, NULL, HR_GET, g_strconcat ("/kv/", key, NULL), NULL, WRITE_TIMEOUT,
+           on_recheck, w);
+}
+
+static void
+on_fresh (HrCore *c, gboolean ok, gpointer data)
+{
+  Write *w = data;
+  if (page_of (c, w))
+    ask_record (c, w);
+  else
+    write_free (w);
+}
+
+static void
+on_written (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  Write *w = data;
+  HrPage *p = page_of (c, w);
+  guint64 epoch;
+  if (!p) {
+    write_free (w);
+    return;
+  }
+  if (status == 200 && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
+    hr_ledger_seen (c, c->jobs->pdata[w->job], p, epoch);
+    write_free (w);
+  } else if (status == 409) {
+    /* A 409 may come from our own earlier try whose answer was lost: the record
+     * tells. The map may have moved too: read on before judging. */
+    hr_follow_read (c, on_fresh, w);
+  } else if (status == 400) {
+    g_warning ("%s: the state service refuses the record: %s",
+               ((HrJob *) c->jobs->pdata[w->job])->id, hr_json_str (body, "error"));
+    write_lost (c, c->jobs->pdata[w->job], p);
+    write_free (w);
+  } else
+    send_write (c, w); /* unknown, or not carried out: the same write again */
+}
+
+static void
+send_write (HrCore *c, Write *w)
+{
+  hr_commit (c, w->kind, json_incref (w->when), json_incref (w->writes), 1, WRITE_TIMEOUT,
+             on_written, w);
+}
+
+static void
+write_page (HrCore *c, HrJob *j, HrPage *p)
+{
+  guint32 from, to;
+  guint n = p - j->pages;
+  gboolean launch = FALSE, change = FALSE;
+  page_range (j, p, &from, &to);
+  for (guint32 i = from; i < to; i++) {
+    HrTask *t = &j->tasks[i];
+    gboolean assign = t->state == HR_T_ASSIGNING && j->stance == HR_QUEUED;
+    t->inflight = assign || (t->state == HR_T_DONE && !t->rdone);
+    launch |= assign;
+    change |= t->inflight;
+  }
+  /* The last ending and the tombstone are one write where the tasks stand inline. */
+  gboolean done = j->stance == HR_QUEUED &&
+                  (j->per_page ? j->nrdone : j->ndone) == j->ntasks && (!j->per_page || n == 0);
+  gboolean gone = j->stance != HR_QUEUED && j->nlive == 0 && !j->shrunk && n == 0;
+  if (!change && !done && !gone)
+    return;
+  Write *w = g_new0 (Write, 1);
+  w->job = j->idx;
+  w->page = n;
+  w->gen = c->sync_gen;
+  w->tag = hr_new_tag (c);
+  w->when = json_array ();
+  w->writes = json_array ();
+  w->kind = launch ? HR_TXN_LAUNCH : HR_TXN_BOOKS;
+  p->tag = g_strdup (w->tag);
+  p->final = done || gone;
+  g_autofree char *key = hr_job_key (j);
+  hr_cond (w->when, "h/map", c->map_stamp);
+  hr_cond (w->when, key, j->stamp);
+  if (p->final)
+    hr_set (w->writes, key, hr_record_tombstone (j, done ? HR_DONE : j->stance, w->tag), 0);
+  else if (!j->per_page)
+    hr_set (w->writes, key,
+            hr_record_main (j, c->names, &c->machine_ids, j->stance, w->tag, TRUE), 0);
+  else {
+    g_autofree char *pkey = hr_page_key (j, n);
+    hr_cond (w->when, pkey, p->stamp);
+    hr_set (w->writes, pkey, hr_record_page (j, n, &c->machine_ids, w->tag, TRUE), 0);
+  }
+  send_write (c, w);
+}
+
+void
+hr_ledger_tick (HrCore *c)
+{
+  if (c->leads && c->dirty->len && !c->raising) {
+    g_autoptr (GArray) list = c->dirty;
+    c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
+    for (guint i = 0; i < list->len; i++) {
+      HrDirty *d = &g_array_index (list, HrDirty, i);
+      HrJob *j = c->jobs->pdata[d->job];
+      if (d->page >= j->npages)
+        continue;
+      HrPage *p = &j->pages[d->page];
+      if (p->tag) { /* one write at a time */
+        g_array_append_val (c->dirty, *d);
+        continue;
+      }
+      p->dirty = FALSE;
+      write_page (c, j, p);
+    }
+  }
+  if (!c->store_down || c->now - c->write_pause > 0.5) {
+    if (c->store_down)
+      c->write_pause = c->now; /* an outage: try on, but gently */
+    send_txns (c);
+  }
+}
--- /dev/null
+++ b/src/bookkeeping/record.c
@@ -0,0 +1,117 @@
+#include "bookkeeping/record.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+static json_t *
+pack_tasks (const HrJob *j, guint32 first, guint32 n, const HrIntern *machines, gboolean pending)
+{
+  json_t *x = json_array ();
+  for (guint32 i = first; i < first + n; i++) {
+    const HrTask *t = &j->tasks[i];
+    guint32 m = t->rmachine, s = t->rsession, a = t->rtry;
+    gboolean done = t->rdone;
+    if (pending && t->inflight) {
+      m = t->machine;
+      s = t->session;
+      a = t->try;
+      done = done || t->state == HR_T_DONE;
+    }
+    if (done)
+      json_array_append_new (x, json_integer (1));
+    else if (m == HR_NONE)
+      json_array_append_new (x, json_integer (0));
+    else
+      json_array_append_new (x, json_pack ("[sii]", hr_intern_name (machines, m), (int) s, (int) a));
+  }
+  return x;
+}
+
+char *
+hr_record_main (const HrJob *j, const HrNames *names, const HrIntern *machines, HrStance stance,
+                const char *tag, gboolean pending)
+{
+  json_t *o = json_pack ("{sssisfsiso}", "w", tag, "s", (int) stance, "t", j->submitted, "q",
+                         (int) j->per_page, "j", hr_jobspec_pack (&j->spec, names));
+  if (!j->per_page)
+    json_object_set_new (o, "x", pack_tasks (j, 0, j->ntasks, machines, pending));
+  return hr_json_take_text (o);
+}
+
+char *
+hr_record_tombstone (const HrJob *j, HrStance stance, const char *tag)
+{
+  return hr_json_take_text (json_pack ("{sssisisi}", "w", tag, "s", (int) stance, "n",
+                                       (int) j->ntasks, "d",
+                                       (int) (stance == HR_DONE ? j->ntasks : j->nrdone)));
+}
+
+char *
+hr_record_page (const HrJob *j, guint page, const HrIntern *machines, const char *tag,
+                gboolean pending)
+{
+  guint32 first = page * j->per_page;
+  json_t *x = pack_tasks (j, first, MIN (j->per_page, j->ntasks - first), machines, pending);
+  return hr_json_take_text (json_pack ("{ssso}", "w", tag, "x", x));
+}
+
+gboolean
+hr_record_read (const json_t *v, HrNames *names, HrRecord *r)
+{
+  guint64 n, d = 0;
+  memset (r, 0, sizeof *r);
+  const char *tag = hr_json_str (v, "w");
+  if (!tag || !hr_json_count (v, "s", HR_WITHDRAWN, &n))
+    return FALSE;
+  r->stance = n;
+  const json_t *spec = json_object_get (v, "j");
+  if (!spec) {
+    if (!hr_json_count (v, "n", HR_MAX_TASKS, &n) || !hr_json_count (v, "d", HR_MAX_TASKS, &d))
+      return FALSE;
+    r->tombstone = TRUE;
+    r->ntasks = n;
+    r->ndone = d;
+  } else {
+    if (!hr_jobspec_unpack (spec, names, &r->spec) || !hr_json_num (v, "t", &r->submitted) ||
+        !hr_json_count (v, "q", HR_MAX_TASKS, &n))
+      return FALSE;
+    r->per_page = n;
+    r->ntasks = r->spec.tasks;
+    r->tasks = json_object_get (v, "x");
+  }
+  r->tag = g_strdup (tag);
+  return TRUE;
+}
+
+void
+hr_record_clear (HrRecord *r)
+{
+  g_clear_pointer (&r->tag, g_free);
+}
+
+gboolean
+hr_record_tasks (HrJob *j, guint32 first, const json_t *x, HrIntern *machines)
+{
+  size_t i;
+  json_t *e;
+  if (!json_is_array (x) || first + json_array_size (x) > j->ntasks)
+    return FALSE;
+  json_array_foreach (x, i, e)
+  {
+    HrTask *t = &j->tasks[first + i];
+    gboolean done = json_is_integer (e) && json_integer_value (e) == 1;
+    if (done != t->rdone)
+      j->nrdone += done ? 1 : -1;
+    t->rdone = done;
+    if (json_is_array (e)) {
+      const char *m;
+      int s, a;
+      if (json_unpack (e, "[sii]", &m, &s, &a) != 0)
+        return FALSE;
+      t->rmachine = hr_intern (machines, m);
+      t->rsession = s;
+      t->rtry = a;
+    } else if (!done)
+      t->rmachine = HR_NONE;
+  }
+  return TRUE;
+}
--- /dev/null
+++ b/src/bookkeeping/record.h
@@ -0,0 +1,29 @@
+/* Records of the ledger: how a job stands in the state service.
+ *   h/j/<id>       {"w":tag,"s":stance,"t":submitted,"q":per page,"j":[spec],"x":[tasks]}
+ *   h/j/<id>       {"w":tag,"s":stance,"n":tasks,"d":done}        once final
+ *   h/t/<id>/<n>   {"w":tag,"x":[tasks]}                          page n of a large job
+ * A task is 0 (never placed), 1 (done) or [machine, session, attempt]. */
+#pragma once
+#include "bookkeeping/tables.h"
+
+typedef struct {
+  char *tag;
+  HrStance stance;
+  double submitted;
+  guint per_page;
+  gboolean tombstone;
+  guint32 ntasks, ndone;
+  HrJobSpec spec;
+  json_t *tasks; /* borrowed from the value */
+} HrRecord;
+
+/* The main record. pending: with the placements and endings under way. */
+char *hr_record_main (const HrJob *j, const HrNames *names, const HrIntern *machines,
+                      HrStance stance, const char *tag, gboolean pending);
+char *hr_record_tombstone (const HrJob *j, HrStance stance, const char *tag);
+char *hr_record_page (const HrJob *j, guint page, const HrIntern *machines, const char *tag,
+                      gboolean pending);
+gboolean hr_record_read (const json_t *v, HrNames *names, HrRecord *out);
+void hr_record_clear (HrRecord *r);
+/* Sets what is recorded of the tasks from `first` on. FALSE when it makes no sense. */
+gboolean hr_record_tasks (HrJob *j, guint32 first, const json_t *x, HrIntern *machines);
--- /dev/null
+++ b/src/bookkeeping/tables.c
@@ -0,0 +1,122 @@
+#include "bookkeeping/tables.h"
+#include <string.h>
+
+#define EPS 1e-6
+
+void
+hr_job_free (HrJob *j)
+{
+  hr_job_shrink (j);
+  g_free (j->tag);
+  g_free (j);
+}
+
+void
+hr_job_shrink (HrJob *j)
+{
+  g_clear_pointer (&j->tasks, g_free);
+  for (guint i = 0; i < j->npages; i++)
+    g_free (j->pages[i].tag);
+  g_clear_pointer (&j->pages, g_free);
+  j->npages = 0;
+}
+
+void
+hr_job_set_spec (HrJob *j, const HrJobSpec *s, guint per_page)
+{
+  hr_job_shrink (j);
+  j->spec = *s;
+  j->ntasks = s->tasks;
+  j->per_page = per_page;
+  j->npages = per_page ? (s->tasks + per_page - 1) / per_page : 1;
+  j->pages = g_new0 (HrPage, j->npages);
+  j->tasks = g_new0 (HrTask, s->tasks);
+  for (guint i = 0; i < s->tasks; i++) {
+    j->tasks[i].rmachine = j->tasks[i].machine = HR_NONE;
+    j->tasks[i].shown = HR_NOT_SHOWN;
+  }
+  j->bad_machine = HR_NONE;
+}
+
+HrPage *
+hr_job_page (HrJob *j, guint32 task)
+{
+  return &j->pages[j->per_page ? task / j->per_page : 0];
+}
+
+guint
+hr_tasks_per_page (double value_kb)
+{
+  /* A bound task takes a machine's name, a session and an attempt: 48 bytes
+   * leave room for long names; 1 KiB for the job's description. */
+  double room = value_kb * 1024 - 1024;
+  return MAX (1, (gint) (room / 48));
+}
+
+gboolean
+hr_machine_has_image (const HrMachine *m, guint32 image)
+{
+  for (guint i = 0; i < m->nimages; i++)
+    if (m->images[i] == image)
+      return TRUE;
+  return FALSE;
+}
+
+void
+hr_machine_touch_image (HrMachine *m, guint32 image)
+{
+  guint i;
+  for (i = 0; i < m->nimages; i++)
+    if (m->images[i] == image)
+      break;
+  if (i == m->nimages) {
+    if (m->nimages < G_N_ELEMENTS (m->images))
+      m->nimages++;
+    else
+      i--;
+  }
+  memmove (m->images + 1, m->images, i * sizeof m->images[0]);
+  m->images[0] = image;
+}
+
+gboolean
+hr_machine_fits (const HrMachine *m, const HrJobSpec *s)
+{
+  return s->cpus <= m->cpus - m->alien_cpus + EPS && s->gpus <= m->gpus - m->alien_gpus + EPS &&
+         s->mem <= m->mem - m->alien_mem + EPS;
+}
+
+void
+hr_machine_take (HrMachine *m, const HrJobSpec *s, HrRef r)
+{
+  g_array_append_val (m->tasks, r);
+  m->cpus -= s->cpus;
+  m->gpus -= s->gpus;
+  m->mem -= s->mem;
+  m->idle_at = 0;
+}
+
+void
+hr_machine_give (HrMachine *m, const HrJobSpec *s, HrRef r)
+{
+  for (guint i = 0; i < m->tasks->len; i++) {
+    HrRef *x = &g_array_index (m->tasks, HrRef, i);
+    if (x->job == r.job && x->task == r.task) {
+      g_array_remove_index_fast (m->tasks, i);
+      m->cpus += s->cpus;
+      m->gpus += s->gpus;
+      m->mem += s->mem;
+      return;
+    }
+  }
+}
+
+void
+hr_machine_free (HrMachine *m)
+{
+  g_free (m->addr);
+  g_array_unref (m->tasks);
+  g_array_unref (m->alien);
+  g_array_unref (m->list);
+  g_free (m);
+}
--- /dev/null
+++ b/src/bookkeeping/tables.h
@@ -0,0 +1,142 @@
+/* The job and machine tables: what is recorded, and what the owner knows on top. */
+#pragma once
+#include "protocol/cloud.h"
+#include "protocol/jobspec.h"
+#include "protocol/worker.h"
+
+typedef enum { HR_QUEUED, HR_DONE, HR_WITHDRAWN } HrStance;
+
+typedef enum {
+  HR_T_IDLE,      /* on no machine, as far as any proof goes */
+  HR_T_ASSIGNING, /* its assignment is being recorded; nothing was sent */
+  HR_T_BOUND,     /* recorded on a machine; may be there */
+  HR_T_DONE,      /* the worker said done; `rdone` once that is recorded */
+} HrTaskState;
+
+#define HR_NOT_SHOWN 0xff
+
+typedef struct {
+  guint32 rmachine, rsession, rtry; /* as recorded */
+  guint32 machine, session, try;    /* as meant: differs while a write is under way */
+  guint8 state;                     /* HrTaskState */
+  guint8 rdone;
+  guint8 inflight; /* part of the write that is under way */
+  guint8 shown;    /* HrWorkState on its machine, or HR_NOT_SHOWN */
+  guint8 kill;     /* a stop is wanted */
+  guint8 planned;  /* stands in a machine's list */
+  float grace;     /* of the stop */
+  double killed_at; /* last stop order sent */
+  double placed_at; /* bound since */
+  double ran_at;    /* seen running since; 0: not yet */
+} HrTask;
+
+typedef struct {
+  guint64 stamp;
+  char *tag; /* of the write under way, else NULL */
+  gboolean dirty; /* stands in the list of pages to write */
+  gboolean final; /* the write under way is the tombstone */
+} HrPage;
+
+typedef struct {
+  guint32 idx;
+  const char *id;
+  gboolean known; /* the record has been read or written */
+  HrStance stance;
+  HrJobSpec spec;
+  guint64 stamp; /* of the main record */
+  char *tag;     /* writer's tag of the main record */
+  double submitted, deadline; /* time of day */
+  guint32 ntasks, nrdone, ndone; /* ndone: as meant */
+  HrTask *tasks;                 /* NULL once final and shrunk */
+  guint per_page;                /* 0: tasks stand in the main record */
+  HrPage *pages;
+  guint npages;
+  gboolean shrunk;
+  /* The owner's. */
+  gboolean listed;    /* in the owner's list of open jobs */
+  guint32 nlive;      /* tasks assigning or bound */
+  gboolean gang_over; /* this attempt is to end; all tasks must go first */
+  double retry_at, pause;
+  guint errors;
+  HrExit last_error;
+  guint32 bad_machine; /* where it failed last */
+  gboolean counted;    /* its arrival was counted */
+  double gang_start;   /* planned common start of a gang, steady time */
+  double placed_at;    /* of the present gang attempt */
+  guint planned;       /* tasks standing in lists */
+} HrJob;
+
+typedef enum { HR_M_BOOTING, HR_M_UP, HR_M_DELETING, HR_M_GONE } HrMachineState;
+
+typedef struct {
+  guint32 job, task;
+} HrRef;
+
+typedef struct {
+  guint32 idx;
+  const char *name;
+  char *addr;
+  HrMachineState state;
+  guint32 type, zone; /* type: index into the types table; HR_NONE: not known yet */
+  gboolean spot;
+  guint32 session;
+  guint64 seq, token;
+  double rented_at;   /* steady time, by our clock */
+  double heard_at;    /* last report; 0: none to this owner */
+  double answered_at; /* last 200 to a report; 0: none */
+  double up_at;
+  double idle_at; /* without tasks since; 0: busy */
+  double notice_at; /* when the cloud takes it; 0: no notice */
+  gboolean drain;
+  guint64 reply_launch; /* seq of the report whose answer held a launch; 0: none pending */
+  guint do_out;         /* direct calls without an answer yet */
+  guint64 do_lost;      /* token of the last direct launch whose answer was lost; 0: none */
+  gboolean urgent;      /* orders to send at once */
+  double do_pause;
+  gboolean delete_out; /* the call for it is under way */
+  gboolean deleted;    /* the cloud confirmed it */
+  GArray *tasks;  /* HrRef of tasks assigning or bound */
+  GArray *alien;  /* HrWorkItem-like leftovers: HrRef; they take room */
+  double alien_cpus, alien_gpus, alien_mem;
+  double cpus, gpus, mem; /* free, as meant */
+  guint32 images[16];     /* most recent first */
+  guint nimages;
+  guint errors; /* failures in a row */
+  guint32 error_job;
+  double speed;  /* 1: as fast as its type; from finished tasks */
+  double full_until;
+  /* Plan */
+  GArray *list; /* HrRef by deadline */
+  double tardiness; /* expected, of the list */
+  guint late;
+  double ready;     /* when the first listed task can start */
+} HrMachine;
+
+/* Statistics per class, for estimates and spare room. */
+typedef struct {
+  double correction; /* actual / estimated run time, smoothed */
+  guint samples;
+  double rate;       /* tasks arriving a second, smoothed over a minute */
+  double tasks, cpus, gpus, mem, image_gb; /* of its recent jobs */
+  guint32 image;
+  HrShape shape;
+  HrRank rank;
+  gboolean spot, seen;
+  guint64 types;
+  double last_arrival;
+} HrClassStat;
+
+void hr_job_free (HrJob *j);
+void hr_machine_free (HrMachine *m);
+void hr_job_set_spec (HrJob *j, const HrJobSpec *s, guint per_page);
+/* Drops what a final job no longer needs. */
+void hr_job_shrink (HrJob *j);
+HrPage *hr_job_page (HrJob *j, guint32 task);
+/* How many tasks a record or page holds. per_page as stored in the record. */
+guint hr_tasks_per_page (double value_kb);
+gboolean hr_machine_has_image (const HrMachine *m, guint32 image);
+void hr_machine_touch_image (HrMachine *m, guint32 image);
+/* Room for a task, as meant. */
+gboolean hr_machine_fits (const HrMachine *m, const HrJobSpec *s);
+void hr_machine_take (HrMachine *m, const HrJobSpec *s, HrRef r);
+void hr_machine_give (HrMachine *m, const HrJobSpec *s, HrRef r);
--- /dev/null
+++ b/src/coordination/command.h
@@ -0,0 +1,45 @@
+/* What goes into the owner of all state and what comes out: no I/O in between. */
+#pragma once
+#include <glib.h>
+
+typedef enum { HR_GET, HR_POST, HR_DELETE, HR_OTHER_METHOD } HrMethod;
+typedef enum { HR_TO_STORE, HR_TO_CLOUD, HR_TO_WORKER } HrTarget;
+
+/* What members tell one another about once a second; hints only. */
+typedef struct {
+  char label[64], incarnation[40];
+  guint64 baton, map_stamp;
+  gboolean store_served, leads;
+  guint32 contacts;
+} HrHint;
+
+typedef enum { HR_C_REQUEST, HR_C_RESULT, HR_C_HINT, HR_C_TICK } HrCommandKind;
+typedef struct {
+  HrCommandKind kind;
+  guint64 id; /* of the request, or of the call that this is the result of */
+  HrMethod method;
+  char *path;
+  GBytes *body;
+  gboolean too_large; /* request: the body passed the limit and was not kept */
+  int status;         /* result: HTTP status, 0 when no answer came */
+  HrHint hint;
+} HrCommand;
+
+typedef enum { HR_E_REPLY, HR_E_CALL, HR_E_HINT } HrEffectKind;
+typedef struct {
+  HrEffectKind kind;
+  guint64 id;
+  int status;
+  int retry_after; /* s; 0: no header */
+  char *body;
+  HrTarget target;
+  char *addr; /* of a worker */
+  HrMethod method;
+  char *path;
+  double timeout_s;
+  HrHint hint;
+} HrEffect;
+
+HrCommand *hr_command_new (HrCommandKind kind);
+void hr_command_free (HrCommand *c);
+void hr_effect_free (HrEffect *e);
--- /dev/null
+++ b/src/coordination/core.c
@@ -0,0 +1,305 @@
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+typedef struct {
+  HrResultFn fn;
+  gpointer data;
+  double sent;
+} Pending;
+
+static HrEffect *
+effect (HrCore *c, HrEffectKind kind)
+{
+  HrEffect *e = g_new0 (HrEffect, 1);
+  e->kind = kind;
+  g_ptr_array_add (c->out, e);
+  return e;
+}
+
+void
+hr_call (HrCore *c, HrTarget target, const char *addr, HrMethod method, char *path, char *body,
+         double timeout, HrResultFn fn, gpointer data)
+{
+  HrEffect *e = effect (c, HR_E_CALL);
+  e->id = ++c->next_call;
+  e->target = target;
+  e->addr = g_strdup (addr);
+  e->method = method;
+  e->path = path;
+  e->body = body;
+  e->timeout_s = timeout;
+  Pending *p = g_new0 (Pending, 1);
+  p->fn = fn;
+  p->data = data;
+  p->sent = c->now;
+  g_hash_table_insert (c->calls, g_memdup2 (&e->id, sizeof e->id), p);
+}
+
+void
+hr_reply (HrCore *c, guint64 id, int status, json_t *body, int retry_after)
+{
+  HrEffect *e = effect (c, HR_E_REPLY);
+  e->id = id;
+  e->status = status;
+  e->retry_after = retry_after;
+  e->body = hr_json_take_text (body);
+}
+
+void
+hr_refuse (HrCore *c, guint64 id, int status, int retry_after, const char *reason)
+{
+  hr_reply (c, id, status, json_pack ("{ss}", "error", reason), retry_after);
+}
+
+char *
+hr_new_tag (HrCore *c)
+{
+  return g_strdup_printf ("%s.%" G_GUINT64_FORMAT, c->incarnation, ++c->next_tag);
+}
+
+/* Takes n tokens if more than `keep` stay behind. */
+gboolean
+hr_bucket_take (HrBucket *b, double now, double n, double keep)
+{
+  b->tokens = MIN (b->burst, b->tokens + (now - b->at) * b->rate);
+  b->at = now;
+  if (b->tokens - n < keep)
+    return FALSE;
+  b->tokens -= n;
+  return TRUE;
+}
+
+HrJob *
+hr_job_find (HrCore *c, const char *id)
+{
+  guint32 i = hr_intern_find (&c->job_ids, id);
+  HrJob *j = i == HR_NONE ? NULL : c->jobs->pdata[i];
+  return j && j->known ? j : NULL;
+}
+
+HrJob *
+hr_job_get (HrCore *c, const char *id)
+{
+  guint32 i = hr_intern (&c->job_ids, id);
+  if (i == c->jobs->len) {
+    HrJob *j = g_new0 (HrJob, 1);
+    j->idx = i;
+    j->id = hr_intern_name (&c->job_ids, i);
+    g_ptr_array_add (c->jobs, j);
+  }
+  return c->jobs->pdata[i];
+}
+
+HrMachine *
+hr_machine_find (HrCore *c, const char *name)
+{
+  guint32 i = hr_intern_find (&c->machine_ids, name);
+  return i == HR_NONE || i >= c->machines->len ? NULL : c->machines->pdata[i];
+}
+
+HrMachine *
+hr_machine_get (HrCore *c, const char *name)
+{
+  guint32 i = hr_intern (&c->machine_ids, name);
+  /* Names may have been interned by reading records, ahead of the rows. */
+  while (c->machines->len <= i) {
+    HrMachine *m = g_new0 (HrMachine, 1);
+    m->idx = c->machines->len;
+    m->name = hr_intern_name (&c->machine_ids, m->idx);
+    m->type = m->zone = HR_NONE;
+    m->state = HR_M_GONE;
+    m->speed = 1;
+    m->error_job = HR_NONE;
+    m->tasks = g_array_new (FALSE, TRUE, sizeof (HrRef));
+    m->alien = g_array_new (FALSE, TRUE, sizeof (HrRef));
+    m->list = g_array_new (FALSE, TRUE, sizeof (HrRef));
+    g_ptr_array_add (c->machines, m);
+  }
+  return c->machines->pdata[i];
+}
+
+HrClassStat *
+hr_class (HrCore *c, guint32 klass)
+{
+  while (c->classes->len <= klass) {
+    HrClassStat s = { .correction = 1 };
+    g_array_append_val (c->classes, s);
+  }
+  return &g_array_index (c->classes, HrClassStat, klass);
+}
+
+const HrType *
+hr_type_by_name (const HrCore *c, guint32 name)
+{
+  for (guint i = 0; c->types && i < c->types->len; i++)
+    if (g_array_index (c->types, HrType, i).type == name)
+      return &g_array_index (c->types, HrType, i);
+  return NULL;
+}
+
+const HrType *
+hr_type (const HrCore *c, const HrMachine *m)
+{
+  return hr_type_by_name (c, m->type);
+}
+
+HrCore *
+hr_core_new (const HrSettings *set, const HrPolicy *pol, HrNames *names, const char *incarnation,
+             guint32 seed)
+{
+  HrCore *c = g_new0 (HrCore, 1);
+  c->set = set;
+  c->pol = *pol;
+  c->names = names;
+  c->incarnation = g_strdup (incarnation);
+  c->rand = g_rand_new_with_seed (seed);
+  c->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  c->waiters = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
+  c->waiters_now = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
+  c->peers = g_array_new (FALSE, TRUE, sizeof (HrPeerView));
+  hr_intern_init (&c->job_ids);
+  hr_intern_init (&c->machine_ids);
+  c->jobs = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_job_free);
+  c->machines = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_machine_free);
+  c->open = g_array_new (FALSE, TRUE, sizeof (guint32));
+  c->classes = g_array_new (FALSE, TRUE, sizeof (HrClassStat));
+  c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
+  c->fleet = g_ptr_array_new ();
+  c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
+  c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
+  for (int i = 0; i < HR_TXN_KINDS; i++)
+    g_queue_init (&c->txns[i]);
+  c->write_bucket = (HrBucket){ set->state_write_rps, set->state_write_rps, set->state_write_rps, 0 };
+  c->cloud_bucket = (HrBucket){ set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0 };
+  return c;
+}
+
+static void
+txn_free (gpointer p)
+{
+  HrTxn *t = p;
+  json_decref (t->when);
+  json_decref (t->writes);
+  g_free (t);
+}
+
+void
+hr_core_free (HrCore *c)
+{
+  for (int i = 0; i < HR_TXN_KINDS; i++)
+    g_queue_clear_full (&c->txns[i], txn_free);
+  g_rand_free (c->rand);
+  g_hash_table_unref (c->calls);
+  g_array_unref (c->waiters);
+  g_array_unref (c->waiters_now);
+  g_array_unref (c->peers);
+  g_ptr_array_unref (c->jobs);
+  g_ptr_array_unref (c->machines);
+  hr_intern_clear (&c->job_ids);
+  hr_intern_clear (&c->machine_ids);
+  g_array_unref (c->open);
+  g_array_unref (c->classes);
+  g_array_unref (c->refused);
+  g_array_unref (c->dirty);
+  g_array_unref (c->wants);
+  g_ptr_array_unref (c->fleet);
+  g_clear_pointer (&c->types, g_array_unref);
+  g_free (c->sync_after);
+  g_free (c->list_after);
+  g_free (c->map_owner);
+  g_free (c->map_inc);
+  g_free (c->leader_label);
+  g_free (c->leader_inc);
+  g_free (c->incarnation);
+  g_free (c);
+}
+
+static void
+result (HrCore *c, HrCommand *cmd)
+{
+  gpointer key, val;
+  if (!g_hash_table_steal_extended (c->calls, &cmd->id, &key, &val))
+    return;
+  g_autofree guint64 *id = key;
+  g_autofree Pending *p = val;
+  json_t *body = NULL;
+  int status = cmd->status;
+  if (cmd->body && g_bytes_get_size (cmd->body)) {
+    gsize len;
+    const char *data = g_bytes_get_data (cmd->body, &len);
+    g_autofree char *why = NULL;
+    body = hr_json_parse (data, len, &why);
+    /* A success whose body can't be read is no answer: it may have been carried out. */
+    if (!body && status == 200) {
+      g_info ("an answer could not be read: %s", why);
+      status = 0;
+    }
+  }
+  p->fn (c, status, body, p->sent, p->data);
+  json_decref (body);
+}
+
+static void
+tick (HrCore *c)
+{
+  hr_leader_tick (c);
+  hr_absence_tick (c);
+  hr_fleet_tick (c);
+}
+
+void
+hr_core_step (HrCore *c, double now, double wall, GPtrArray *commands, GPtrArray *effects)
+{
+  if (!c->started)
+    c->started = now;
+  c->now = now;
+  c->wall = wall;
+  c->out = effects;
+  for (guint i = 0; i < commands->len; i++) {
+    HrCommand *cmd = commands->pdata[i];
+    switch (cmd->kind) {
+    case HR_C_REQUEST:
+      if (g_strcmp0 (cmd->path, "/hello") == 0)
+        hr_workers_hello (c, cmd);
+      else
+        hr_users_request (c, cmd);
+      break;
+    case HR_C_RESULT:
+      result (c, cmd);
+      break;
+    case HR_C_HINT:
+      hr_leader_hint (c, &cmd->hint);
+      break;
+    case HR_C_TICK:
+      tick (c);
+      break;
+    }
+  }
+  if (c->leads && c->plan_dirty && now - c->planned_at >= 0.15) {
+    c->plan_dirty = FALSE;
+    c->planned_at = now;
+    hr_plan (c);
+    hr_dispatch (c);
+  }
+  hr_follow_tick (c);
+  hr_ledger_tick (c);
+  hr_workers_send (c);
+  c->out = NULL;
+}
+
+void
+hr_core_policy_vars (const HrSettings *s, GHashTable *vars)
+{
+  hr_policy_vars_set (vars, "report_s", s ? s->report_s : 2.5);
+  hr_policy_vars_set (vars, "lease_s", s ? s->lease_s : 14);
+  hr_policy_vars_set (vars, "gang_wait_s", s ? s->gang_wait_s : 30);
+  hr_policy_vars_set (vars, "gang_peer_s", s ? s->gang_peer_s : 4);
+  hr_policy_vars_set (vars, "cancel_s", s ? s->cancel_s : 40);
+  hr_policy_vars_set (vars, "state_rps", s ? s->state_rps : 100);
+  hr_policy_vars_set (vars, "write_rps", s ? s->state_write_rps : 15);
+  hr_policy_vars_set (vars, "value_kb", s ? s->value_kb : 4);
+  hr_policy_vars_set (vars, "cloud_rps", s ? s->cloud_rps : 8);
+  hr_policy_vars_set (vars, "list_lag_s", s ? s->list_lag_s : 3);
+  hr_policy_vars_set (vars, "controllers", s ? s->members->len + 1 : 3);
+}
--- /dev/null
+++ b/src/coordination/core.h
@@ -0,0 +1,17 @@
+/* The owner of all state: commands in, effects out. No I/O and no clock inside. */
+#pragma once
+#include "coordination/command.h"
+#include "policy/policy.h"
+#include "protocol/settings.h"
+
+typedef struct HrCore HrCore;
+
+/* The core keeps the pointers to settings and names; they must outlive it. */
+HrCore *hr_core_new (const HrSettings *set, const HrPolicy *pol, HrNames *names,
+                     const char *incarnation, guint32 seed);
+/* now: a steady clock, wall: the time of day, both in seconds. Commands are
+ * HrCommand, effects HrEffect. */
+void hr_core_step (HrCore *c, double now, double wall, GPtrArray *commands, GPtrArray *effects);
+void hr_core_free (HrCore *c);
+/* The platform's figures that a policy may use; of a sample platform when set is NULL. */
+void hr_core_policy_vars (const HrSettings *set, GHashTable *vars);
--- /dev/null
+++ b/src/coordination/dispatch.c
@@ -0,0 +1,538 @@
+/* From the plan to orders: what can start now starts, what cannot is made room
+ * for, rented for, or waits; idle machines go back. */
+#include "coordination/state.h"
+#include <math.h>
+#include <string.h>
+
+typedef struct {
+  HrMachine *m;
+  double cpus, gpus, mem; /* free once stopped tasks are gone and claims are served */
+  gboolean reserved;      /* spare room is counted on it */
+} Room;
+
+static gboolean
+room_take (Room *r, double cpus, double gpus, double mem)
+{
+  if (cpus > r->cpus + 1e-6 || gpus > r->gpus + 1e-6 || mem > r->mem + 1e-6)
+    return FALSE;
+  r->cpus -= cpus;
+  r->gpus -= gpus;
+  r->mem -= mem;
+  return TRUE;
+}
+
+/* ---- limits of teams ---- */
+
+static const HrTeam *
+team_of (HrCore *c, const HrJob *j)
+{
+  for (guint i = 0; i < c->set->teams->len; i++)
+    if (g_array_index (c->set->teams, HrTeam, i).team == j->spec.team)
+      return &g_array_index (c->set->teams, HrTeam, i);
+  return NULL;
+}
+
+static void
+team_use (HrCore *c, guint32 team, double *cpus, double *gpus)
+{
+  *cpus = *gpus = 0;
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    if (j->spec.team != team)
+      continue;
+    *cpus += j->nlive * j->spec.cpus;
+    *gpus += j->nlive * j->spec.gpus;
+  }
+}
+
+/* May n more tasks of the job be on machines, as far as its team's limit goes? Every
+ * task that is not proven gone counts. */
+gboolean
+hr_team_allows (HrCore *c, const HrJob *j, guint n)
+{
+  const HrTeam *t = team_of (c, j);
+  double cpus, gpus;
+  if (!t || (t->cpus_max <= 0 && t->gpus_max <= 0))
+    return TRUE;
+  team_use (c, j->spec.team, &cpus, &gpus);
+  return (t->cpus_max <= 0 || cpus + n * j->spec.cpus <= t->cpus_max + 1e-6) &&
+         (t->gpus_max <= 0 || gpus + n * j->spec.gpus <= t->gpus_max + 1e-6);
+}
+
+/* Does the team run more than it is guaranteed (over), or would n more tasks stay within? */
+static gboolean
+team_beyond (HrCore *c, const HrJob *j, guint n)
+{
+  const HrTeam *t = team_of (c, j);
+  double cpus, gpus;
+  if (!t)
+    return TRUE;
+  team_use (c, j->spec.team, &cpus, &gpus);
+  return cpus + n * j->spec.cpus > t->cpus + 1e-6 || gpus + n * j->spec.gpus > t->gpus + 1e-6;
+}
+
+/* ---- starting ---- */
+
+static gboolean
+startable (HrCore *c, HrJob *j, HrMachine *m)
+{
+  return m->state == HR_M_UP && m->heard_at > 0 && c->now - m->heard_at < c->pol.silent_s &&
+         c->now >= m->full_until && c->now >= j->retry_at &&
+         !(j->errors && m->idx == j->bad_machine) && hr_allowed (c, j, m) &&
+         hr_zone_ok (c, j, m) && hr_machine_fits (m, &j->spec);
+}
+
+static void
+start (HrCore *c, HrJob *j, guint32 task, HrMachine *m, guint32 attempt)
+{
+  if (j->tasks[task].planned) {
+    j->tasks[task].planned = 0;
+    j->planned--;
+    for (guint i = 0; i < c->fleet->len; i++)
+      hr_list_remove (c->fleet->pdata[i], (HrRef){ j->idx, task });
+  }
+  hr_task_assign (c, j, task, m, attempt);
+}
+
+static guint32
+next_try (const HrTask *t)
+{
+  return MAX (t->try, t->rtry) + 1;
+}
+
+/* Fuller machines first, so that others fall empty and can be returned; a cached
+ * image before that. */
+static double
+service_score (const HrJob *j, const HrMachine *m)
+{
+  return (hr_machine_has_image (m, j->spec.image) ? 100 : 0) + m->tasks->len * 10 -
+         (m->gpus + m->cpus * 0.1);
+}
+
+static void
+start_services (HrCore *c, GPtrArray *services)
+{
+  for (guint i = 0; i < services->len; i++) {
+    HrJob *j = services->pdata[i];
+    for (guint32 k = 0; k < j->ntasks; k++) {
+      HrMachine *best = NULL;
+      if (j->tasks[k].state != HR_T_IDLE || !hr_team_allows (c, j, 1))
+        continue;
+      for (guint n = 0; n < c->fleet->len; n++) {
+        HrMachine *m = c->fleet->pdata[n];
+        if (startable (c, j, m) && (!best || service_score (j, m) > service_score (j, best)))
+          best = m;
+      }
+      if (!best)
+        break;
+      start (c, j, k, best, next_try (&j->tasks[k]));
+    }
+  }
+}
+
+/* All slots of the gang, if each can start now. */
+static gboolean
+start_gang (HrCore *c, HrJob *j)
+{
+  g_autofree HrMachine **on = g_new0 (HrMachine *, j->ntasks);
+  if (!hr_team_allows (c, j, j->ntasks))
+    return FALSE;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    for (guint k = 0; k < m->list->len; k++) {
+      HrRef r = g_array_index (m->list, HrRef, k);
+      if (r.job == j->idx && startable (c, j, m))
+        on[r.task] = m;
+    }
+  }
+  for (guint32 i = 0; i < j->ntasks; i++)
+    if (!on[i] || j->tasks[i].state != HR_T_IDLE)
+      return FALSE;
+  guint32 attempt = hr_job_next_try (j);
+  j->placed_at = c->now;
+  for (guint32 i = 0; i < j->ntasks; i++)
+    start (c, j, i, on[i], attempt);
+  return TRUE;
+}
+
+/* May this task start on the machine now without holding up an earlier one of its list? */
+static gboolean
+may_pass (HrCore *c, HrJob *j, HrMachine *m, double blocked_until)
+{
+  return c->now + hr_estimate (c, j, m) <= blocked_until;
+}
+
+/* Starts what can start of the machine's own list. Returns when the first task
+ * that cannot start is due to: others may only fill the time until then. */
+static double
+start_list (HrCore *c, HrMachine *m)
+{
+  double blocked = INFINITY;
+  for (guint i = 0; i < m->list->len;) {
+    HrRef r = g_array_index (m->list, HrRef, i);
+    HrJob *j = c->jobs->pdata[r.job];
+    gboolean ok = startable (c, j, m) && (!isfinite (blocked) || may_pass (c, j, m, blocked));
+    if (ok && j->spec.shape == HR_GANG)
+      ok = start_gang (c, j);
+    else if (ok && (ok = hr_team_allows (c, j, 1)))
+      start (c, j, r.task, m, next_try (&j->tasks[r.task]));
+    if (ok) {
+      i = 0; /* lists changed */
+      blocked = INFINITY;
+      continue;
+    }
+    if (!isfinite (blocked) && c->now >= j->retry_at) {
+      g_autofree double *starts = g_new (double, m->list->len);
+      hr_project (c, m, starts);
+      blocked = MAX (c->now, starts[i]);
+    }
+    i++;
+  }
+  return blocked;
+}
+
+static int
+by_deadline (gconstpointer a, gconstpointer b, gpointer data)
+{
+  HrCore *c = data;
+  const HrRef *x = a, *y = b;
+  const HrJob *p = c->jobs->pdata[x->job], *q = c->jobs->pdata[y->job];
+  if (p->deadline != q->deadline)
+    return p->deadline < q->deadline ? -1 : 1;
+  return x->job != y->job ? (x->job < y->job ? -1 : 1) : (x->task > y->task) - (x->task < y->task);
+}
+
+/* A machine with room takes the earliest-deadline task that fits from any list. */
+static void
+start_from_any (HrCore *c, const double *blocked)
+{
+  g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (HrRef));
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    for (guint k = 0; k < m->list->len; k++) {
+      HrRef r = g_array_index (m->list, HrRef, k);
+      if (((HrJob *) c->jobs->pdata[r.job])->spec.shape == HR_BATCH)
+        g_array_append_val (all, r);
+    }
+  }
+  g_array_sort_with_data (all, by_deadline, c);
+  for (guint i = 0; i < all->len; i++) {
+    HrRef r = g_array_index (all, HrRef, i);
+    HrJob *j = c->jobs->pdata[r.job];
+    HrMachine *best = NULL;
+    if (!hr_team_allows (c, j, 1))
+      continue;
+    for (guint k = 0; k < c->fleet->len; k++) {
+      HrMachine *m = c->fleet->pdata[k];
+      if (!startable (c, j, m) || !may_pass (c, j, m, blocked[k]))
+        continue;
+      if (!best || hr_estimate (c, j, m) < hr_estimate (c, j, best) - 1e-6)
+        best = m;
+    }
+    if (best)
+      start (c, j, r.task, best, next_try (&j->tasks[r.task]));
+  }
+}
+
+/* ---- making room ---- */
+
+static gboolean
+may_stop (HrCore *c, const HrJob *victim, const HrJob *j)
+{
+  if (victim->spec.rank > j->spec.rank)
+    return TRUE;
+  return victim->spec.team != j->spec.team && team_beyond (c, victim, 0) &&
+         !team_beyond (c, j, 1);
+}
+
+static double
+loss (HrCore *c, const HrJob *v, const HrTask *t)
+{
+  double ran = t->ran_at ? c->now - t->ran_at : 0;
+  if (v->spec.checkpoint > 0)
+    ran = MIN (ran, v->spec.save + 5);
+  return ran + 1 + (v->spec.shape == HR_GANG ? 1000 : 0);
+}
+
+/* Stops the tasks of one machine whose loss is least, so that the job fits there. */
+static gboolean
+preempt (HrCore *c, HrJob *j, Room *rooms)
+{
+  Room *best = NULL;
+  double least = INFINITY;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    Room *r = &rooms[i];
+    HrMachine *m = r->m;
+    if (m->state != HR_M_UP || !hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))
+      continue;
+    double cpus = r->cpus, gpus = r->gpus, mem = r->mem, cost = 0;
+    for (guint k = 0; k < m->tasks->len; k++) {
+      HrRef x = g_array_index (m->tasks, HrRef, k);
+      HrJob *v = c->jobs->pdata[x.job];
+      HrTask *t = &v->tasks[x.task];
+      if (cpus >= j->spec.cpus && gpus >= j->spec.gpus && mem >= j->spec.mem)
+        break;
+      if (t->state != HR_T_BOUND || t->kill || !may_stop (c, v, j))
+        continue;
+      cpus += v->spec.cpus;
+      gpus += v->spec.gpus;
+      mem += v->spec.mem;
+      cost += loss (c, v, t);
+    }
+    if (cpus + 1e-6 >= j->spec.cpus && gpus + 1e-6 >= j->spec.gpus && mem + 1e-6 >= j->spec.mem &&
+        cost < least) {
+      least = cost;
+      best = r;
+    }
+  }
+  if (!best)
+    return FALSE;
+  for (guint k = 0; k < best->m->tasks->len; k++) {
+    HrRef x = g_array_index (best->m->tasks, HrRef, k);
+    HrJob *v = c->jobs->pdata[x.job];
+    HrTask *t = &v->tasks[x.task];
+    if (best->cpus + 1e-6 >= j->spec.cpus && best->gpus + 1e-6 >= j->spec.gpus &&
+        best->mem + 1e-6 >= j->spec.mem)
+      break;
+    if (t->state != HR_T_BOUND || t->kill || !may_stop (c, v, j))
+      continue;
+    g_info ("%s/%u on %s makes room for %s", v->id, x.task, best->m->name, j->id);
+    best->cpus += v->spec.cpus;
+    best->gpus += v->spec.gpus;
+    best->mem += v->spec.mem;
+    double grace = v->spec.checkpoint > 0 && t->shown == HR_W_RUNNING ? v->spec.save + 1 : 0;
+    if (v->spec.shape == HR_GANG)
+      hr_gang_end (c, v, v->spec.save + 1);
+    else
+      hr_task_stop (c, v, x.task, grace);
+  }
+  return room_take (best, j->spec.cpus, j->spec.gpus, j->spec.mem);
+}
+
+/* ---- renting ---- */
+
+/* Tasks of one kind that machines must be rented for. */
+typedef struct {
+  guint32 type, zone;
+  gboolean spot;
+  double cpus, gpus, mem; /* left on the last machine counted */
+  guint machines;
+} Need;
+
+static void
+need_one (HrCore *c, GArray *needs, guint64 types, guint32 zone, gboolean spot_ok, double cpus,
+          double gpus, double mem)
+{
+  /* The cheapest type that fits and that the cloud has not just refused. */
+  const HrType *best = NULL;
+  gboolean best_spot = FALSE;
+  double least = INFINITY;
+  for (guint i = 0; i < c->types->len; i++) {
+    const HrType *t = &g_array_index (c->types, HrType, i);
+    if ((types && !(types >> t->type & 1)) || cpus > t->cpus || gpus > t->gpus || mem > t->mem)
+      continue;
+    for (int spot = 0; spot <= (spot_ok && c->pol.spot_use > 0); spot++) {
+      double share = MAX (MAX (cpus / t->cpus, gpus > 0 ? gpus / t->gpus : 0), mem / t->mem);
+      double price = (spot ? t->spot_price : t->price) * share;
+      if (price < least && !hr_fleet_refused (c, t->type, zone, spot)) {
+        least = price;
+        best = t;
+        best_spot = spot;
+      }
+    }
+  }
+  if (!best)
+    return;
+  Need *n = NULL;
+  for (guint i = 0; i < needs->len && !n; i++) {
+    Need *x = &g_array_index (needs, Need, i);
+    if (x->type == best->type && x->zone == zone && x->spot == best_spot)
+      n = x;
+  }
+  if (!n) {
+    g_array_set_size (needs, needs->len + 1);
+    n = &g_array_index (needs, Need, needs->len - 1);
+    *n = (Need){ best->type, zone, best_spot, 0, 0, 0, 0 };
+  }
+  if (cpus > n->cpus + 1e-6 || gpus > n->gpus + 1e-6 || mem > n->mem + 1e-6) {
+    n->machines++;
+    n->cpus = best->cpus;
+    n->gpus = best->gpus;
+    n->mem = best->mem;
+  }
+  n->cpus -= cpus;
+  n->gpus -= gpus;
+  n->mem -= mem;
+}
+
+/* Room that is free, or will be once a boot or a stop has ended. Busy machines
+ * first, so that idle ones stay free to go. */
+static gboolean
+find_room (HrCore *c, Room *rooms, HrJob *j, double cpus, double gpus, double mem, gboolean spot,
+           guint64 types, gboolean booting_only)
+{
+  for (int pass = 0; pass < 2; pass++)
+    for (guint i = 0; i < c->fleet->len; i++) {
+      Room *r = &rooms[i];
+      HrMachine *m = r->m;
+      if ((m->state != HR_M_UP && m->state != HR_M_BOOTING) || m->drain ||
+          (booting_only && m->state != HR_M_BOOTING) || (m->spot && !spot) ||
+          (types && !(types >> m->type & 1)) || (j && (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))))
+        continue;
+      gboolean idle = m->tasks->len == 0 && !r->reserved;
+      if (idle == (pass == 0) || !room_take (r, cpus, gpus, mem))
+        continue;
+      r->reserved = TRUE;
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static double
+boot_time (HrCore *c)
+{
+  double s = 0;
+  for (guint i = 0; i < c->types->len; i++)
+    s = MAX (s, g_array_index (c->types, HrType, i).boot_s);
+  return s;
+}
+
+/* Spare room for the next replicas of production services: they cannot wait for a boot. */
+static void
+keep_headroom (HrCore *c, Room *rooms, GArray *needs)
+{
+  for (guint k = 0; k < c->classes->len; k++) {
+    HrClassStat *s = &g_array_index (c->classes, HrClassStat, k);
+    if (!s->seen || s->shape != HR_SERVICE)
+      continue;
+    double rate = s->rate * exp (-(c->now - s->last_arrival) / 120);
+    guint n = (guint) (c->pol.headroom_base + rate * boot_time (c) * c->pol.headroom_boots + 0.5);
+    for (guint i = 0; i < n; i++)
+      if (!find_room (c, rooms, NULL, s->cpus, s->gpus, s->mem, s->spot, s->types, FALSE))
+        need_one (c, needs, s->types, HR_NONE, s->spot, s->cpus, s->gpus, s->mem);
+  }
+}
+
+static void
+rent_for_lists (HrCore *c, Room *rooms, GArray *needs)
+{
+  double boot = boot_time (c) * c->pol.rent_slack;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (!m->list->len)
+      continue;
+    g_autofree double *starts = g_new (double, m->list->len);
+    hr_project (c, m, starts);
+    for (guint k = 0; k < m->list->len; k++) {
+      HrRef r = g_array_index (m->list, HrRef, k);
+      HrJob *j = c->jobs->pdata[r.job];
+      double end = starts[k] + hr_estimate (c, j, m) - c->now + c->wall;
+      /* A machine is rented where it would start the task sooner, and the plan is late. */
+      if (starts[k] - c->now <= boot || (end <= j->deadline && j->spec.shape != HR_GANG))
+        continue;
+      if (j->spec.shape != HR_GANG && find_room (c, rooms, j, j->spec.cpus, j->spec.gpus,
+                                                 j->spec.mem, j->spec.spot, j->spec.types, TRUE))
+        continue;
+      need_one (c, needs, j->spec.types, j->spec.zone, j->spec.spot, j->spec.cpus, j->spec.gpus,
+                j->spec.mem);
+    }
+  }
+  /* And for what found no list at all. */
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    guint left = j->ntasks - j->nlive - j->ndone - j->planned;
+    if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
+        j->retry_at > c->now || !hr_team_allows (c, j, 1))
+      continue;
+    for (guint k = 0; k < MIN (left, 200); k++)
+      if (!find_room (c, rooms, j, j->spec.cpus, j->spec.gpus, j->spec.mem, j->spec.spot,
+                      j->spec.types, TRUE))
+        need_one (c, needs, j->spec.types, j->spec.zone, j->spec.spot, j->spec.cpus, j->spec.gpus,
+                  j->spec.mem);
+  }
+}
+
+static void
+return_idle (HrCore *c, Room *rooms)
+{
+  g_autoptr (GPtrArray) away = g_ptr_array_new ();
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (m->state != HR_M_UP || m->tasks->len || m->list->len)
+      continue;
+    if (m->drain || (!rooms[i].reserved && m->idle_at && c->now - m->idle_at > c->pol.idle_s))
+      g_ptr_array_add (away, m);
+  }
+  for (guint i = 0; i < away->len; i++)
+    hr_fleet_delete (c, away->pdata[i], ((HrMachine *) away->pdata[i])->drain ? "it is drained"
+                                                                              : "nothing needs it");
+}
+
+static int
+by_rank (gconstpointer a, gconstpointer b)
+{
+  const HrJob *x = *(HrJob *const *) a, *y = *(HrJob *const *) b;
+  if (x->spec.rank != y->spec.rank)
+    return x->spec.rank < y->spec.rank ? -1 : 1;
+  if (x->submitted != y->submitted)
+    return x->submitted < y->submitted ? -1 : 1;
+  return x->idx < y->idx ? -1 : x->idx > y->idx;
+}
+
+void
+hr_dispatch (HrCore *c)
+{
+  if (!c->types || !hr_leader_may_answer (c))
+    return;
+  g_autoptr (GPtrArray) services = g_ptr_array_new ();
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    if (j->stance == HR_QUEUED && j->tasks && j->spec.shape == HR_SERVICE && j->nlive < j->ntasks)
+      g_ptr_array_add (services, j);
+  }
+  g_ptr_array_sort (services, by_rank);
+  start_services (c, services);
+  guint n = c->fleet->len;
+  g_autofree double *blocked = g_new (double, n + 1);
+  for (guint i = 0; i < n; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    blocked[i] = m->state == HR_M_UP ? start_list (c, m) : INFINITY;
+  }
+  start_from_any (c, blocked);
+
+  g_autofree Room *rooms = g_new0 (Room, n + 1);
+  for (guint i = 0; i < n; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    rooms[i] = (Room){ m, m->cpus, m->gpus, m->mem, FALSE };
+    for (guint k = 0; k < m->tasks->len; k++) {
+      HrRef r = g_array_index (m->tasks, HrRef, k);
+      HrJob *j = c->jobs->pdata[r.job];
+      if (j->tasks[r.task].kill) {
+        rooms[i].cpus += j->spec.cpus;
+        rooms[i].gpus += j->spec.gpus;
+        rooms[i].mem += j->spec.mem;
+      }
+    }
+  }
+  g_autoptr (GArray) needs = g_array_new (FALSE, TRUE, sizeof (Need));
+  for (guint i = 0; i < services->len; i++) {
+    HrJob *j = services->pdata[i];
+    for (guint32 k = 0; k < j->ntasks; k++) {
+      if (j->tasks[k].state != HR_T_IDLE || j->retry_at > c->now || !hr_team_allows (c, j, 1))
+        continue;
+      const HrJobSpec *s = &j->spec;
+      if (preempt (c, j, rooms))
+        continue;
+      if (!find_room (c, rooms, j, s->cpus, s->gpus, s->mem, s->spot, s->types, TRUE))
+        need_one (c, needs, s->types, s->zone, s->spot, s->cpus, s->gpus, s->mem);
+    }
+  }
+  keep_headroom (c, rooms, needs);
+  rent_for_lists (c, rooms, needs);
+  g_array_set_size (c->wants, 0);
+  for (guint i = 0; i < needs->len; i++) {
+    Need *x = &g_array_index (needs, Need, i);
+    hr_fleet_want (c, x->type, x->zone, x->spot, x->machines);
+  }
+  return_idle (c, rooms);
+}
--- /dev/null
+++ b/src/coordination/leader.c
@@ -0,0 +1,255 @@
+/* Membership and leadership. The leader's key lives with a lease of the state
+ * service; whoever creates it writes the map in the same transaction, with a
+ * higher token (baton). Ownership is what the map says, nothing else. */
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+#define CONTACT_WINDOW 6.0
+
+gboolean
+hr_leader_may_answer (const HrCore *c)
+{
+  return c->leads && c->now - c->confirmed_at <= c->pol.hold_s;
+}
+
+static void
+become (HrCore *c)
+{
+  c->leads = TRUE;
+  c->led_at = c->now;
+  c->led_baton = c->baton;
+  c->list_complete = FALSE;
+  c->list_at = 0;
+  c->rent_at = c->now;
+  g_message ("this node leads, baton %" G_GUINT64_FORMAT, c->baton);
+  hr_tasks_take_over (c);
+}
+
+void
+hr_leader_step_down (HrCore *c, const char *why)
+{
+  if (c->leads)
+    g_message ("this node no longer leads: %s", why);
+  c->leads = FALSE;
+  c->raise_wanted = FALSE;
+  c->raising = FALSE;
+  /* Our view goes beyond the record: read everything anew. */
+  hr_follow_reset (c);
+}
+
+/* After every reading: does the map name this very process? */
+void
+hr_leader_map_read (HrCore *c)
+{
+  gboolean mine = c->map_stamp && g_strcmp0 (c->map_inc, c->incarnation) == 0 &&
+                  c->baton > c->fenced;
+  if (mine && !c->leads)
+    become (c);
+  else if (!mine && c->leads)
+    hr_leader_step_down (c, "the map names another owner");
+}
+
+static char *
+owner_text (HrCore *c, guint64 baton)
+{
+  return hr_json_take_text (json_pack ("{sIssss}", "b", (json_int_t) baton, "o", c->set->label, "i",
+                                       c->incarnation));
+}
+
+static void
+on_read_after (HrCore *c, gboolean ok, gpointer data)
+{
+  c->electing = c->raising = FALSE;
+}
+
+static void
+on_taken (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  if (status == 400)
+    c->claim = 0;
+  c->elect_at = c->now + g_rand_double_range (c->rand, 0.3, 0.8);
+  /* Won, lost or unknown: the next reading says who owns the map. */
+  hr_follow_read (c, on_read_after, NULL);
+}
+
+static void
+on_claim (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  c->claim_asked = 0;
+  guint64 claim;
+  if (status == 200 && hr_json_count (body, "claim", G_MAXINT64, &claim) && claim) {
+    c->claim = claim;
+    c->claim_touched = sent;
+  } else
+    c->elect_at = c->now + g_rand_double_range (c->rand, 0.5, 1);
+}
+
+static void
+on_touch (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  c->touching = FALSE;
+  if (status == 200)
+    c->claim_touched = sent;
+  else if (status == 404)
+    c->claim = 0; /* the key is gone with it; we may stand again */
+}
+
+static gboolean
+peer_fresh (const HrCore *c, const HrPeerView *p)
+{
+  return c->now - p->at < 3.5;
+}
+
+static void
+consider_standing (HrCore *c)
+{
+  /* A key of our own label and another incarnation is of a process that ended. */
+  gboolean ours_of_old = c->leader_stamp && g_strcmp0 (c->leader_label, c->set->label) == 0 &&
+                         g_strcmp0 (c->leader_inc, c->incarnation) != 0;
+  if ((c->leader_stamp && !ours_of_old) || c->electing || c->now < c->elect_at ||
+      c->now < c->abstain_until || c->now - c->confirmed_at > 2 || !c->types)
+    return;
+  if (!c->claim) {
+    if (!c->claim_asked) {
+      c->claim_asked = c->now;
+      hr_call (c, HR_TO_STORE, NULL, HR_POST, g_strdup ("/leases"),
+               g_strdup_printf ("{\"life_ms\":%d}", (int) (c->pol.leader_lease_s * 1000)), 2,
+               on_claim, NULL);
+    }
+    return;
+  }
+  c->electing = TRUE;
+  json_t *when = hr_cond (hr_cond (json_array (), "h/leader", c->leader_stamp), "h/map", c->map_stamp);
+  json_t *writes = hr_set (json_array (), "h/leader", owner_text (c, 0), c->claim);
+  hr_set (writes, "h/map", owner_text (c, MAX (c->baton, c->fenced) + 1), 0);
+  hr_commit (c, HR_TXN_USER, when, writes, 2, 2, on_taken, NULL);
+}
+
+/* A new token makes every order sent with an older one void wherever it is seen. */
+void
+hr_leader_raise (HrCore *c, const char *why)
+{
+  if (!c->raise_wanted)
+    g_info ("the baton is to be raised: %s", why);
+  c->raise_wanted = TRUE;
+}
+
+static void
+consider_raising (HrCore *c)
+{
+  if (!c->raise_wanted || c->raising || c->electing || c->now - c->raised_at < 3 || c->store_down)
+    return;
+  c->raise_wanted = FALSE;
+  c->raising = TRUE;
+  c->raised_at = c->now;
+  json_t *when = hr_cond (json_array (), "h/map", c->map_stamp);
+  json_t *writes = hr_set (json_array (), "h/map", owner_text (c, c->baton + 1), 0);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_taken, NULL);
+}
+
+static guint
+contacts (HrCore *c)
+{
+  if (c->now - c->contact_at >= CONTACT_WINDOW) {
+    c->contact_last = c->now - c->contact_at < 2 * CONTACT_WINDOW ? c->contact_count : 0;
+    c->contact_count = 0;
+    c->contact_at = c->now;
+  }
+  return MAX (c->contact_count, c->contact_last);
+}
+
+/* A leader that hears no worker while others do stands back. */
+static void
+consider_abdicating (HrCore *c)
+{
+  guint up = 0, heard = 0, elsewhere = 0;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    up += m->state == HR_M_UP;
+    heard += m->state == HR_M_UP && c->now - m->heard_at < 2 * CONTACT_WINDOW;
+  }
+  for (guint i = 0; i < c->peers->len; i++) {
+    HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
+    if (peer_fresh (c, p) && p->hint.store_served)
+      elsewhere = MAX (elsewhere, p->hint.contacts);
+  }
+  if (up < 2 || heard || elsewhere < 2 || c->now - c->led_at < 2 * CONTACT_WINDOW)
+    return;
+  c->abstain_until = c->now + 15;
+  c->fenced = c->baton;
+  if (c->claim)
+    hr_call (c, HR_TO_STORE, NULL, HR_DELETE,
+             g_strdup_printf ("/leases/%" G_GUINT64_FORMAT, c->claim), NULL, 2, on_touch, NULL);
+  c->claim = 0;
+  hr_leader_step_down (c, "no worker reaches this node, others are reached");
+}
+
+static void
+tell (HrCore *c)
+{
+  c->hint_at = c->now;
+  HrEffect *e = g_new0 (HrEffect, 1);
+  e->kind = HR_E_HINT;
+  g_strlcpy (e->hint.label, c->set->label, sizeof e->hint.label);
+  g_strlcpy (e->hint.incarnation, c->incarnation, sizeof e->hint.incarnation);
+  e->hint.baton = c->baton;
+  e->hint.map_stamp = c->map_stamp;
+  e->hint.store_served = c->synced_once && c->now - c->confirmed_at < 2.5;
+  e->hint.leads = c->leads;
+  e->hint.contacts = contacts (c);
+  g_ptr_array_add (c->out, e);
+}
+
+void
+hr_leader_hint (HrCore *c, const HrHint *h)
+{
+  gboolean member = FALSE;
+  for (guint i = 0; i < c->set->members->len; i++)
+    member |= g_str_equal (g_array_index (c->set->members, HrMember, i).label, h->label);
+  if (!member) {
+    g_info ("a hint from %s, which is no member; dropped", h->label);
+    return;
+  }
+  HrPeerView *p = NULL;
+  for (guint i = 0; i < c->peers->len && !p; i++)
+    if (g_str_equal (g_array_index (c->peers, HrPeerView, i).hint.label, h->label))
+      p = &g_array_index (c->peers, HrPeerView, i);
+  if (!p) {
+    g_array_set_size (c->peers, c->peers->len + 1);
+    p = &g_array_index (c->peers, HrPeerView, c->peers->len - 1);
+  }
+  p->hint = *h;
+  p->at = c->now;
+  /* A member that the state service serves has read a newer map, and we, who
+   * think we own it, have not: whoever is refused steps down at once. */
+  if (c->leads && h->store_served && h->baton > c->baton && c->now - c->confirmed_at > 1.5) {
+    c->fenced = c->baton;
+    hr_leader_step_down (c, "a member has read a newer map");
+  }
+}
+
+void
+hr_leader_tick (HrCore *c)
+{
+  contacts (c);
+  if (c->claim && c->now - c->claim_touched > c->pol.leader_lease_s && !c->leads && !c->electing)
+    c->claim = 0; /* not kept alive while there is nothing to hold */
+  if (c->claim && (c->leads || c->electing) && !c->touching &&
+      c->now - c->claim_tried > c->pol.leader_lease_s / 4) {
+    c->touching = TRUE;
+    c->claim_tried = c->now;
+    hr_call (c, HR_TO_STORE, NULL, HR_POST,
+             g_strdup_printf ("/leases/%" G_GUINT64_FORMAT "/touch", c->claim), NULL,
+             c->pol.leader_lease_s / 4, on_touch, NULL);
+  }
+  if (c->sync == HR_SYNC_FOLLOWING) {
+    consider_standing (c);
+    if (c->leads) {
+      consider_raising (c);
+      consider_abdicating (c);
+    }
+  }
+  if (c->now - c->hint_at >= 1)
+    tell (c);
+}
--- /dev/null
+++ b/src/coordination/planner.c
@@ -0,0 +1,488 @@
+/* The plan: one deadline-ordered list of tasks per machine. New tasks are placed
+ * by MT-EDF; a bounded tabu search then moves tardy ones (Klusacek, Matyska,
+ * Rudova: Local Search for Deadline Driven Grid Scheduling, figures 1 to 3). */
+#include "coordination/state.h"
+#include <math.h>
+#include <string.h>
+
+#define WINDOW 64 /* tasks of one job that stand in lists at a time */
+
+static HrJob *
+job_of (HrCore *c, HrRef r)
+{
+  return c->jobs->pdata[r.job];
+}
+
+static gboolean
+usable (const HrMachine *m)
+{
+  return (m->state == HR_M_UP || m->state == HR_M_BOOTING) && !m->drain && m->type != HR_NONE;
+}
+
+/* Type, zone and kind, apart from where the job's other tasks are. */
+gboolean
+hr_allowed (const HrCore *c, const HrJob *j, const HrMachine *m)
+{
+  const HrJobSpec *s = &j->spec;
+  const HrType *t = usable (m) ? hr_type (c, m) : NULL;
+  return t && (!s->types || (s->types >> m->type & 1)) && (s->zone == HR_NONE || s->zone == m->zone) &&
+         (s->spot || !m->spot) && s->cpus <= t->cpus + 1e-6 && s->gpus <= t->gpus + 1e-6 &&
+         s->mem <= t->mem + 1e-6;
+}
+
+/* Expected run time with the image fetch. */
+double
+hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m)
+{
+  const HrType *t = hr_type (c, m);
+  double run = j->spec.estimate > 0 ? j->spec.estimate : 60;
+  run *= hr_class (c, j->spec.klass)->correction / m->speed;
+  if (t && !hr_machine_has_image (m, j->spec.image))
+    run += j->spec.image_gb / t->fetch_rate;
+  return run;
+}
+
+/* ---- projection of one list ---- */
+
+typedef struct {
+  double end, cpus, gpus, mem;
+} Busy;
+
+static void
+add_busy (GArray *busy, double end, const HrJobSpec *s)
+{
+  Busy b = { end, s->cpus, s->gpus, s->mem };
+  guint i = busy->len;
+  g_array_append_val (busy, b);
+  for (; i > 0 && g_array_index (busy, Busy, i - 1).end > end; i--)
+    g_array_index (busy, Busy, i) = g_array_index (busy, Busy, i - 1);
+  g_array_index (busy, Busy, i) = b;
+}
+
+static double
+running_end (HrCore *c, HrJob *j, const HrTask *t, HrMachine *m)
+{
+  if (j->spec.shape == HR_SERVICE)
+    return INFINITY;
+  double est = hr_estimate (c, j, m);
+  double end = (t->ran_at ? t->ran_at : t->placed_at) + est;
+  /* Past its estimate: never in the past, and the longer over the longer to go. */
+  return MAX (end, c->now + MAX (2, 0.2 * (c->now - t->placed_at)));
+}
+
+/* When a task of `s` can start on an idle-from-then machine; fills starts when given. */
+void
+hr_project (HrCore *c, HrMachine *m, double *starts)
+{
+  static GArray *busy;
+  if (!busy)
+    busy = g_array_new (FALSE, FALSE, sizeof (Busy));
+  g_array_set_size (busy, 0);
+  const HrType *ty = hr_type (c, m);
+  double cpus = m->cpus - m->alien_cpus, gpus = m->gpus - m->alien_gpus, mem = m->mem - m->alien_mem;
+  double at = c->now;
+  if (m->state == HR_M_BOOTING)
+    at = MAX (c->now + 2, m->rented_at + ty->boot_s);
+  for (guint i = 0; i < m->tasks->len; i++) {
+    HrRef r = g_array_index (m->tasks, HrRef, i);
+    HrJob *j = job_of (c, r);
+    add_busy (busy, running_end (c, j, &j->tasks[r.task], m), &j->spec);
+  }
+  m->late = 0;
+  m->tardiness = 0;
+  m->ready = at;
+  double from = at;
+  for (guint i = 0; i < m->list->len; i++) {
+    HrRef r = g_array_index (m->list, HrRef, i);
+    HrJob *j = job_of (c, r);
+    const HrJobSpec *s = &j->spec;
+    double start = from;
+    if (s->shape == HR_GANG)
+      start = MAX (start, j->gang_start);
+    start = MAX (start, j->retry_at);
+    while (busy->len) {
+      Busy b = g_array_index (busy, Busy, 0);
+      gboolean fits = s->cpus <= cpus + 1e-6 && s->gpus <= gpus + 1e-6 && s->mem <= mem + 1e-6;
+      if (b.end > start && (fits || !isfinite (b.end)))
+        break;
+      cpus += b.cpus;
+      gpus += b.gpus;
+      mem += b.mem;
+      start = MAX (start, b.end);
+      g_array_remove_index (busy, 0);
+    }
+    if (!(s->cpus <= cpus + 1e-6 && s->gpus <= gpus + 1e-6 && s->mem <= mem + 1e-6))
+      start = c->now + 1e6; /* behind services for good: as good as never */
+    else {
+      cpus -= s->cpus;
+      gpus -= s->gpus;
+      mem -= s->mem;
+      add_busy (busy, start + hr_estimate (c, j, m), s);
+      from = start; /* deadline order: nobody starts before the one ahead of him */
+    }
+    if (starts)
+      starts[i] = start;
+    if (i == 0)
+      m->ready = start;
+    double over = start + hr_estimate (c, j, m) - (j->deadline - c->wall + c->now);
+    if (over > 0) {
+      m->late++;
+      m->tardiness += over;
+    }
+  }
+  if (!m->list->len && busy->len && m->cpus < 1)
+    m->ready = MAX (m->ready, MIN (g_array_index (busy, Busy, 0).end, c->now + 1e6));
+}
+
+static guint
+slot_of (HrCore *c, HrMachine *m, const HrJob *j)
+{
+  guint i = 0;
+  while (i < m->list->len && job_of (c, g_array_index (m->list, HrRef, i))->deadline <= j->deadline)
+    i++;
+  return i;
+}
+
+static void
+list_insert (HrCore *c, HrMachine *m, HrRef r)
+{
+  HrJob *j = job_of (c, r);
+  guint at = slot_of (c, m, j);
+  g_array_insert_val (m->list, at, r);
+}
+
+void
+hr_list_remove (HrMachine *m, HrRef r)
+{
+  for (guint i = 0; i < m->list->len; i++) {
+    HrRef *x = &g_array_index (m->list, HrRef, i);
+    if (x->job == r.job && x->task == r.task) {
+      g_array_remove_index (m->list, i);
+      return;
+    }
+  }
+}
+
+/* ---- MT-EDF ---- */
+
+static int
+by_ready (gconstpointer a, gconstpointer b)
+{
+  const HrMachine *x = *(HrMachine *const *) a, *y = *(HrMachine *const *) b;
+  if (x->ready != y->ready)
+    return x->ready < y->ready ? -1 : 1;
+  return x->idx < y->idx ? -1 : x->idx > y->idx;
+}
+
+typedef struct {
+  guint late;
+  double tard;
+} Judge;
+
+static gboolean
+better (Judge a, Judge b)
+{
+  return a.late < b.late || (a.late == b.late && a.tard < b.tard - 1e-9);
+}
+
+/* How the whole plan changes when the task joins this list: the others stay as
+ * they are, so the difference on this list decides. */
+static Judge
+try_list (HrCore *c, HrMachine *m, HrRef r, double *start)
+{
+  guint late = m->late;
+  double tard = m->tardiness, ready = m->ready;
+  guint at = slot_of (c, m, job_of (c, r));
+  g_array_insert_val (m->list, at, r);
+  g_autofree double *starts = g_new (double, m->list->len);
+  hr_project (c, m, starts);
+  *start = starts[at];
+  Judge d = { m->late - late, m->tardiness - tard };
+  g_array_remove_index (m->list, at);
+  m->late = late;
+  m->tardiness = tard;
+  m->ready = ready;
+  return d;
+}
+
+/* Is the machine ruled out by where the job's other tasks are, or stand? */
+gboolean
+hr_zone_ok (HrCore *c, HrJob *j, HrMachine *m)
+{
+  if (!j->spec.one_zone && !j->spec.spread)
+    return TRUE;
+  guint here = 0;
+  for (guint32 i = 0; i < j->ntasks; i++) {
+    HrTask *t = &j->tasks[i];
+    if (t->state != HR_T_ASSIGNING && t->state != HR_T_BOUND)
+      continue;
+    gboolean same = ((HrMachine *) c->machines->pdata[t->machine])->zone == m->zone;
+    if (j->spec.one_zone && !same)
+      return FALSE;
+    here += same;
+  }
+  return !j->spec.spread || here < (j->ntasks + 1) / 2;
+}
+
+static gboolean
+mtedf_task (HrCore *c, GPtrArray *order, HrJob *j, guint32 task, guint tries)
+{
+  HrRef r = { j->idx, task };
+  HrMachine *best = NULL;
+  Judge bj = { G_MAXUINT, INFINITY };
+  double bs = INFINITY;
+  g_ptr_array_sort (order, by_ready);
+  /* When far more is queued than runs, a sample of the lists must do: the
+   * earliest ones, and some drawn from the rest. */
+  for (guint k = 0; k < order->len && tries > 0; k++) {
+    HrMachine *m = order->pdata[k];
+    if (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))
+      continue;
+    if (k > tries && g_rand_int_range (c->rand, 0, order->len) > (gint) tries)
+      continue;
+    tries--;
+    double start;
+    Judge d = try_list (c, m, r, &start);
+    if (start > c->now + 1e5)
+      continue;
+    if (better (d, bj) || (!better (bj, d) && start < bs - 1e-6)) {
+      bj = d;
+      bs = start;
+      best = m;
+    }
+    if (d.late == 0 && d.tard <= 0)
+      break; /* no tardiness: the paper stops here */
+  }
+  if (!best)
+    return FALSE;
+  list_insert (c, best, r);
+  hr_project (c, best, NULL);
+  j->tasks[task].planned = 1;
+  j->planned++;
+  return TRUE;
+}
+
+/* A gang takes one slot in each chosen list, with a common start: the machines
+ * that can have it soonest, within one zone where the job asks for that. */
+static void
+mtedf_gang (HrCore *c, GPtrArray *order, HrJob *j)
+{
+  g_autoptr (GArray) pick = NULL;
+  double common = INFINITY;
+  guint zones = j->spec.one_zone ? c->names->zones.names->len : 1;
+  j->gang_start = 0;
+  g_autofree double *start = g_new (double, order->len + 1);
+  for (guint k = 0; k < order->len; k++) {
+    HrMachine *m = order->pdata[k];
+    HrRef r = { j->idx, 0 };
+    start[k] = INFINITY;
+    if (hr_allowed (c, j, m))
+      try_list (c, m, r, &start[k]);
+  }
+  for (guint z = 0; z < zones; z++) {
+    g_autoptr (GArray) got = g_array_new (FALSE, FALSE, sizeof (guint));
+    double last = 0;
+    while (got->len < j->ntasks) {
+      guint best = HR_NONE;
+      for (guint k = 0; k < order->len; k++) {
+        HrMachine *m = order->pdata[k];
+        gboolean used = FALSE;
+        for (guint i = 0; i < got->len; i++)
+          used |= g_array_index (got, guint, i) == k;
+        if (used || start[k] > c->now + 1e5 || (j->spec.one_zone && m->zone != z))
+          continue;
+        if (best == HR_NONE || start[k] < start[best])
+          best = k;
+      }
+      if (best == HR_NONE)
+        break;
+      last = MAX (last, start[best]);
+      g_array_append_val (got, best);
+    }
+    if (got->len == j->ntasks && last < common) {
+      common = last;
+      g_clear_pointer (&pick, g_array_unref);
+      pick = g_steal_pointer (&got);
+    }
+  }
+  if (!pick)
+    return;
+  j->gang_start = common;
+  for (guint32 i = 0; i < j->ntasks; i++) {
+    HrMachine *m = order->pdata[g_array_index (pick, guint, i)];
+    HrRef r = { j->idx, i };
+    list_insert (c, m, r);
+    hr_project (c, m, NULL);
+    j->tasks[i].planned = 1;
+    j->planned++;
+  }
+}
+
+/* ---- tabu search ---- */
+
+static gboolean
+is_tabu (GArray *tabu, HrRef r)
+{
+  for (guint i = 0; i < tabu->len; i++) {
+    HrRef *x = &g_array_index (tabu, HrRef, i);
+    if (x->job == r.job && x->task == r.task)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+static void
+tabu_search (HrCore *c, GPtrArray *lists)
+{
+  guint n = lists->len;
+  g_autofree gboolean *avail = g_new (gboolean, n), *cand = g_new (gboolean, n);
+  g_autoptr (GArray) tabu = g_array_new (FALSE, FALSE, sizeof (HrRef));
+  double total = 0;
+  for (guint i = 0; i < n; i++) {
+    avail[i] = cand[i] = TRUE;
+    total += ((HrMachine *) lists->pdata[i])->tardiness;
+  }
+  for (guint round = 0; round < c->pol.tabu_rounds && total > 1e-6; round++) {
+    guint hi = HR_NONE, lo = HR_NONE;
+    for (guint i = 0; i < n; i++) {
+      HrMachine *m = lists->pdata[i];
+      if (avail[i] && m->list->len &&
+          (hi == HR_NONE || m->tardiness > ((HrMachine *) lists->pdata[hi])->tardiness))
+        hi = i;
+    }
+    if (hi == HR_NONE)
+      return;
+    HrMachine *a = lists->pdata[hi];
+    /* The most tardy job of the tardiest list. Gangs stay: their slots hang together. */
+    g_autofree double *starts = g_new (double, a->list->len);
+    hr_project (c, a, starts);
+    HrRef pick = { HR_NONE, 0 };
+    double worst = 0;
+    for (guint i = 0; i < a->list->len; i++) {
+      HrRef r = g_array_index (a->list, HrRef, i);
+      HrJob *j = job_of (c, r);
+      double over = starts[i] + hr_estimate (c, j, a) - (j->deadline - c->wall + c->now);
+      if (over > worst && j->spec.shape != HR_GANG && !is_tabu (tabu, r)) {
+        worst = over;
+        pick = r;
+      }
+    }
+    if (pick.job == HR_NONE) {
+      avail[hi] = FALSE;
+      memset (cand, 0xff, n * sizeof *cand);
+      continue;
+    }
+    HrJob *j = job_of (c, pick);
+    for (guint i = 0; i < n; i++) {
+      HrMachine *m = lists->pdata[i];
+      if (i != hi && cand[i] && hr_allowed (c, j, m) && hr_zone_ok (c, j, m) &&
+          (lo == HR_NONE || m->tardiness < ((HrMachine *) lists->pdata[lo])->tardiness ||
+           (m->tardiness == ((HrMachine *) lists->pdata[lo])->tardiness &&
+            m->ready < ((HrMachine *) lists->pdata[lo])->ready)))
+        lo = i;
+    }
+    if (lo == HR_NONE) {
+      if (tabu->len >= c->pol.tabu_jobs && tabu->len)
+        g_array_remove_index (tabu, 0); /* oldest out first */
+      g_array_append_val (tabu, pick);
+      memset (cand, 0xff, n * sizeof *cand);
+      continue;
+    }
+    HrMachine *b = lists->pdata[lo];
+    Judge before = { a->late + b->late, a->tardiness + b->tardiness };
+    hr_list_remove (a, pick);
+    list_insert (c, b, pick);
+    hr_project (c, a, NULL);
+    hr_project (c, b, NULL);
+    Judge after = { a->late + b->late, a->tardiness + b->tardiness };
+    if (better (after, before)) {
+      total += after.tard - before.tard;
+      memset (avail, 0xff, n * sizeof *avail);
+      memset (cand, 0xff, n * sizeof *cand);
+    } else {
+      hr_list_remove (b, pick);
+      list_insert (c, a, pick);
+      hr_project (c, a, NULL);
+      hr_project (c, b, NULL);
+      cand[lo] = FALSE;
+    }
+  }
+}
+
+/* ---- the pass ---- */
+
+static gboolean
+stands (HrCore *c, HrMachine *m, HrRef r)
+{
+  HrJob *j = job_of (c, r);
+  return j->tasks && j->stance == HR_QUEUED && j->tasks[r.task].state == HR_T_IDLE &&
+         !j->gang_over && hr_allowed (c, j, m) && hr_zone_ok (c, j, m);
+}
+
+static int
+by_deadline (gconstpointer a, gconstpointer b)
+{
+  const HrJob *x = *(HrJob *const *) a, *y = *(HrJob *const *) b;
+  if (x->deadline != y->deadline)
+    return x->deadline < y->deadline ? -1 : 1;
+  return x->idx < y->idx ? -1 : x->idx > y->idx;
+}
+
+void
+hr_plan (HrCore *c)
+{
+  g_autoptr (GPtrArray) lists = g_ptr_array_new ();
+  guint queued = 0;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    for (guint k = 0; k < m->list->len;) {
+      HrRef r = g_array_index (m->list, HrRef, k);
+      HrJob *j = job_of (c, r);
+      /* Gangs are placed anew in each pass: their common start moves with every list. */
+      if (usable (m) && stands (c, m, r) && j->spec.shape != HR_GANG) {
+        k++;
+        continue;
+      }
+      if (j->tasks && j->tasks[r.task].planned) {
+        j->tasks[r.task].planned = 0;
+        j->planned--;
+      }
+      g_array_remove_index (m->list, k);
+    }
+    if (usable (m)) {
+      hr_project (c, m, NULL);
+      g_ptr_array_add (lists, m);
+    }
+    queued += m->list->len;
+  }
+  g_autoptr (GPtrArray) fresh = g_ptr_array_new ();
+  for (guint i = 0; i < c->open->len;) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    if (j->shrunk || !j->tasks) {
+      j->listed = FALSE;
+      g_array_remove_index_fast (c->open, i);
+      continue;
+    }
+    i++;
+    if (j->stance == HR_QUEUED && j->spec.shape != HR_SERVICE && !j->gang_over &&
+        j->retry_at <= c->now && hr_team_allows (c, j, 1) && j->nlive + j->ndone < j->ntasks) {
+      g_ptr_array_add (fresh, j);
+      queued += j->ntasks - j->nlive - j->ndone - j->planned;
+    }
+  }
+  g_ptr_array_sort (fresh, by_deadline);
+  guint tries = queued > c->pol.sample_above ? (guint) c->pol.sample_lists : G_MAXUINT;
+  for (guint i = 0; i < fresh->len; i++) {
+    HrJob *j = fresh->pdata[i];
+    if (j->spec.shape == HR_GANG) {
+      if (j->nlive == 0)
+        mtedf_gang (c, lists, j);
+      continue;
+    }
+    for (guint32 k = 0; k < j->ntasks && j->planned < WINDOW; k++)
+      if (j->tasks[k].state == HR_T_IDLE && !j->tasks[k].planned &&
+          !mtedf_task (c, lists, j, k, tries))
+        break;
+  }
+  tabu_search (c, lists);
+}
--- /dev/null
+++ b/src/coordination/state.h
@@ -0,0 +1,220 @@
+/* The whole state of a controller, and the parts of the owner that work on it.
+ * Only files of coordination/ and bookkeeping/ include this. */
+#pragma once
+#include "bookkeeping/record.h"
+#include "bookkeeping/tables.h"
+#include "coordination/core.h"
+#include <jansson.h>
+
+/* An answer to one of our calls. status 0: no answer; the call may have been
+ * carried out, or may yet be. sent: when the call was made. */
+typedef void (*HrResultFn) (HrCore *c, int status, json_t *body, double sent, gpointer data);
+
+typedef enum { HR_SYNC_NONE, HR_SYNC_READING, HR_SYNC_FOLLOWING } HrSync;
+
+typedef struct {
+  double tokens, rate, burst, at;
+} HrBucket;
+
+/* Someone who waits for a reading of the ledger that is newer than his question. */
+typedef void (*HrReadFn) (HrCore *c, gboolean ok, gpointer data);
+typedef struct {
+  HrReadFn fn;
+  gpointer data;
+} HrWaiter;
+
+typedef struct {
+  json_t *when, *writes;
+  guint changes;
+  double timeout;
+  HrResultFn fn;
+  gpointer data;
+} HrTxn;
+
+typedef enum { HR_TXN_USER, HR_TXN_LAUNCH, HR_TXN_BOOKS, HR_TXN_KINDS } HrTxnKind;
+
+typedef struct {
+  guint32 job, page;
+} HrDirty;
+
+typedef struct {
+  guint32 type, zone;
+  gboolean spot;
+  double until;
+} HrRefusal;
+
+/* Machines that the plan is short of. */
+typedef struct {
+  guint32 type, zone; /* zone: HR_NONE for any */
+  gboolean spot;
+  guint count;
+} HrWant;
+
+typedef struct {
+  HrHint hint;
+  double at;
+} HrPeerView;
+
+struct HrCore {
+  const HrSettings *set;
+  HrPolicy pol;
+  HrNames *names;
+  char *incarnation;
+  GRand *rand;
+  double now, wall, started;
+  GPtrArray *out;
+  GHashTable *calls;
+  guint64 next_call, next_tag;
+
+  /* Following the ledger. */
+  HrSync sync;
+  guint sync_gen;
+  guint64 applied, sync_base;
+  char *sync_after;
+  gboolean synced_once, watching, reading;
+  double watch_not_before;
+  GArray *waiters, *waiters_now; /* HrWaiter */
+  double read_sent, confirmed_at; /* confirmed_at: when the last good reading was sent */
+  double sync_retry_at;
+  gboolean store_down;
+  guint store_fails;
+
+  /* Writing to it. */
+  GQueue txns[HR_TXN_KINDS];
+  GArray *dirty; /* HrDirty: pages with something to record */
+  HrBucket write_bucket, cloud_bucket;
+  guint txns_out;
+  double write_pause;
+
+  /* The map and the leader's key. */
+  guint64 map_stamp, baton, leader_stamp, fenced;
+  char *map_owner, *map_inc, *leader_label, *leader_inc;
+  guint64 claim;
+  double claim_touched, claim_tried, claim_asked;
+  gboolean leads, electing, raising, touching;
+  guint64 led_baton; /* of our first map as leader */
+  double led_at, elect_at, abstain_until, raised_at;
+  gboolean raise_wanted;
+  GArray *peers; /* HrPeerView */
+  double hint_at;
+  GArray *contacts; /* times of workers' reports, a ring */
+  double contact_at;
+  guint contact_count, contact_last;
+
+  /* Tables. */
+  HrIntern job_ids, machine_ids;
+  GPtrArray *jobs, *machines; /* by index */
+  GArray *open;               /* guint32: jobs that are not final, or not shrunk */
+  GArray *types;              /* HrType */
+  gboolean types_saved;
+  guint64 types_stamp;
+  GArray *classes; /* HrClassStat by class index */
+  GPtrArray *fleet; /* the machines that are not gone */
+
+  /* Planning and the fleet. */
+  gboolean plan_dirty;
+  double planned_at;
+  gboolean types_asked, listing;
+  double types_at, list_at, rent_at;
+  gboolean list_complete;
+  char *list_after;
+  guint64 ask;
+  GArray *wants;   /* HrWant */
+  GArray *refused; /* HrRefusal: where the cloud had no capacity, until when */
+  guint asks_out;
+  guint deletes_out;
+  gboolean cloud_down;
+  double log_at;
+};
+
+/* core.c */
+void hr_call (HrCore *c, HrTarget target, const char *addr, HrMethod method, char *path, char *body,
+              double timeout, HrResultFn fn, gpointer data); /* takes path and body */
+void hr_reply (HrCore *c, guint64 id, int status, json_t *body, int retry_after); /* takes body */
+void hr_refuse (HrCore *c, guint64 id, int status, int retry_after, const char *reason);
+char *hr_new_tag (HrCore *c);
+gboolean hr_bucket_take (HrBucket *b, double now, double n, double keep);
+HrJob *hr_job_find (HrCore *c, const char *id);
+HrJob *hr_job_get (HrCore *c, const char *id); /* makes the row when there is none */
+HrMachine *hr_machine_find (HrCore *c, const char *name);
+HrMachine *hr_machine_get (HrCore *c, const char *name);
+HrClassStat *hr_class (HrCore *c, guint32 klass);
+const HrType *hr_type (const HrCore *c, const HrMachine *m);
+const HrType *hr_type_by_name (const HrCore *c, guint32 name);
+
+/* bookkeeping/follow.c: the ledger, as read */
+void hr_follow_tick (HrCore *c);
+void hr_follow_reset (HrCore *c);
+void hr_follow_read (HrCore *c, HrReadFn fn, gpointer data);
+gboolean hr_follow_job (HrCore *c, HrJob *j, const json_t *value, guint64 stamp);
+
+/* bookkeeping/ledger.c: the ledger, as written */
+void hr_commit (HrCore *c, HrTxnKind kind, json_t *when, json_t *writes, guint changes,
+                double timeout, HrResultFn fn, gpointer data);
+json_t *hr_cond (json_t *when, const char *path, guint64 stamp);
+json_t *hr_set (json_t *writes, const char *path, char *value_text, guint64 claim);
+void hr_ledger_tick (HrCore *c);
+void hr_ledger_mark (HrCore *c, HrJob *j, guint32 task);
+void hr_ledger_seen (HrCore *c, HrJob *j, HrPage *p, guint64 stamp);
+char *hr_job_key (const HrJob *j);
+char *hr_page_key (const HrJob *j, guint page);
+
+/* bookkeeping/absence.c: proofs that a task is on no machine */
+gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
+gboolean hr_absence_orders_settled (const HrMachine *m);
+void hr_absence_tick (HrCore *c);
+/* Every task of sessions up to `upto` is gone from the machine. */
+void hr_absence_sessions (HrCore *c, HrMachine *m, guint32 upto, const char *why);
+
+/* leader.c */
+void hr_leader_tick (HrCore *c);
+void hr_leader_map_read (HrCore *c);
+void hr_leader_step_down (HrCore *c, const char *why);
+void hr_leader_hint (HrCore *c, const HrHint *h);
+gboolean hr_leader_may_answer (const HrCore *c);
+void hr_leader_raise (HrCore *c, const char *why);
+
+/* users.c */
+void hr_users_request (HrCore *c, HrCommand *cmd);
+
+/* workers.c */
+void hr_workers_hello (HrCore *c, HrCommand *cmd);
+void hr_workers_send (HrCore *c);
+
+/* tasks.c: what happens to a task on its machine */
+void hr_task_assign (HrCore *c, HrJob *j, guint32 task, HrMachine *m, guint32 attempt);
+void hr_task_bound (HrCore *c, HrJob *j, guint32 task);
+void hr_task_unassign (HrCore *c, HrJob *j, guint32 task);
+void hr_task_gone (HrCore *c, HrJob *j, guint32 task, HrExit why, const char *proof);
+void hr_task_done (HrCore *c, HrJob *j, guint32 task);
+void hr_task_stop (HrCore *c, HrJob *j, guint32 task, double grace);
+/* Ends a gang's attempt: all its tasks have to go before the next one. */
+void hr_gang_end (HrCore *c, HrJob *j, double grace);
+void hr_job_withdrawn (HrCore *c, HrJob *j);
+void hr_job_open (HrCore *c, HrJob *j);
+void hr_tasks_take_over (HrCore *c);
+guint32 hr_job_next_try (const HrJob *j);
+
+/* fleet.c */
+void hr_fleet_tick (HrCore *c);
+void hr_fleet_delete (HrCore *c, HrMachine *m, const char *why);
+void hr_machine_gone (HrCore *c, HrMachine *m, const char *why);
+/* zone HR_NONE: refused in all of them. */
+gboolean hr_fleet_refused (const HrCore *c, guint32 type, guint32 zone, gboolean spot);
+void hr_fleet_want (HrCore *c, guint32 type, guint32 zone, gboolean spot, guint count);
+gboolean hr_types_load (HrCore *c, const json_t *o);
+
+/* planner.c */
+void hr_plan (HrCore *c);
+double hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m);
+gboolean hr_allowed (const HrCore *c, const HrJob *j, const HrMachine *m);
+
+/* Is the machine ruled out by where the job's other tasks are? */
+gboolean hr_zone_ok (HrCore *c, HrJob *j, HrMachine *m);
+/* Projects a list: its late count and tardiness, and each task's start when asked for. */
+void hr_project (HrCore *c, HrMachine *m, double *starts);
+void hr_list_remove (HrMachine *m, HrRef r);
+
+/* dispatch.c */
+gboolean hr_team_allows (HrCore *c, const HrJob *j, guint n);
+void hr_dispatch (HrCore *c);
--- /dev/null
+++ b/src/coordination/tasks.c
@@ -0,0 +1,332 @@
+/* What happens to a task: assigned, recorded, seen, gone, done. */
+#include "coordination/state.h"
+#include <math.h>
+#include <string.h>
+
+static HrMachine *
+machine_of (HrCore *c, const HrTask *t)
+{
+  return c->machines->pdata[t->machine];
+}
+
+static void
+freed (HrCore *c, HrMachine *m)
+{
+  if (m->tasks->len == 0)
+    m->idle_at = c->now;
+  c->plan_dirty = TRUE;
+}
+
+guint32
+hr_job_next_try (const HrJob *j)
+{
+  guint32 a = 0;
+  for (guint32 i = 0; i < j->ntasks; i++)
+    a = MAX (a, MAX (j->tasks[i].try, j->tasks[i].rtry));
+  return a + 1;
+}
+
+void
+hr_task_assign (HrCore *c, HrJob *j, guint32 task, HrMachine *m, guint32 attempt)
+{
+  HrTask *t = &j->tasks[task];
+  HrRef r = { j->idx, task };
+  t->machine = m->idx;
+  t->session = m->session;
+  t->try = attempt;
+  t->state = HR_T_ASSIGNING;
+  t->shown = HR_NOT_SHOWN;
+  t->kill = 0;
+  t->killed_at = t->ran_at = 0;
+  t->placed_at = c->now;
+  j->nlive++;
+  hr_machine_take (m, &j->spec, r);
+  hr_ledger_mark (c, j, task);
+  g_debug ("%s/%u try %u goes to %s", j->id, task, attempt, m->name);
+}
+
+/* Takes the task off its machine's books. */
+static void
+release (HrCore *c, HrJob *j, guint32 task)
+{
+  HrTask *t = &j->tasks[task];
+  HrMachine *m = machine_of (c, t);
+  HrRef r = { j->idx, task };
+  hr_machine_give (m, &j->spec, r);
+  j->nlive--;
+  t->kill = 0;
+  freed (c, m);
+  if (j->nlive)
+    return;
+  j->gang_over = FALSE;
+  if (j->stance != HR_QUEUED)
+    hr_ledger_mark (c, j, 0); /* all are gone: the record can shrink */
+}
+
+void
+hr_task_unassign (HrCore *c, HrJob *j, guint32 task)
+{
+  j->tasks[task].state = HR_T_IDLE;
+  release (c, j, task);
+}
+
+static gboolean
+gang_ready (const HrJob *j)
+{
+  for (guint32 i = 0; i < j->ntasks; i++)
+    if (j->tasks[i].state != HR_T_BOUND || j->tasks[i].try != j->tasks[0].try)
+      return FALSE;
+  return TRUE;
+}
+
+void
+hr_task_bound (HrCore *c, HrJob *j, guint32 task)
+{
+  HrTask *t = &j->tasks[task];
+  HrMachine *m = machine_of (c, t);
+  t->state = HR_T_BOUND;
+  if (m->state != HR_M_UP || m->session != t->session) {
+    /* The machine went, or began a new session, while we wrote; nothing was sent. */
+    hr_task_gone (c, j, task, HR_X_NONE, "its machine changed before the launch");
+    return;
+  }
+  m->urgent = TRUE;
+  if (j->spec.shape == HR_GANG && gang_ready (j))
+    for (guint32 i = 0; i < j->ntasks; i++)
+      machine_of (c, &j->tasks[i])->urgent = TRUE;
+}
+
+void
+hr_gang_end (HrCore *c, HrJob *j, double grace)
+{
+  j->gang_over = TRUE;
+  for (guint32 i = 0; i < j->ntasks; i++) {
+    HrTask *t = &j->tasks[i];
+    if (t->state == HR_T_ASSIGNING && !t->inflight)
+      hr_task_unassign (c, j, i);
+    else if (t->state == HR_T_BOUND && !t->kill)
+      hr_task_stop (c, j, i, grace);
+  }
+}
+
+static void
+failed (HrCore *c, HrJob *j, HrMachine *m, HrExit why)
+{
+  j->last_error = why;
+  j->bad_machine = m->idx;
+  j->errors++;
+  /* Mostly the machine is at fault, so the first try elsewhere is at once; a job
+   * that keeps failing waits longer and longer. */
+  j->pause = j->errors < 2 ? 0 : MIN (c->pol.retry_most_s, c->pol.retry_s * pow (2, MIN (j->errors - 2, 20)));
+  j->retry_at = c->now + j->pause;
+  if (m->error_job != j->idx) {
+    m->error_job = j->idx;
+    m->errors++;
+  }
+  g_info ("%s failed on %s (%s), %u in a row; next try in %.0f s", j->id, m->name,
+          hr_exit_name (why), j->errors, j->pause);
+  if (m->errors >= c->pol.error_limit && !m->drain) {
+    g_message ("%s fails task after task; it is drained and returned", m->name);
+    m->drain = TRUE;
+  }
+}
+
+void
+hr_task_gone (HrCore *c, HrJob *j, guint32 task, HrExit why, const char *proof)
+{
+  HrTask *t = &j->tasks[task];
+  HrMachine *m = machine_of (c, t);
+  if (t->state != HR_T_BOUND)
+    return;
+  g_debug ("%s/%u try %u is off %s: %s", j->id, task, t->try, m->name, proof);
+  t->state = HR_T_IDLE;
+  if (why == HR_X_ERROR || why == HR_X_UNKNOWN)
+    failed (c, j, m, why);
+  else if (why == HR_X_FULL || why == HR_X_IN_USE) {
+    m->full_until = c->now + 3;
+    j->last_error = why;
+  }
+  gboolean gang = j->spec.shape == HR_GANG && j->nlive > 1;
+  release (c, j, task);
+  if (gang && !j->gang_over && j->stance == HR_QUEUED)
+    hr_gang_end (c, j, 0);
+}
+
+static void
+learn (HrCore *c, HrJob *j, HrTask *t, HrMachine *m)
+{
+  HrClassStat *s = hr_class (c, j->spec.klass);
+  double ran = c->now - t->ran_at;
+  if (!t->ran_at || j->spec.estimate <= 0 || j->spec.shape == HR_SERVICE)
+    return;
+  double ratio = CLAMP (ran / j->spec.estimate, c->pol.correction_least, c->pol.correction_most);
+  /* One task counts little: jobs differ far more than a class drifts. */
+  double k = 1.0 / MIN (++s->samples + 1, 40);
+  s->correction += k * (ratio - s->correction);
+}
+
+void
+hr_task_done (HrCore *c, HrJob *j, guint32 task)
+{
+  HrTask *t = &j->tasks[task];
+  if (t->state != HR_T_BOUND)
+    return;
+  HrMachine *m = machine_of (c, t);
+  learn (c, j, t, m);
+  m->errors = 0;
+  m->error_job = HR_NONE;
+  j->errors = 0;
+  t->state = HR_T_DONE;
+  j->ndone++;
+  release (c, j, task);
+  hr_ledger_mark (c, j, task);
+  if (j->spec.shape != HR_GANG || j->gang_over)
+    return;
+  /* A gang completes together: one is done, so all of them are. */
+  for (guint32 i = 0; i < j->ntasks; i++)
+    if (j->tasks[i].state == HR_T_BOUND && j->tasks[i].try == t->try)
+      hr_task_done (c, j, i);
+}
+
+void
+hr_task_stop (HrCore *c, HrJob *j, guint32 task, double grace)
+{
+  HrTask *t = &j->tasks[task];
+  if (t->state != HR_T_BOUND || (t->kill && t->grace <= grace))
+    return;
+  t->kill = 1;
+  t->grace = grace;
+  t->killed_at = 0;
+  machine_of (c, t)->urgent = TRUE;
+}
+
+void
+hr_job_withdrawn (HrCore *c, HrJob *j)
+{
+  g_info ("%s is withdrawn", j->id);
+  for (guint32 i = 0; i < j->ntasks; i++) {
+    HrTask *t = &j->tasks[i];
+    if (t->state == HR_T_ASSIGNING && !t->inflight)
+      hr_task_unassign (c, j, i);
+    else if (t->state == HR_T_BOUND)
+      hr_task_stop (c, j, i, 0);
+  }
+  if (!j->nlive)
+    hr_ledger_mark (c, j, 0);
+}
+
+/* Keeps the list of jobs that the owner has to look at. */
+void
+hr_job_open (HrCore *c, HrJob *j)
+{
+  if (j->listed || j->shrunk)
+    return;
+  j->listed = TRUE;
+  g_array_append_val (c->open, j->idx);
+  j->deadline = j->submitted + j->spec.deadline;
+  if (j->spec.deadline < 0) {
+    j->deadline = j->submitted + c->pol.default_deadline * MAX (j->spec.estimate, 10);
+    for (guint i = 0; i < c->set->aims->len; i++) {
+      HrAim *a = &g_array_index (c->set->aims, HrAim, i);
+      if (a->klass == j->spec.klass && a->kind == HR_AIM_FINISHED && a->within > 0)
+        j->deadline = MIN (j->deadline, j->submitted + a->within);
+    }
+  }
+  if (j->counted || c->wall - j->submitted > 30)
+    return;
+  j->counted = TRUE;
+  HrClassStat *s = hr_class (c, j->spec.klass);
+  double tau = 120, age = s->last_arrival ? c->now - s->last_arrival : 1e9;
+  s->rate = s->rate * exp (-age / tau) + j->ntasks / tau;
+  s->last_arrival = c->now;
+  double k = s->seen ? 0.2 : 1;
+  s->seen = TRUE;
+  s->tasks += k * (j->ntasks - s->tasks);
+  s->cpus += k * (j->spec.cpus - s->cpus);
+  s->gpus += k * (j->spec.gpus - s->gpus);
+  s->mem += k * (j->spec.mem - s->mem);
+  s->image_gb += k * (j->spec.image_gb - s->image_gb);
+  s->image = j->spec.image;
+  s->shape = j->spec.shape;
+  s->rank = j->spec.rank;
+  s->spot = j->spec.spot;
+  s->types = j->spec.types;
+}
+
+/* A new owner: what the records say is what may be out there. */
+void
+hr_tasks_take_over (HrCore *c)
+{
+  for (guint i = 0; i < c->machines->len; i++) {
+    HrMachine *m = c->machines->pdata[i];
+    const HrType *ty = hr_type (c, m);
+    g_array_set_size (m->tasks, 0);
+    g_array_set_size (m->list, 0);
+    g_array_set_size (m->alien, 0);
+    m->alien_cpus = m->alien_gpus = m->alien_mem = 0;
+    m->cpus = ty ? ty->cpus : 0;
+    m->gpus = ty ? ty->gpus : 0;
+    m->mem = ty ? ty->mem : 0;
+    m->heard_at = m->answered_at = 0;
+    m->token = 0;
+    m->reply_launch = m->do_out = m->do_lost = 0;
+    m->urgent = m->drain = FALSE;
+    m->idle_at = c->now;
+    m->notice_at = 0;
+    if (m->state == HR_M_DELETING) /* asked for by an earlier term of ours; ask again */
+      m->state = HR_M_UP;
+  }
+  g_array_set_size (c->dirty, 0);
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    if (!j->tasks)
+      continue;
+    j->nlive = j->ndone = 0;
+    j->gang_over = FALSE;
+    j->planned = 0;
+    j->errors = 0;
+    j->retry_at = 0;
+    gboolean bound = FALSE, mixed = FALSE;
+    for (guint32 k = 0; k < j->ntasks; k++) {
+      HrTask *t = &j->tasks[k];
+      t->inflight = t->kill = t->planned = 0;
+      t->shown = HR_NOT_SHOWN;
+      t->state = HR_T_IDLE;
+      t->try = t->rtry;
+      t->ran_at = t->killed_at = 0;
+      t->placed_at = c->now;
+      if (t->rdone) {
+        t->state = HR_T_DONE;
+        j->ndone++;
+        mixed |= j->spec.shape == HR_GANG;
+        continue;
+      }
+      if (t->rmachine == HR_NONE) {
+        mixed |= j->spec.shape == HR_GANG && bound;
+        continue;
+      }
+      HrMachine *m = hr_machine_get (c, hr_intern_name (&c->machine_ids, t->rmachine));
+      HrRef r = { j->idx, k };
+      mixed |= j->spec.shape == HR_GANG && (k > 0 && (!bound || t->rtry != j->tasks[0].rtry));
+      bound = TRUE;
+      t->machine = t->rmachine;
+      t->session = t->rsession;
+      t->state = HR_T_BOUND;
+      j->nlive++;
+      hr_machine_take (m, &j->spec, r);
+      if (m->state == HR_M_GONE) {
+        /* Known from a record alone: it reports, or its absence gets proven. */
+        m->state = HR_M_UP;
+        m->session = MAX (m->session, t->rsession);
+        g_ptr_array_add (c->fleet, m);
+      }
+    }
+    if (j->stance == HR_WITHDRAWN)
+      hr_job_withdrawn (c, j);
+    else if (mixed && j->nlive) /* parts of different attempts: begin again with a new one */
+      hr_gang_end (c, j, 0);
+    if (j->ndone == j->ntasks)
+      hr_ledger_mark (c, j, 0);
+  }
+  c->plan_dirty = TRUE;
+}
--- /dev/null
+++ b/src/coordination/users.c
@@ -0,0 +1,349 @@
+/* What users ask: submissions, polls, cancellations, readiness. */
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+#define MAX_TRIES 6
+
+static const char *const stances[] = { "queued", "done", "withdrawn" };
+
+typedef enum { ASK_POLL, ASK_SUBMIT, ASK_ABORT } AskKind;
+typedef struct {
+  guint64 request;
+  AskKind kind;
+  char *id;
+  HrJobSpec spec;
+  double asked;
+  guint tries;
+  char *tag; /* of the write under way */
+} Ask;
+
+static void
+ask_free (Ask *a)
+{
+  g_free (a->id);
+  g_free (a->tag);
+  g_free (a);
+}
+
+static void
+refuse_later (HrCore *c, Ask *a, int status, const char *why)
+{
+  hr_refuse (c, a->request, status, c->store_down ? 2 : 1, why);
+  ask_free (a);
+}
+
+/* Why the job is where it is, for the person who waits for it. */
+static char *
+reason (HrCore *c, HrJob *j)
+{
+  if (j->stance == HR_DONE)
+    return g_strdup ("all tasks are done");
+  if (j->stance == HR_WITHDRAWN)
+    return g_strdup ("withdrawn by its user");
+  if (!c->leads)
+    return g_strdup_printf ("%s plans this job", c->map_owner ? c->map_owner : "no controller yet");
+  if (j->errors && j->retry_at > c->now)
+    return g_strdup_printf ("failed %u times in a row (%s), last on %s; next try in %.0f s",
+                            j->errors, hr_exit_name (j->last_error),
+                            hr_intern_name (&c->machine_ids, j->bad_machine),
+                            j->retry_at - c->now);
+  if (j->gang_over)
+    return g_strdup ("an attempt of the gang has ended; waiting for its last tasks to exit");
+  if (j->nlive + j->ndone == j->ntasks)
+    return g_strdup ("every task has a machine");
+  guint booting = 0;
+  for (guint i = 0; i < c->fleet->len; i++)
+    booting += ((HrMachine *) c->fleet->pdata[i])->state == HR_M_BOOTING;
+  return g_strdup_printf ("%u tasks wait for room; %u of them stand in a machine's plan; "
+                          "%u machines are starting",
+                          j->ntasks - j->nlive - j->ndone, j->planned, booting);
+}
+
+static void
+answer (HrCore *c, Ask *a, HrJob *j, int status)
+{
+  guint32 running = 0, done = j->stance == HR_DONE ? j->ntasks : j->nrdone;
+  for (guint32 i = 0; j->tasks && i < j->ntasks && j->stance == HR_QUEUED; i++)
+    running += !j->tasks[i].rdone &&
+               (c->leads ? j->tasks[i].state == HR_T_BOUND && j->tasks[i].shown == HR_W_RUNNING
+                         : j->tasks[i].rmachine != HR_NONE);
+  const char *st = j->stance == HR_QUEUED && running ? "running" : stances[j->stance];
+  g_autofree char *why = reason (c, j);
+  hr_reply (c, a->request, status,
+            json_pack ("{sssssisiss}", "name_id", a->id, "stance", st, "done", (int) done,
+                       "running", (int) running, "reason", why),
+            0);
+  ask_free (a);
+}
+
+static void send_abort (HrCore *c, Ask *a);
+
+static void
+on_read (HrCore *c, gboolean ok, gpointer data)
+{
+  Ask *a = data;
+  HrJob *j = hr_job_find (c, a->id);
+  if (!ok) {
+    refuse_later (c, a, 503, "the state service cannot be read just now; ask again");
+    return;
+  }
+  if (!j) {
+    /* A submission gets here after a 409, so its record exists. */
+    if (a->kind == ASK_SUBMIT)
+      refuse_later (c, a, 503, "its record is being written; ask again");
+    else {
+      hr_refuse (c, a->request, 404, 0, "no such job was accepted");
+      ask_free (a);
+    }
+  } else if (a->kind == ASK_ABORT && j->stance == HR_QUEUED)
+    send_abort (c, a);
+  else
+    answer (c, a, j, 200);
+}
+
+/* Final states never change, so they need no reading. */
+static gboolean
+answer_final (HrCore *c, Ask *a)
+{
+  HrJob *j = hr_job_find (c, a->id);
+  if (!j || j->stance == HR_QUEUED)
+    return FALSE;
+  answer (c, a, j, 200);
+  return TRUE;
+}
+
+/* ---- submissions ---- */
+
+static const HrTeam *
+team_of (HrCore *c, guint32 team)
+{
+  for (guint i = 0; i < c->set->teams->len; i++)
+    if (g_array_index (c->set->teams, HrTeam, i).team == team)
+      return &g_array_index (c->set->teams, HrTeam, i);
+  return NULL;
+}
+
+static char *
+impossible (HrCore *c, const HrJobSpec *s)
+{
+  const HrTeam *t = team_of (c, s->team);
+  if (!t)
+    return g_strdup_printf ("team %s is not known here", hr_intern_name (&c->names->teams, s->team));
+  gboolean fits = FALSE;
+  for (guint i = 0; i < c->types->len && !fits; i++) {
+    const HrType *ty = &g_array_index (c->types, HrType, i);
+    gboolean zone = s->zone == HR_NONE;
+    for (guint k = 0; k < ty->zones->len; k++)
+      zone |= g_array_index (ty->zones, guint32, k) == s->zone;
+    fits = zone && (!s->types || s->types >> ty->type & 1) && s->cpus <= ty->cpus &&
+           s->gpus <= ty->gpus && s->mem <= ty->mem;
+  }
+  if (!fits)
+    return g_strdup ("a task fits no machine type that the job allows");
+  double n = s->shape == HR_BATCH ? 1 : s->tasks;
+  if ((t->cpus_max > 0 && n * s->cpus > t->cpus_max + 1e-6) ||
+      (t->gpus_max > 0 && n * s->gpus > t->gpus_max + 1e-6))
+    return g_strdup ("it needs more than its team's limit");
+  return NULL;
+}
+
+static void send_submit (HrCore *c, Ask *a);
+
+static void
+on_submit (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  Ask *a = data;
+  guint64 epoch;
+  if (status == 200 && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
+    HrJob *j = hr_job_get (c, a->id);
+    if (!j->known) {
+      j->known = TRUE;
+      j->stance = HR_QUEUED;
+      j->stamp = epoch;
+      j->submitted = a->asked;
+      g_free (j->tag);
+      j->tag = g_strdup (a->tag);
+      hr_job_set_spec (j, &a->spec, a->spec.tasks <= hr_tasks_per_page (c->set->value_kb)
+                                        ? 0
+                                        : hr_tasks_per_page (c->set->value_kb));
+      if (!j->per_page)
+        j->pages[0].stamp = epoch;
+      hr_job_open (c, j);
+      c->plan_dirty = TRUE;
+    }
+    answer (c, a, j, 201);
+  } else if (status == 409)
+    hr_follow_read (c, on_read, a); /* there already: by an earlier try, perhaps */
+  else if (status == 429 && ++a->tries < MAX_TRIES && c->wall - a->asked < 1.5)
+    send_submit (c, a); /* the node is pacing its writes, not refusing */
+  else
+    refuse_later (c, a, status == 429 ? 429 : 503,
+                  status == 429 ? "too many jobs at once; submit again"
+                                : "the state service did not confirm the job; submit again");
+}
+
+static void
+send_submit (HrCore *c, Ask *a)
+{
+  g_autofree char *key = g_strconcat ("h/j/", a->id, NULL);
+  HrJob tmp = { .submitted = a->asked };
+  guint per = hr_tasks_per_page (c->set->value_kb);
+  hr_job_set_spec (&tmp, &a->spec, a->spec.tasks <= per ? 0 : per);
+  if (!a->tag)
+    a->tag = hr_new_tag (c);
+  json_t *when = hr_cond (json_array (), key, 0);
+  json_t *writes = hr_set (json_array (), key,
+                           hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, a->tag, FALSE),
+                           0);
+  hr_job_shrink (&tmp);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, a);
+}
+
+static void
+submit (HrCore *c, HrCommand *cmd)
+{
+  gsize len = 0;
+  const char *data = cmd->body ? g_bytes_get_data (cmd->body, &len) : NULL;
+  g_autofree char *why = NULL;
+  const char *id = NULL;
+  HrJobSpec spec;
+  json_t *o = hr_json_parse (data, len, &why);
+  if (!o || !hr_jobspec_parse (o, c->names, &spec, &id, &why)) {
+    hr_refuse (c, cmd->id, 400, 0, why);
+    json_decref (o);
+    return;
+  }
+  Ask *a = g_new0 (Ask, 1);
+  a->request = cmd->id;
+  a->kind = ASK_SUBMIT;
+  a->id = g_strdup (id);
+  a->spec = spec;
+  a->asked = c->wall;
+  json_decref (o);
+  if (answer_final (c, a))
+    return;
+  if (hr_job_find (c, a->id)) {
+    hr_follow_read (c, on_read, a);
+    return;
+  }
+  if (!c->types || !c->synced_once) {
+    refuse_later (c, a, 503, "this node has only just started; submit again");
+    return;
+  }
+  g_autofree char *never = impossible (c, &spec);
+  if (never) {
+    hr_refuse (c, a->request, 422, 0, never);
+    ask_free (a);
+    return;
+  }
+  if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
+    refuse_later (c, a, 503, "the state service does not answer; submit again");
+    return;
+  }
+  send_submit (c, a);
+}
+
+/* ---- cancellations ---- */
+
+static void
+on_abort (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  Ask *a = data;
+  HrJob *j = hr_job_find (c, a->id);
+  guint64 epoch;
+  if (status == 200 && j && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
+    if (j->stance == HR_QUEUED && epoch > j->stamp) {
+      j->stance = HR_WITHDRAWN;
+      j->stamp = epoch;
+      if (!j->per_page && j->pages)
+        j->pages[0].stamp = epoch;
+      if (c->leads)
+        hr_job_withdrawn (c, j);
+    }
+    answer (c, a, j, 200);
+  } else if ((status == 409 || status == 429) && ++a->tries < MAX_TRIES)
+    hr_follow_read (c, on_read, a); /* the record moved on: read it and try again */
+  else
+    refuse_later (c, a, 503, "the cancellation is not confirmed; ask again");
+}
+
+static void
+send_abort (HrCore *c, Ask *a)
+{
+  HrJob *j = hr_job_find (c, a->id);
+  g_autofree char *key = hr_job_key (j);
+  g_free (a->tag);
+  a->tag = hr_new_tag (c);
+  json_t *when = hr_cond (json_array (), key, j->stamp);
+  json_t *writes =
+      hr_set (json_array (), key,
+              hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, a->tag, FALSE), 0);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_abort, a);
+}
+
+/* ---- the door ---- */
+
+static void
+ready (HrCore *c, HrCommand *cmd)
+{
+  gboolean others = FALSE;
+  for (guint i = 0; i < c->peers->len; i++) {
+    HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
+    others |= c->now - p->at < 3.5 && p->hint.store_served;
+  }
+  if (!c->types || !c->synced_once)
+    hr_refuse (c, cmd->id, 503, 1, "still reading the ledger and the machine types");
+  else if (c->now - c->confirmed_at > 4 && others)
+    hr_refuse (c, cmd->id, 503, 1, "the state service answers other nodes, but not this one");
+  else
+    hr_reply (c, cmd->id, 200, json_pack ("{sb}", "ready", 1), 0);
+}
+
+void
+hr_users_request (HrCore *c, HrCommand *cmd)
+{
+  const char *p = cmd->path;
+  if (strcmp (p, "/ready") == 0) {
+    if (cmd->method == HR_GET)
+      ready (c, cmd);
+    else
+      hr_refuse (c, cmd->id, 405, 0, "use GET");
+    return;
+  }
+  if (strcmp (p, "/v1/jobs") == 0) {
+    if (cmd->method != HR_POST)
+      hr_refuse (c, cmd->id, 405, 0, "use POST");
+    else if (cmd->too_large)
+      hr_refuse (c, cmd->id, 400, 0, "the body is larger than 64 KiB");
+    else
+      submit (c, cmd);
+    return;
+  }
+  if (!g_str_has_prefix (p, "/v1/jobs/")) {
+    hr_refuse (c, cmd->id, 404, 0, "no such path");
+    return;
+  }
+  g_autofree char *id = g_strdup (p + strlen ("/v1/jobs/"));
+  gboolean abort = g_str_has_suffix (id, "/abort");
+  if (abort)
+    id[strlen (id) - strlen ("/abort")] = 0;
+  if (strchr (id, '/') || cmd->method != (abort ? HR_POST : HR_GET)) {
+    hr_refuse (c, cmd->id, strchr (id, '/') ? 404 : 405, 0,
+               strchr (id, '/') ? "no such path"
+               : abort          ? "use POST"
+                                : "use GET");
+    return;
+  }
+  if (!hr_job_id_valid (id)) {
+    hr_refuse (c, cmd->id, 404, 0, "no such job was accepted");
+    return;
+  }
+  Ask *a = g_new0 (Ask, 1);
+  a->request = cmd->id;
+  a->kind = abort ? ASK_ABORT : ASK_POLL;
+  a->id = g_steal_pointer (&id);
+  a->asked = c->wall;
+  if (!answer_final (c, a))
+    hr_follow_read (c, on_read, a);
+}
--- /dev/null
+++ b/src/coordination/workers.c
@@ -0,0 +1,334 @@
+/* Reports of workers and the orders they get. */
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+/* Fills in what a machine is, once its type is known. */
+static gboolean
+describe (HrCore *c, HrMachine *m, const HrReport *r)
+{
+  if (m->type != HR_NONE && hr_type (c, m)) {
+    if (m->addr == NULL || strcmp (m->addr, r->addr) != 0) {
+      g_free (m->addr);
+      m->addr = g_strdup (r->addr);
+    }
+    return TRUE;
+  }
+  guint32 type = hr_intern_find (&c->names->types, r->type);
+  const HrType *t = type == HR_NONE ? NULL : hr_type_by_name (c, type);
+  if (!t)
+    return FALSE;
+  m->type = type;
+  m->zone = hr_intern (&c->names->zones, r->zone);
+  m->spot = r->spot;
+  m->cpus += t->cpus;
+  m->gpus += t->gpus;
+  m->mem += t->mem;
+  g_free (m->addr);
+  m->addr = g_strdup (r->addr);
+  return TRUE;
+}
+
+static gboolean
+gang_launchable (const HrJob *j)
+{
+  if (j->gang_over)
+    return FALSE;
+  for (guint32 i = 0; i < j->ntasks; i++)
+    if (j->tasks[i].state != HR_T_BOUND || j->tasks[i].try != j->tasks[0].try)
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+launchable (const HrJob *j, const HrTask *t)
+{
+  return j->stance == HR_QUEUED && !t->kill && (j->spec.shape != HR_GANG || gang_launchable (j));
+}
+
+/* Orders for what is recorded on this machine. Returns whether a launch is among them. */
+static gboolean
+orders_for (HrCore *c, HrMachine *m, json_t *orders, gboolean direct)
+{
+  gboolean launch = FALSE;
+  for (guint i = 0; i < m->tasks->len; i++) {
+    HrRef r = g_array_index (m->tasks, HrRef, i);
+    HrJob *j = c->jobs->pdata[r.job];
+    HrTask *t = &j->tasks[r.task];
+    if (t->state != HR_T_BOUND || t->session != m->session)
+      continue;
+    if (t->shown == HR_NOT_SHOWN && launchable (j, t)) {
+      hr_order_launch (orders, j->id, r.task, t->try);
+      launch = TRUE;
+    } else if (t->kill && (!direct || c->now - t->killed_at > 1)) {
+      if (!t->killed_at)
+        t->killed_at = c->now;
+      /* A save that takes far longer than said is ended. */
+      gboolean overdue = c->now - t->killed_at > t->grace + 10;
+      if (t->shown != HR_W_FLUSHING || overdue || t->grace == 0)
+        hr_order_kill (orders, j->id, r.task, t->try, overdue ? 0 : t->grace);
+    }
+  }
+  return launch;
+}
+
+static HrTask *
+match (HrCore *c, HrMachine *m, const HrWorkItem *it, HrJob **job)
+{
+  HrJob *j = hr_job_find (c, it->job);
+  *job = j;
+  if (!j || !j->tasks || it->task >= j->ntasks)
+    return NULL;
+  HrTask *t = &j->tasks[it->task];
+  return t->machine == m->idx && t->session == m->session && t->try == it->attempt ? t : NULL;
+}
+
+static void
+exited (HrCore *c, HrJob *j, const HrWorkItem *it)
+{
+  if (it->cause == HR_X_DONE && j->stance == HR_QUEUED)
+    hr_task_done (c, j, it->task);
+  else
+    hr_task_gone (c, j, it->task, it->cause, hr_exit_name (it->cause));
+}
+
+static void
+alien (HrCore *c, HrMachine *m, HrJob *j, const HrWorkItem *it, json_t *orders)
+{
+  if (it->state == HR_W_EXITED) {
+    /* After `clear` a late launch would start it again. */
+    if (hr_absence_orders_settled (m))
+      hr_order_clear (orders, it->job, it->task, it->attempt);
+    return;
+  }
+  /* It takes room until it is gone. */
+  if (j && j->known && j->ntasks) {
+    m->alien_cpus += j->spec.cpus;
+    m->alien_gpus += j->spec.gpus;
+    m->alien_mem += j->spec.mem;
+  }
+  hr_order_kill (orders, it->job, it->task, it->attempt, 0);
+}
+
+/* Takes in a worker's task list. full: a report, whose silence about a task counts. */
+static void
+take_items (HrCore *c, HrMachine *m, const HrReport *r, gboolean full, json_t *orders)
+{
+  g_autoptr (GArray) before = g_array_copy (m->tasks);
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_direct_hash, g_direct_equal);
+  m->alien_cpus = m->alien_gpus = m->alien_mem = 0;
+  for (guint i = 0; i < r->items->len; i++) {
+    HrWorkItem *it = &g_array_index (r->items, HrWorkItem, i);
+    HrJob *j;
+    HrTask *t = match (c, m, it, &j);
+    if (t && t->state == HR_T_BOUND) {
+      g_hash_table_add (seen, t);
+      if (t->shown != it->state)
+        c->plan_dirty = TRUE;
+      t->shown = it->state;
+      if (it->state == HR_W_RUNNING && !t->ran_at)
+        t->ran_at = c->now;
+      if (it->state != HR_W_FETCHING)
+        hr_machine_touch_image (m, j->spec.image);
+      if (it->state == HR_W_EXITED)
+        exited (c, j, it);
+      continue;
+    }
+    if (t && t->state == HR_T_DONE && !t->rdone && !j->shrunk)
+      continue; /* its ending is still to be recorded: no clear before that */
+    if (t && t->state == HR_T_ASSIGNING)
+      continue;
+    alien (c, m, j, it, orders);
+  }
+  if (!full)
+    return;
+  gboolean proof = hr_absence_orders_settled (m) && r->token >= c->baton;
+  for (guint i = 0; i < before->len; i++) {
+    HrRef ref = g_array_index (before, HrRef, i);
+    HrJob *j = c->jobs->pdata[ref.job];
+    HrTask *t = j->tasks ? &j->tasks[ref.task] : NULL;
+    if (!t || t->state != HR_T_BOUND || t->machine != m->idx || t->session != m->session ||
+        g_hash_table_contains (seen, t))
+      continue;
+    t->shown = HR_NOT_SHOWN;
+    if (launchable (j, t) || (j->stance == HR_QUEUED && !t->kill && !j->gang_over))
+      continue; /* it is launched (again) where it is recorded */
+    if (proof)
+      hr_task_gone (c, j, ref.task, HR_X_NONE, "its worker's report lacks it");
+    else if (m->do_lost)
+      hr_leader_raise (c, "an order to a worker got no answer");
+  }
+}
+
+static void
+notice (HrCore *c, HrMachine *m, const HrReport *r)
+{
+  if (r->notice < 0)
+    return;
+  if (!m->notice_at)
+    g_info ("%s will be taken in about %.0f s", m->name, r->notice);
+  m->notice_at = c->now + r->notice;
+  m->drain = TRUE;
+  for (guint i = 0; i < m->tasks->len; i++) {
+    HrRef ref = g_array_index (m->tasks, HrRef, i);
+    HrJob *j = c->jobs->pdata[ref.job];
+    HrTask *t = &j->tasks[ref.task];
+    if (t->state != HR_T_BOUND || t->kill)
+      continue;
+    if (j->spec.shape == HR_GANG) {
+      hr_gang_end (c, j, j->spec.save + 1);
+      continue;
+    }
+    double est = hr_estimate (c, j, m);
+    double left = t->ran_at ? est - (c->now - t->ran_at) : est;
+    /* What ends in time is left alone; what saves is stopped while it still
+     * can; the rest is moved at once. */
+    if (left < r->notice * 0.7)
+      continue;
+    if (j->spec.checkpoint > 0 && r->notice > j->spec.save + 4 && t->shown == HR_W_RUNNING)
+      hr_task_stop (c, j, ref.task, j->spec.save + 1);
+    else
+      hr_task_stop (c, j, ref.task, 0);
+  }
+}
+
+static void
+adopt (HrCore *c, HrMachine *m)
+{
+  if (m->state == HR_M_GONE) {
+    g_info ("%s reports and was not expected; it is taken on", m->name);
+    g_ptr_array_add (c->fleet, m);
+  } else if (m->state == HR_M_BOOTING)
+    g_info ("%s is up after %.0f s", m->name, c->now - m->rented_at);
+  m->state = HR_M_UP;
+  m->up_at = c->now;
+  m->idle_at = m->tasks->len ? 0 : c->now;
+  c->plan_dirty = TRUE;
+}
+
+void
+hr_workers_hello (HrCore *c, HrCommand *cmd)
+{
+  if (cmd->method != HR_POST) {
+    hr_refuse (c, cmd->id, 405, 0, "use POST");
+    return;
+  }
+  c->contact_count++;
+  if (!hr_leader_may_answer (c)) {
+    gboolean known = FALSE;
+    for (guint i = 0; i < c->set->members->len; i++)
+      known |= g_strcmp0 (g_array_index (c->set->members, HrMember, i).label, c->map_owner) == 0;
+    if (c->leads || !known)
+      hr_refuse (c, cmd->id, 503, 0, "this node may not act for the controllers now");
+    else
+      hr_reply (c, cmd->id, 421, json_pack ("{ss}", "foreman", c->map_owner), 0);
+    return;
+  }
+  gsize len = 0;
+  const char *data = cmd->body ? g_bytes_get_data (cmd->body, &len) : NULL;
+  g_autofree char *why = NULL;
+  g_autoptr (HrReport) r = hr_report_parse (data, len, &why);
+  if (!r) {
+    g_info ("a report was dropped: %s", why);
+    hr_refuse (c, cmd->id, 400, 0, why);
+    return;
+  }
+  if (r->token > c->baton) {
+    g_info ("%s has seen baton %" G_GUINT64_FORMAT ", ours is older", r->machine, r->token);
+    hr_refuse (c, cmd->id, 503, 0, "a newer baton is about");
+    return;
+  }
+  HrMachine *m = hr_machine_get (c, r->machine);
+  if (m->state == HR_M_DELETING || (m->state == HR_M_GONE && m->deleted) ||
+      r->session < m->session || !describe (c, m, r)) {
+    hr_refuse (c, cmd->id, 503, 0, "this machine is being returned, or not known yet");
+    return;
+  }
+  json_t *orders = json_array ();
+  if (r->session == m->session && r->seq <= m->seq) {
+    /* Overtaken by a newer list, of an answer to /do perhaps: nothing in it counts. */
+    m->answered_at = c->now;
+    hr_reply (c, cmd->id, 200, json_pack ("{sIso}", "baton", (json_int_t) c->baton, "orders", orders), 0);
+    return;
+  }
+  if (r->session > m->session) {
+    hr_absence_sessions (c, m, r->session - 1, "its worker began a new session");
+    m->reply_launch = m->do_lost = 0; /* orders of the old session are void */
+    m->session = r->session;
+  }
+  if (m->state != HR_M_UP || !m->heard_at)
+    adopt (c, m);
+  m->seq = r->seq;
+  m->token = r->token;
+  m->heard_at = c->now;
+  if (r->seq > m->reply_launch)
+    m->reply_launch = 0;
+  if (r->token > m->do_lost)
+    m->do_lost = 0;
+  take_items (c, m, r, TRUE, orders);
+  notice (c, m, r);
+  if (orders_for (c, m, orders, FALSE))
+    m->reply_launch = r->seq;
+  m->answered_at = c->now;
+  hr_reply (c, cmd->id, 200, json_pack ("{sIso}", "baton", (json_int_t) c->baton, "orders", orders), 0);
+}
+
+typedef struct {
+  guint32 machine;
+  guint64 baton, session;
+  double led_at;
+  gboolean launch;
+} Direct;
+
+static void
+on_direct (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  g_autofree Direct *d = data;
+  HrMachine *m = c->machines->pdata[d->machine];
+  if (!c->leads || d->led_at != c->led_at)
+    return; /* of an earlier term: its token is void */
+  m->do_out--;
+  if (status != 200 && status != 409) {
+    if (d->launch && m->session == d->session)
+      m->do_lost = MAX (m->do_lost, d->baton);
+    m->do_pause = c->now + 2;
+    return;
+  }
+  g_autofree char *text = json_dumps (body, JSON_COMPACT);
+  g_autofree char *why = NULL;
+  g_autoptr (HrReport) r = hr_report_parse (text, text ? strlen (text) : 0, &why);
+  if (!r || strcmp (r->machine, m->name) != 0 || m->state != HR_M_UP || r->session != m->session ||
+      r->seq <= m->seq)
+    return;
+  m->seq = r->seq;
+  m->token = MAX (m->token, r->token);
+  json_t *orders = json_array ();
+  take_items (c, m, r, FALSE, orders); /* its orders go out with the next report's answer */
+  json_decref (orders);
+}
+
+void
+hr_workers_send (HrCore *c)
+{
+  if (!c->leads || c->pol.direct_launch < 1)
+    return;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (!m->urgent || m->do_out || c->now < m->do_pause)
+      continue;
+    m->urgent = FALSE;
+    if (m->state != HR_M_UP || !m->addr || !m->heard_at)
+      continue;
+    json_t *orders = json_array ();
+    gboolean launch = orders_for (c, m, orders, TRUE);
+    if (!json_array_size (orders)) {
+      json_decref (orders);
+      continue;
+    }
+    Direct *d = g_new0 (Direct, 1);
+    *d = (Direct){ m->idx, c->baton, m->session, c->led_at, launch };
+    m->do_out++;
+    hr_call (c, HR_TO_WORKER, m->addr, HR_POST, g_strdup ("/do"),
+             hr_orders_text (c->baton, m->session, orders), 3, on_direct, d);
+  }
+}
--- /dev/null
+++ b/src/protocol/intern.h
@@ -0,0 +1,16 @@
+/* Names to dense indices, at the door: inside, everything is an index. */
+#pragma once
+#include <glib.h>
+
+#define HR_NONE G_MAXUINT32
+
+typedef struct {
+  GHashTable *by_name; /* name -> index + 1 */
+  GPtrArray *names;
+} HrIntern;
+
+void hr_intern_init (HrIntern *in);
+void hr_intern_clear (HrIntern *in);
+guint32 hr_intern (HrIntern *in, const char *name);
+guint32 hr_intern_find (const HrIntern *in, const char *name);
+const char *hr_intern_name (const HrIntern *in, guint32 i);
--- /dev/null
+++ b/src/protocol/jobspec.h
@@ -0,0 +1,37 @@
+/* A job as its user describes it: parsing, checks, and its compact form in the ledger. */
+#pragma once
+#include "protocol/intern.h"
+#include <jansson.h>
+
+typedef enum { HR_BATCH, HR_GANG, HR_SERVICE } HrShape;
+typedef enum { HR_PRODUCTION, HR_URGENT, HR_NORMAL, HR_LOW } HrRank;
+
+#define HR_MAX_TASKS 100000
+#define HR_MAX_BODY 65536
+
+/* The tables that turn names into indices, one per process. */
+typedef struct {
+  HrIntern classes, teams, images, types, zones;
+} HrNames;
+
+void hr_names_init (HrNames *n);
+void hr_names_clear (HrNames *n);
+
+typedef struct {
+  guint32 klass, team, image, zone; /* zone: HR_NONE for any */
+  HrShape shape;
+  HrRank rank;
+  guint32 tasks;
+  double cpus, gpus, mem, image_gb;
+  guint64 types; /* bit per machine type; 0: any */
+  gboolean one_zone, spread, spot;
+  double estimate, checkpoint, save, deadline; /* deadline < 0: none */
+} HrJobSpec;
+
+/* `job-` and a name; what a key of the state service can hold. */
+gboolean hr_job_id_valid (const char *id);
+/* Parses the body of a submission. On failure *reason says which field and why. */
+gboolean hr_jobspec_parse (const json_t *o, HrNames *names, HrJobSpec *out, const char **id,
+                           char **reason);
+json_t *hr_jobspec_pack (const HrJobSpec *s, const HrNames *names);
+gboolean hr_jobspec_unpack (const json_t *a, HrNames *names, HrJobSpec *out);
--- /dev/null
+++ b/src/protocol/settings.h
@@ -0,0 +1,35 @@
+/* The platform's settings file. */
+#pragma once
+#include "protocol/jobspec.h"
+
+typedef struct {
+  char *label, *zone, *endpoint;
+} HrMember;
+
+typedef struct {
+  guint32 team;
+  double cpus, gpus, cpus_max, gpus_max; /* 0: none */
+} HrTeam;
+
+typedef enum { HR_AIM_WAIT, HR_AIM_DEADLINE, HR_AIM_FINISHED, HR_AIM_OTHER } HrAimKind;
+typedef struct {
+  HrAimKind kind;
+  guint32 klass;
+  double within, share;
+} HrAim;
+
+typedef struct {
+  char *label, *zone, *front, *back, *cloud, *state;
+  GArray *members; /* HrMember */
+  GArray *teams;   /* HrTeam */
+  GArray *aims;    /* HrAim */
+  double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
+  double state_rps, state_write_rps, value_kb;
+  guint txn_ops;
+  double cloud_rps, list_lag_s;
+} HrSettings;
+
+HrSettings *hr_settings_load (const char *path, HrNames *names, GError **error);
+HrSettings *hr_settings_parse (const json_t *root, HrNames *names, GError **error);
+void hr_settings_free (HrSettings *s);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (HrSettings, hr_settings_free)
--- /dev/null
+++ b/src/transport/http_client.h
@@ -0,0 +1,10 @@
+/* HTTP out: every call ends in exactly one result command, by its own deadline at the latest. */
+#pragma once
+#include "transport/http_server.h"
+
+typedef struct HrHttpClient HrHttpClient;
+
+HrHttpClient *hr_http_client_new (const char *store, const char *cloud, HrCommandSink sink,
+                                  gpointer data);
+void hr_http_client_call (HrHttpClient *c, const HrEffect *e);
+void hr_http_client_free (HrHttpClient *c);
