--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -167,6 +167,7 @@
   c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
   c->fleet = g_ptr_array_new ();
   c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
+  c->team_waits = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
@@ -203,6 +204,7 @@
   g_array_unref (c->refused);
   g_array_unref (c->dirty);
   g_array_unref (c->wants);
+  g_array_unref (c->team_waits);
   g_ptr_array_unref (c->fleet);
   g_clear_pointer (&c->types, g_array_unref);
   g_free (c->sync_after);
@@ -279,6 +281,7 @@
   if (c->leads && c->plan_dirty && now - c->planned_at >= 0.15) {
     c->plan_dirty = FALSE;
     c->planned_at = now;
+    hr_team_waits (c);
     hr_plan (c);
     hr_dispatch (c);
   }
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -112,6 +112,7 @@
   GPtrArray *fleet; /* the machines that are not gone */
 
   /* Planning and the fleet. */
+  GArray *team_waits; /* guint32: per team, the gang that waits for the limit, or HR_NONE */
   gboolean plan_dirty;
   double planned_at;
   gboolean types_asked, listing;
@@ -217,4 +218,5 @@
 
 /* dispatch.c */
 gboolean hr_team_allows (HrCore *c, const HrJob *j, guint n);
+void hr_team_waits (HrCore *c);
 void hr_dispatch (HrCore *c);
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -252,10 +252,12 @@
     return;
   }
   if (r->session > m->session) {
-    hr_absence_sessions (c, m, r->session - 1, "its worker began a new session");
     m->reply_launch = m->do_lost = 0; /* orders of the old session are void */
     m->session = r->session;
   }
+  /* Not only when the session moves on: a new owner may know the session from
+   * before, and read older ones in the records. */
+  hr_absence_sessions (c, m, m->session - 1, "its worker is in a later session");
   if (m->state != HR_M_UP || !m->heard_at)
     adopt (c, m);
   m->seq = r->seq;
--- /dev/null
+++ b/tests/sim/faults.c
@@ -0,0 +1,93 @@
+/* Troubles drawn from the seed: alone, together, and in the middle of each other. */
+#include "sim/world.h"
+
+static void
+start (World *w, gpointer p)
+{
+  node_start (w, GPOINTER_TO_INT (p));
+}
+
+static void
+crash (World *w, int i)
+{
+  node_kill (w, i);
+  /* Back after a while, now and then within a fraction of a second. */
+  w_at (w, w->now + (w_rand (w, 0, 1) < 0.3 ? w_rand (w, 0.05, 0.5) : w_rand (w, 3, 7)), start,
+        GINT_TO_POINTER (i));
+}
+
+static void
+fault (World *w, gpointer p)
+{
+  int i = g_rand_int_range (w->rand, 0, NODES);
+  Node *n = &w->nodes[i];
+  SMachine *m = w->machines->len ? w->machines->pdata[g_rand_int_range (w->rand, 0, w->machines->len)]
+                                 : NULL;
+  double d = w_rand (w, 3, 40);
+  gboolean hold = w_rand (w, 0, 1) < 0.5;
+  switch (g_rand_int_range (w->rand, 0, 13)) {
+  case 0:
+  case 1:
+    crash (w, i);
+    break;
+  case 2:
+    for (int k = 0; k < NODES; k++)
+      crash (w, k);
+    break;
+  case 3:
+    w->outage = w->now + MIN (d, 28);
+    break;
+  case 4:
+    n->refused = w->now + d;
+    break;
+  case 5:
+    n->cut_workers = w->now + d;
+    n->hold = hold;
+    break;
+  case 6:
+    n->cut_store = w->now + d;
+    n->hold = hold;
+    break;
+  case 7:
+    n->cut_workers = n->cut_store = n->cut_peers = n->cut_users = w->now + d;
+    n->hold = hold;
+    break;
+  case 8:
+    if (m) {
+      m->cut = w->now + d;
+      m->hold = hold;
+    }
+    break;
+  case 9:
+    if (m)
+      m->hang = w->now + d;
+    break;
+  case 10:
+    for (guint k = 0; k < w->machines->len; k++)
+      if (((SMachine *) w->machines->pdata[k])->spot && w_rand (w, 0, 1) < 0.5)
+        machine_take (w, w->machines->pdata[k]);
+    break;
+  case 11:
+    w->cloud_outage = w->now + d;
+    break;
+  case 12:
+    w->outage = w->now + MIN (d, 28);
+    for (int k = 0; k < NODES; k++)
+      crash (w, k);
+    break;
+  }
+}
+
+static void
+calm (World *w, gpointer p)
+{
+  w->calm = TRUE;
+}
+
+void
+faults_init (World *w, guint n, double from, double to)
+{
+  for (guint i = 0; i < n; i++)
+    w_at (w, w_rand (w, from, to), fault, NULL);
+  w_at (w, to, calm, NULL);
+}
--- /dev/null
+++ b/tests/sim/store.c
@@ -0,0 +1,330 @@
+/* A stand-in for the state service. */
+#include "sim/world.h"
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct {
+  char *text; /* the value */
+  guint64 stamp, claim;
+} SKey;
+
+typedef struct {
+  char *path, *text; /* text NULL: deleted */
+  guint64 stamp;
+} SChange;
+
+typedef struct {
+  guint64 id;
+  double ends, life;
+} SLease;
+
+typedef struct {
+  Req *r;
+  char *prefix;
+  guint64 after;
+  double ends;
+} SWatch;
+
+static void
+key_free (gpointer p)
+{
+  SKey *k = p;
+  g_free (k->text);
+  g_free (k);
+}
+
+static char *
+text_of (json_t *v)
+{
+  char *raw = json_dumps (v, JSON_COMPACT | JSON_ENCODE_ANY), *t = g_strdup (raw);
+  free (raw);
+  return t;
+}
+
+static char *
+take_text (json_t *v)
+{
+  char *t = text_of (v);
+  json_decref (v);
+  return t;
+}
+
+static void
+change (World *w, const char *path, char *text, guint64 claim)
+{
+  SChange c = { g_strdup (path), g_strdup (text), w->epoch };
+  g_array_append_val (w->log, c);
+  if (!text) {
+    g_hash_table_remove (w->keys, path);
+    return;
+  }
+  SKey *k = g_new0 (SKey, 1);
+  k->text = text;
+  k->stamp = w->epoch;
+  k->claim = claim;
+  g_hash_table_replace (w->keys, g_strdup (path), k);
+}
+
+static char *
+changes_text (World *w, const char *prefix, guint64 after, guint *n)
+{
+  json_t *log = json_array ();
+  *n = 0;
+  for (guint i = 0; i < w->log->len; i++) {
+    SChange *c = &g_array_index (w->log, SChange, i);
+    if (c->stamp <= after || !g_str_has_prefix (c->path, prefix))
+      continue;
+    json_t *o = json_pack ("{sssI}", c->text ? "set" : "delete", c->path, "stamp",
+                           (json_int_t) c->stamp);
+    if (c->text)
+      json_object_set_new (o, "value", json_loads (c->text, JSON_DECODE_ANY, NULL));
+    json_array_append_new (log, o);
+    ++*n;
+  }
+  return take_text (json_pack ("{sIso}", "epoch", (json_int_t) w->epoch, "log", log));
+}
+
+static void
+wake (World *w)
+{
+  if (w->outage > w->now)
+    return; /* open watches stay open */
+  for (guint i = 0; i < w->watches->len;) {
+    SWatch *s = w->watches->pdata[i];
+    guint n;
+    g_autofree char *t = changes_text (w, s->prefix, s->after, &n);
+    Node *nd = &w->nodes[s->r->node];
+    if ((!n && s->ends > w->now) || nd->refused > w->now) {
+      i++;
+      continue;
+    }
+    w_answer (w, s->r, 200, g_steal_pointer (&t));
+    req_unref (s->r);
+    g_free (s->prefix);
+    g_free (s);
+    g_ptr_array_remove_index (w->watches, i);
+  }
+}
+
+static void
+leases_tick (World *w, gpointer p)
+{
+  GHashTableIter it;
+  gpointer v;
+  g_autoptr (GPtrArray) over = g_ptr_array_new ();
+  g_hash_table_iter_init (&it, w->leases);
+  while (g_hash_table_iter_next (&it, NULL, &v)) {
+    SLease *l = v;
+    if (w->outage > w->now)
+      l->ends = w->outage + l->life; /* after an outage every lease has its full time again */
+    else if (l->ends < w->now)
+      g_ptr_array_add (over, l);
+  }
+  for (guint i = 0; i < over->len; i++) {
+    SLease *l = over->pdata[i];
+    g_autoptr (GPtrArray) dead = g_ptr_array_new_with_free_func (g_free);
+    gpointer k;
+    g_hash_table_iter_init (&it, w->keys);
+    while (g_hash_table_iter_next (&it, &k, &v))
+      if (((SKey *) v)->claim == l->id)
+        g_ptr_array_add (dead, g_strdup (k));
+    if (dead->len)
+      w->epoch++;
+    for (guint d = 0; d < dead->len; d++)
+      change (w, dead->pdata[d], NULL, 0);
+    g_hash_table_remove (w->leases, &l->id);
+  }
+  wake (w);
+  w_at (w, w->now + 0.05, leases_tick, NULL);
+}
+
+static void
+commit (World *w, Req *r)
+{
+  json_t *o = r->body ? json_loads (r->body, 0, NULL) : NULL, *e;
+  json_t *when = json_object_get (o, "when"), *writes = json_object_get (o, "writes");
+  json_t *failed = json_array ();
+  size_t i;
+  gboolean lease_gone = FALSE;
+  json_array_foreach (writes, i, e)
+  {
+    guint64 claim = json_integer_value (json_object_get (e, "claim"));
+    lease_gone |= claim && !g_hash_table_contains (w->leases, &claim);
+    if (json_object_get (e, "value")) {
+      g_autofree char *t = text_of (json_object_get (e, "value"));
+      if (strlen (t) > 4096)
+        w_broken (w, "limit", "a value of %zu bytes", strlen (t));
+    }
+  }
+  if (lease_gone) {
+    w_answer (w, r, 400, g_strdup ("{\"error\":\"no such lease\"}"));
+    json_decref (failed);
+    json_decref (o);
+    return;
+  }
+  json_array_foreach (when, i, e)
+  {
+    const char *path = json_string_value (json_object_get (e, "path"));
+    SKey *k = g_hash_table_lookup (w->keys, path);
+    if ((guint64) json_integer_value (json_object_get (e, "stamp")) != (k ? k->stamp : 0))
+      json_array_append_new (failed, json_string (path));
+  }
+  if (json_array_size (failed)) {
+    w_answer (w, r, 409,
+              take_text (json_pack ("{sosI}", "failed", failed, "epoch", (json_int_t) w->epoch)));
+    json_decref (o);
+    return;
+  }
+  json_decref (failed);
+  if (json_array_size (writes) > 12)
+    w_broken (w, "limit", "%zu changes in a transaction", json_array_size (writes));
+  if (json_array_size (writes))
+    w->epoch++;
+  json_array_foreach (writes, i, e)
+  {
+    const char *set = json_string_value (json_object_get (e, "set"));
+    if (set)
+      change (w, set, text_of (json_object_get (e, "value")),
+              json_integer_value (json_object_get (e, "claim")));
+    else
+      change (w, json_string_value (json_object_get (e, "delete")), NULL, 0);
+  }
+  w_answer (w, r, 200, g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT "}", w->epoch));
+  json_decref (o);
+  wake (w);
+}
+
+static char *
+query (const char *path, const char *name)
+{
+  const char *q = strchr (path, '?');
+  g_autofree char *want = g_strconcat (name, "=", NULL);
+  g_auto (GStrv) parts = g_strsplit (q ? q + 1 : "", "&", -1);
+  for (guint i = 0; parts[i]; i++)
+    if (g_str_has_prefix (parts[i], want))
+      return g_strdup (parts[i] + strlen (want));
+  return NULL;
+}
+
+static int
+by_text (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *) a, *(char *const *) b);
+}
+
+static void
+range (World *w, Req *r)
+{
+  g_autofree char *prefix = query (r->path, "starts"), *after = query (r->path, "after");
+  g_autoptr (GPtrArray) keys = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer k;
+  g_hash_table_iter_init (&it, w->keys);
+  while (g_hash_table_iter_next (&it, &k, NULL))
+    if (g_str_has_prefix (k, prefix) && (!after || strcmp (k, after) > 0))
+      g_ptr_array_add (keys, k);
+  g_ptr_array_sort (keys, by_text);
+  json_t *rows = json_array ();
+  for (guint i = 0; i < keys->len && i < 7; i++) { /* short pages, so that paging is tested */
+    SKey *s = g_hash_table_lookup (w->keys, keys->pdata[i]);
+    json_array_append_new (rows, json_pack ("{sssosI}", "path", keys->pdata[i], "value",
+                                            json_loads (s->text, JSON_DECODE_ANY, NULL), "stamp",
+                                            (json_int_t) s->stamp));
+  }
+  w_answer (w, r, 200,
+            take_text (json_pack ("{sosbsI}", "rows", rows, "more", keys->len > 7, "epoch",
+                                  (json_int_t) w->epoch)));
+}
+
+static void
+lease (World *w, Req *r)
+{
+  guint64 id = 0;
+  if (strcmp (r->path, "/leases") == 0) {
+    json_t *o = json_loads (r->body, 0, NULL);
+    SLease *l = g_new0 (SLease, 1);
+    l->id = ++w->claims;
+    l->life = json_integer_value (json_object_get (o, "life_ms")) / 1000.0;
+    l->ends = w->now + l->life;
+    json_decref (o);
+    g_hash_table_insert (w->leases, &l->id, l);
+    w_answer (w, r, 200, g_strdup_printf ("{\"claim\":%" G_GUINT64_FORMAT "}", l->id));
+    return;
+  }
+  id = g_ascii_strtoull (r->path + strlen ("/leases/"), NULL, 10);
+  SLease *l = g_hash_table_lookup (w->leases, &id);
+  if (!l) {
+    w_answer (w, r, 404, g_strdup ("{}"));
+    return;
+  }
+  l->ends = r->method == HR_DELETE ? w->now - 1 : w->now + l->life;
+  w_answer (w, r, 200, g_strdup ("{}"));
+}
+
+void
+store_request (World *w, Req *r)
+{
+  if (w->outage > w->now || w->nodes[r->node].refused > w->now)
+    w_answer (w, r, 503, g_strdup ("{\"error\":\"trouble\"}"));
+  else if (strcmp (r->path, "/commit") == 0)
+    commit (w, r);
+  else if (g_str_has_prefix (r->path, "/leases"))
+    lease (w, r);
+  else if (g_str_has_prefix (r->path, "/kv?"))
+    range (w, r);
+  else if (g_str_has_prefix (r->path, "/kv/")) {
+    SKey *k = g_hash_table_lookup (w->keys, r->path + 4);
+    if (!k)
+      w_answer (w, r, 404, g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT "}", w->epoch));
+    else
+      w_answer (w, r, 200,
+                take_text (json_pack ("{sssosI}", "path", r->path + 4, "value",
+                                      json_loads (k->text, JSON_DECODE_ANY, NULL), "stamp",
+                                      (json_int_t) k->stamp)));
+  } else if (g_str_has_prefix (r->path, "/changes?")) {
+    g_autofree char *after = query (r->path, "after"), *hold = query (r->path, "hold_ms");
+    SWatch *s = g_new0 (SWatch, 1);
+    s->r = r;
+    r->refs++;
+    s->prefix = query (r->path, "starts");
+    s->after = g_ascii_strtoull (after, NULL, 10);
+    s->ends = w->now + g_ascii_strtod (hold, NULL) / 1000;
+    g_ptr_array_add (w->watches, s);
+    wake (w);
+  } else
+    w_broken (w, "protocol", "the state service was asked for %s", r->path);
+}
+
+static void
+change_clear (gpointer p)
+{
+  SChange *c = p;
+  g_free (c->path);
+  g_free (c->text);
+}
+
+void
+store_init (World *w)
+{
+  w->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, key_free);
+  w->leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  w->log = g_array_new (FALSE, TRUE, sizeof (SChange));
+  g_array_set_clear_func (w->log, change_clear);
+  w->watches = g_ptr_array_new ();
+  w_at (w, 0.05, leases_tick, NULL);
+}
+
+void
+store_free (World *w)
+{
+  for (guint i = 0; i < w->watches->len; i++) {
+    SWatch *s = w->watches->pdata[i];
+    g_free (s->prefix);
+    req_unref (s->r);
+    g_free (s);
+  }
+  g_ptr_array_unref (w->watches);
+  g_hash_table_unref (w->keys);
+  g_hash_table_unref (w->leases);
+  g_array_unref (w->log);
+}
--- /dev/null
+++ b/tests/sim/user.c
@@ -0,0 +1,295 @@
+/* Users, and the judge of the protocol's rules. */
+#include "sim/world.h"
+#include <string.h>
+
+#define CANCEL 36.0
+
+SJob *
+job_by_id (World *w, const char *id, guint32 *index)
+{
+  guint v = GPOINTER_TO_UINT (g_hash_table_lookup (w->job_index, id));
+  if (!v)
+    return NULL;
+  *index = v - 1;
+  return w->jobs->pdata[v - 1];
+}
+
+typedef struct {
+  SJob *j;
+  double sent;
+} Ask;
+
+static void submit (World *w, gpointer p);
+static void poll (World *w, gpointer p);
+static void cancel (World *w, gpointer p);
+
+static Ask *
+ask (World *w, SJob *j)
+{
+  Ask *a = g_new (Ask, 1);
+  *a = (Ask){ j, w->now };
+  return a;
+}
+
+static int
+any_node (World *w)
+{
+  return g_rand_int_range (w->rand, 0, NODES);
+}
+
+static gboolean
+all_done (const SJob *j)
+{
+  for (guint i = 0; i < j->tasks; i++)
+    if (!j->done[i])
+      return FALSE;
+  return TRUE;
+}
+
+/* What a user is told must never go back. sent: when he asked. */
+static void
+told (World *w, SJob *j, json_t *body, double sent)
+{
+  const char *st = json_string_value (json_object_get (body, "stance"));
+  if (!st)
+    return;
+  if (!json_object_get (body, "reason"))
+    w_broken (w, "reason", "%s: an answer without a reason", j->id);
+  gboolean done = strcmp (st, "done") == 0, gone = strcmp (st, "withdrawn") == 0;
+  if (done && (j->shape == HR_SERVICE || !all_done (j)))
+    w_broken (w, "not_done", "%s is called done", j->id);
+  if (gone && !j->asked_cancel)
+    w_broken (w, "went_back", "%s is called withdrawn, nobody asked for that", j->id);
+  if ((j->told_done && j->told_done < sent && !done) ||
+      (j->told_withdrawn && j->told_withdrawn < sent && !gone))
+    w_broken (w, "went_back", "%s is called %s", j->id, st);
+  if (done && !j->told_done)
+    j->told_done = w->now;
+  if (gone && !j->told_withdrawn)
+    j->told_withdrawn = w->now;
+  j->ok_at = w->now;
+}
+
+static void
+on_poll (World *w, int status, json_t *body, gpointer p)
+{
+  Ask *a = p;
+  SJob *j = a->j;
+  if (status == 200)
+    told (w, j, body, a->sent);
+  else if (status == 404 && j->accepted)
+    w_broken (w, "forgotten", "%s gets 404", j->id);
+  if (!w->calm && w_rand (w, 0, 1) < 0.02)
+    w_at (w, w->now + w_rand (w, 1, 20), submit, j); /* a late retry of the submission */
+  w_at (w, w->now + (j->told_done || j->told_withdrawn ? 15 : 5), poll, j);
+  g_free (a);
+}
+
+static void
+poll (World *w, gpointer p)
+{
+  SJob *j = p;
+  g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, NULL);
+  w_ask (w, any_node (w), -1, HR_GET, path, NULL, 2, on_poll, ask (w, j));
+}
+
+static void
+on_submit (World *w, int status, json_t *body, gpointer p)
+{
+  Ask *a = p;
+  SJob *j = a->j;
+  if (status == 201 || status == 200) {
+    if (!j->accepted) {
+      w_at (w, w->now + 1, poll, j);
+      if (j->cancel)
+        w_at (w, j->due_cancel, cancel, j);
+    }
+    j->accepted = TRUE;
+    told (w, j, body, a->sent);
+  } else if (status == 400 || status == 422) {
+    w_broken (w, j->accepted ? "forgotten" : "status", "%s gets %d", j->id, status);
+  } else if (!j->accepted)
+    w_at (w, w->now + 1, submit, j);
+  g_free (a);
+}
+
+static void
+submit (World *w, gpointer p)
+{
+  SJob *j = p;
+  j->submitted = TRUE;
+  w_ask (w, any_node (w), -1, HR_POST, "/v1/jobs", g_strdup (j->body), 5, on_submit, ask (w, j));
+}
+
+static void
+on_cancel (World *w, int status, json_t *body, gpointer p)
+{
+  Ask *a = p;
+  if (status == 200)
+    told (w, a->j, body, a->sent);
+  else if (status == 404)
+    w_broken (w, "forgotten", "cancelling %s gets 404", a->j->id);
+  else
+    w_at (w, w->now + 1, cancel, a->j);
+  g_free (a);
+}
+
+static void
+cancel (World *w, gpointer p)
+{
+  SJob *j = p;
+  j->asked_cancel = TRUE;
+  g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, "/abort", NULL);
+  w_ask (w, any_node (w), -1, HR_POST, path, NULL, 5, on_cancel, ask (w, j));
+}
+
+static void
+on_stranger (World *w, int status, json_t *body, gpointer p)
+{
+  if (status == 200)
+    w_broken (w, "invented", "a job that nobody submitted gets 200");
+}
+
+static void
+stranger (World *w, gpointer p)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/jobs/job-x%u", ++w->invented_asked);
+  w_ask (w, any_node (w), -1, HR_GET, path, NULL, 2, on_stranger, NULL);
+  w_at (w, w->now + 7, stranger, NULL);
+}
+
+/* ---- the judge ---- */
+
+void
+judge_start (World *w, SMachine *m, STask *t)
+{
+  SJob *j = w->jobs->pdata[t->job];
+  guint here = 0;
+  w->starts++;
+  j->started = w->now;
+  if (j->told_withdrawn && w->now > j->told_withdrawn + CANCEL)
+    w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
+  if (m->spot && !j->spot)
+    w_broken (w, "wrong_place", "%s/%u starts on a spot machine", j->id, t->task);
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *x = w->machines->pdata[i];
+    for (guint k = 0; !x->gone && k < x->tasks->len; k++) {
+      STask *o = &g_array_index (x->tasks, STask, k);
+      if (o == t || !o->on || o->job != t->job)
+        continue;
+      if (o->task == t->task)
+        w_broken (w, "ran_twice", "%s/%u try %u starts on %s while try %u is on %s", j->id, t->task,
+                  t->try, m->name, o->try, x->name);
+      if (j->one_zone && x->zone != m->zone)
+        w_broken (w, "wrong_place", "%s/%u starts in another zone", j->id, t->task);
+      here += x->zone == m->zone;
+    }
+  }
+  if (j->spread && here + 1 > (j->tasks + 1) / 2)
+    w_broken (w, "wrong_place", "%s: %u of %u in one zone", j->id, here + 1, j->tasks);
+}
+
+void
+judge_tick (World *w)
+{
+  double gpus = 0;
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
+      STask *t = &g_array_index (m->tasks, STask, k);
+      SJob *j = w->jobs->pdata[t->job];
+      if (!t->on)
+        continue;
+      gpus += j->gpus;
+      if (j->told_withdrawn && w->now > j->told_withdrawn + CANCEL)
+        w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
+    }
+  }
+  if (w->quota_gpus > 0 && gpus > w->quota_gpus + 1e-6)
+    w_broken (w, "quota", "%g GPUs are used", gpus);
+}
+
+/* ---- what is submitted ---- */
+
+static void
+new_job (World *w, gpointer p)
+{
+  SJob *j = g_new0 (SJob, 1);
+  guint n = w->jobs->len;
+  double dice = w_rand (w, 0, 1);
+  j->id = g_strdup_printf ("job-%06u", 7919 * (n + 1) % 1000000);
+  j->shape = dice < 0.2 ? HR_SERVICE : dice < 0.45 ? HR_GANG : HR_BATCH;
+  if (n == 5)
+    j->shape = HR_BATCH;
+  j->tasks = j->shape == HR_SERVICE ? g_rand_int_range (w->rand, 1, 4)
+             : j->shape == HR_GANG  ? g_rand_int_range (w->rand, 1, 4)
+                                    : g_rand_int_range (w->rand, 1, 9);
+  if (n == 5)
+    j->tasks = 140; /* stands in pages */
+  j->cpus = j->shape == HR_GANG ? 10 : 4;
+  j->gpus = j->shape == HR_GANG ? 2 : 1;
+  j->mem = 30;
+  j->image = g_rand_int_range (w->rand, 0, 4);
+  j->image_gb = 1 + j->image;
+  j->run = n == 5 ? 5 : w_rand (w, 5, 60);
+  j->checkpoint = w_rand (w, 0, 1) < 0.5 ? 10 : 0;
+  j->save = j->checkpoint > 0 ? 2 : 0;
+  j->one_zone = j->shape == HR_GANG && w_rand (w, 0, 1) < 0.6;
+  j->spread = j->shape == HR_SERVICE && w_rand (w, 0, 1) < 0.5;
+  j->spot = j->shape == HR_BATCH;
+  j->broken = j->shape == HR_BATCH && n != 5 && w_rand (w, 0, 1) < 0.04;
+  j->cancel = j->broken || w_rand (w, 0, 1) < 0.2;
+  if (w->quota_gpus > 0 && j->shape == HR_SERVICE)
+    j->cancel = TRUE; /* or the limit would be used up for good */
+  j->due_cancel = w->now + w_rand (w, 1, 80);
+  j->done = g_new0 (guint, j->tasks);
+  j->progress = g_new0 (double, j->tasks);
+  static const char *const shapes[] = { "batch", "ensemble", "daemon" };
+  static const char *const ranks[] = { "normal", "urgent", "production" };
+  static const char *const classes[] = { "array", "gang", "live" };
+  g_autofree char *image = g_strdup_printf ("img-%u", j->image);
+  json_t *o = json_pack (
+      "{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass", classes[j->shape],
+      "crew", "crew", "shape", shapes[j->shape], "rank", ranks[j->shape], "pieces", (int) j->tasks,
+      "vcpus", j->cpus, "accelerators", j->gpus, "memory_gb", j->mem, "bundle", image, "size_gb",
+      j->image_gb, "hulls", "quarry", "together", j->one_zone, "apart", j->spread, "loaners", j->spot,
+      "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s", j->checkpoint,
+      "stash_s", j->save);
+  if (j->shape == HR_BATCH)
+    json_object_set_new (o, "due_s", json_real (j->run * 2 + 30));
+  char *raw = json_dumps (o, JSON_COMPACT);
+  j->body = g_strdup (raw);
+  free (raw);
+  json_decref (o);
+  g_ptr_array_add (w->jobs, j);
+  g_hash_table_insert (w->job_index, j->id, GUINT_TO_POINTER (w->jobs->len));
+  submit (w, j);
+}
+
+static void
+job_free (gpointer p)
+{
+  SJob *j = p;
+  g_free (j->id);
+  g_free (j->body);
+  g_free (j->done);
+  g_free (j->progress);
+  g_free (j);
+}
+
+void
+users_init (World *w, guint jobs, double span)
+{
+  w->jobs = g_ptr_array_new_with_free_func (job_free);
+  w->job_index = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < jobs; i++)
+    w_at (w, w_rand (w, 2, span), new_job, NULL);
+  w_at (w, 5, stranger, NULL);
+}
+
+void
+users_free (World *w)
+{
+  g_hash_table_unref (w->job_index);
+  g_ptr_array_unref (w->jobs);
+}
--- /dev/null
+++ b/tests/sim/world.h
@@ -0,0 +1,155 @@
+/* A simulated cluster around the real owner of state: time, messages and
+ * stand-ins for the state service, the cloud, workers and users. Seeded: the
+ * same seed plays the same day. Every rule of the protocol is checked. */
+#pragma once
+#include "coordination/core.h"
+#include <jansson.h>
+
+typedef struct World World;
+typedef void (*WFn) (World *w, gpointer data);
+
+/* A request on its way, to any server of the world, and its way back. */
+typedef struct {
+  int node; /* asking controller, or -1: a worker or user asks a controller */
+  guint gen;
+  guint64 call;
+  int to; /* controller asked, when node is -1 */
+  HrTarget target;
+  HrMethod method;
+  char *addr, *path, *body;
+  double timeout;
+  gboolean answered;
+  int refs;
+  int machine; /* of the asking worker, or -1 */
+  void (*done) (World *w, int status, json_t *body, gpointer data);
+  gpointer data;
+} Req;
+
+typedef struct {
+  HrCore *core;
+  HrNames names;
+  HrSettings *set;
+  gboolean up;
+  guint gen; /* counts processes */
+  GPtrArray *queue;
+  gboolean stepping;
+  GHashTable *open; /* request id -> Req */
+  guint64 next;
+  double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
+  gboolean hold;                                               /* cuts hold packets back */
+} Node;
+
+#define NODES 3
+
+typedef enum { S_FETCH, S_GATHER, S_RUN, S_SAVE, S_EXIT } SState;
+typedef struct {
+  guint32 job, task, try;
+  SState state;
+  const char *cause;
+  gboolean kept, failing;
+  double ready, until; /* image there; saved by */
+  double since;        /* gathering or running since */
+  double base;         /* progress when it began to run */
+  gboolean on;         /* has its image, not exited */
+} STask;
+
+typedef struct {
+  char *name, *addr, *ask;
+  int type_boot; /* ms */
+  guint zone;
+  gboolean spot, up, gone, failed, listed_gone;
+  double rented, boots, gone_at;
+  guint tenure, tally;
+  guint64 baton;
+  double lease_at; /* sent time of the last report that got an answer */
+  int node;        /* reports to */
+  gboolean out;    /* a report is on its way */
+  guint report;    /* number of the report on its way */
+  double report_sent;
+  double cut, hang; /* until when */
+  gboolean hold;
+  double warned; /* taken at; 0: no notice */
+  gboolean faulty;
+  GArray *tasks; /* STask */
+  GHashTable *images;
+} SMachine;
+
+typedef struct {
+  char *id, *body;
+  HrShape shape;
+  guint tasks;
+  double cpus, gpus, mem, image_gb, run, checkpoint, save;
+  guint image;
+  gboolean one_zone, spread, spot, broken, submitted, accepted, refused;
+  gboolean cancel, asked_cancel;
+  double due_cancel, told_withdrawn, told_done, started, first, done_at;
+  double poll_at, ok_at;
+  gboolean retried;
+  guint *done; /* per task */
+  double *progress;
+} SJob;
+
+struct World {
+  double now;
+  GRand *rand;
+  GSequence *events;
+  guint64 seq;
+  Node nodes[NODES];
+  HrPolicy pol;
+  double quota_gpus;
+  /* state service */
+  GHashTable *keys;  /* path -> SKey */
+  GArray *log;       /* SChange */
+  GHashTable *leases;
+  guint64 epoch, claims;
+  GPtrArray *watches;
+  double outage; /* until when */
+  /* cloud */
+  GPtrArray *machines; /* SMachine */
+  GHashTable *asks;
+  double cloud_outage;
+  guint capacity;
+  /* users */
+  GPtrArray *jobs; /* SJob */
+  GHashTable *job_index;
+  guint njobs;
+  /* judge */
+  GPtrArray *broken; /* texts */
+  guint starts;
+  double loss, dup, late;
+  gboolean calm; /* no more faults */
+  guint invented_asked;
+};
+
+World *world_new (guint32 seed);
+void world_run (World *w, double until);
+void world_free (World *w);
+void w_at (World *w, double t, WFn fn, gpointer data);
+void w_broken (World *w, const char *rule, const char *fmt, ...) G_GNUC_PRINTF (3, 4);
+double w_rand (World *w, double lo, double hi);
+/* A worker's or user's request to a controller. */
+void w_ask (World *w, int node, int machine, HrMethod m, const char *path, char *body,
+            double timeout, void (*done) (World *, int, json_t *, gpointer), gpointer data);
+/* A server's answer. Takes the body text. */
+void w_answer (World *w, Req *r, int status, char *body);
+void req_unref (Req *r);
+
+void node_start (World *w, int i);
+void node_kill (World *w, int i);
+
+void store_request (World *w, Req *r);
+void store_init (World *w);
+void store_free (World *w);
+void cloud_request (World *w, Req *r);
+void cloud_init (World *w);
+void cloud_free (World *w);
+void machine_take (World *w, SMachine *m);
+void worker_request (World *w, Req *r);
+void worker_boot (World *w, SMachine *m);
+void machine_stop_all (World *w, SMachine *m, const char *why);
+void users_init (World *w, guint jobs, double span);
+void users_free (World *w);
+void judge_start (World *w, SMachine *m, STask *t);
+void judge_tick (World *w);
+SJob *job_by_id (World *w, const char *id, guint32 *index);
+void faults_init (World *w, guint n, double from, double to);
--- /dev/null
+++ b/tests/test_sim.c
@@ -0,0 +1,112 @@
+/* Days of a simulated cluster, with troubles drawn from seeds. Each asserts every
+ * rule of the protocol, and that all work is done once the troubles are over. */
+#include "sim/world.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <cmocka.h>
+
+static guint
+play (guint32 seed, guint faults, double quota)
+{
+  World *w = world_new (seed);
+  w->quota_gpus = quota;
+  if (quota > 0) /* the nodes read it when they start */
+    for (int i = 0; i < NODES; i++) {
+      node_kill (w, i);
+      node_start (w, i);
+    }
+  users_init (w, 40, 300);
+  faults_init (w, faults, 30, 320);
+  world_run (w, 800);
+  if (w->starts == 0)
+    w_broken (w, "nothing_ran", "no task was started");
+  for (guint i = 0; i < w->jobs->len; i++) {
+    SJob *j = w->jobs->pdata[i];
+    if (!j->accepted)
+      w_broken (w, "liveness", "%s was never accepted", j->id);
+    else if (w->now - j->ok_at > 90)
+      w_broken (w, "forgotten", "polls for %s fail", j->id);
+    else if (j->asked_cancel && !j->told_withdrawn && !j->told_done)
+      w_broken (w, "liveness", "%s was not withdrawn", j->id);
+    else if (!j->asked_cancel && j->shape != HR_SERVICE && !j->told_done)
+      w_broken (w, "liveness", "%s (%d, %u tasks) is not done", j->id, j->shape, j->tasks);
+    else if (!j->asked_cancel && j->shape == HR_SERVICE && !j->started)
+      w_broken (w, "liveness", "%s never ran", j->id);
+  }
+  for (guint i = 0; i < MIN (w->broken->len, 12); i++)
+    fprintf (stderr, "seed %u: %s\n", seed, (char *) w->broken->pdata[i]);
+  if (g_getenv ("HR_SIM_VERBOSE"))
+    fprintf (stderr, "seed %u: %u jobs, %u starts, %u machines, epoch %" G_GUINT64_FORMAT "\n", seed,
+             w->jobs->len, w->starts, w->machines->len, w->epoch);
+  guint broken = w->broken->len;
+  world_free (w);
+  return broken;
+}
+
+static void
+quiet_days (void **state)
+{
+  guint broken = 0;
+  for (guint s = 1; s < 4; s++)
+    broken += play (s, 0, 0);
+  assert_int_equal (broken, 0);
+}
+
+static void
+days_with_one_trouble (void **state)
+{
+  guint broken = 0;
+  for (guint s = 100; s < 112; s++)
+    broken += play (s, 1, 0);
+  assert_int_equal (broken, 0);
+}
+
+static void
+days_with_many_troubles (void **state)
+{
+  guint broken = 0;
+  for (guint s = 200; s < 224; s++)
+    broken += play (s, 8, 0);
+  assert_int_equal (broken, 0);
+}
+
+static void
+days_with_a_team_limit (void **state)
+{
+  guint broken = 0;
+  for (guint s = 300; s < 308; s++)
+    broken += play (s, 5, 12);
+  assert_int_equal (broken, 0);
+}
+
+static GLogWriterOutput
+silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
+{
+  return level & G_LOG_FLAG_FATAL ? g_log_writer_default (level, f, n, d) : G_LOG_WRITER_HANDLED;
+}
+
+int
+main (int argc, char **argv)
+{
+  /* A sweep by hand: test_sim FROM TO FAULTS LIMIT */
+  if (argc == 5) {
+    guint broken = 0;
+    if (!g_getenv ("HR_SIM_VERBOSE"))
+      g_log_set_writer_func (silent, NULL, NULL);
+    for (int s = atoi (argv[1]); s < atoi (argv[2]); s++)
+      broken += play (s, atoi (argv[3]), atof (argv[4]));
+    return broken != 0;
+  }
+  if (!g_getenv ("HR_SIM_VERBOSE"))
+    g_log_set_writer_func (silent, NULL, NULL);
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (quiet_days),
+    cmocka_unit_test (days_with_one_trouble),
+    cmocka_unit_test (days_with_many_troubles),
+    cmocka_unit_test (days_with_a_team_limit),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
