--- a/src/bookkeeping/absence.c
+++ b/src/bookkeeping/absence.c
@@ -11,6 +11,40 @@
   return m->do_out == 0 && m->do_lost == 0 && m->reply_launch == 0;
 }
 
+void
+hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token)
+{
+  for (guint i = 0; i < m->direct->len; i++) {
+    HrDirectLaunch *d = &g_array_index (m->direct, HrDirectLaunch, i);
+    if (d->job == job && d->task == task && d->try == try) {
+      d->token = token;
+      return;
+    }
+  }
+  HrDirectLaunch d = { job, task, try, token };
+  g_array_append_val (m->direct, d);
+}
+
+/* May the worker forget this attempt? A copy of a direct launch may come minutes
+ * later, and would start it again; it is void once the worker has seen a newer
+ * token than the launch had. Orders in the answer to a report are never late. */
+gboolean
+hr_absence_may_clear (const HrCore *c, HrMachine *m, guint32 job, guint32 task, guint32 try)
+{
+  if (!hr_absence_orders_settled (m) || m->token < c->led_baton)
+    return FALSE;
+  for (guint i = 0; i < m->direct->len; i++) {
+    HrDirectLaunch *d = &g_array_index (m->direct, HrDirectLaunch, i);
+    if (d->job != job || d->task != task || d->try != try)
+      continue;
+    if (d->token >= m->token)
+      return FALSE;
+    g_array_remove_index_fast (m->direct, i);
+    return TRUE;
+  }
+  return TRUE;
+}
+
 gboolean
 hr_absence_lease_over (const HrCore *c, const HrMachine *m)
 {
--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -79,6 +79,19 @@
   m->images[0] = image;
 }
 
+void
+hr_machine_describe (HrMachine *m, const HrType *t, guint32 zone, gboolean spot)
+{
+  if (m->type != HR_NONE)
+    return;
+  m->type = t->type;
+  m->zone = zone;
+  m->spot = spot;
+  m->cpus += t->cpus;
+  m->gpus += t->gpus;
+  m->mem += t->mem;
+}
+
 gboolean
 hr_machine_fits (const HrMachine *m, const HrJobSpec *s)
 {
@@ -116,7 +129,7 @@
 {
   g_free (m->addr);
   g_array_unref (m->tasks);
-  g_array_unref (m->alien);
+  g_array_unref (m->direct);
   g_array_unref (m->list);
   g_free (m);
 }
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -72,6 +72,12 @@
   guint32 job, task;
 } HrRef;
 
+/* An attempt that was launched by a direct call, and the call's token. */
+typedef struct {
+  guint32 job, task, try;
+  guint64 token;
+} HrDirectLaunch;
+
 typedef struct {
   guint32 idx;
   const char *name;
@@ -91,13 +97,13 @@
   guint64 reply_launch; /* seq of the report whose answer held a launch; 0: none pending */
   guint do_out;         /* direct calls without an answer yet */
   guint64 do_lost;      /* token of the last direct launch whose answer was lost; 0: none */
+  GArray *direct;       /* HrDirectLaunch of this session */
   gboolean urgent;      /* orders to send at once */
   double do_pause;
   gboolean delete_out; /* the call for it is under way */
   gboolean deleted;    /* the cloud confirmed it */
   GArray *tasks;  /* HrRef of tasks assigning or bound */
-  GArray *alien;  /* HrWorkItem-like leftovers: HrRef; they take room */
-  double alien_cpus, alien_gpus, alien_mem;
+  double alien_cpus, alien_gpus, alien_mem; /* taken by what should not be there */
   double cpus, gpus, mem; /* free, as meant */
   guint32 images[16];     /* most recent first */
   guint nimages;
@@ -136,6 +142,8 @@
 guint hr_tasks_per_page (double value_kb);
 gboolean hr_machine_has_image (const HrMachine *m, guint32 image);
 void hr_machine_touch_image (HrMachine *m, guint32 image);
+/* What a machine is; its capacity counts from here on. Does nothing when that is known. */
+void hr_machine_describe (HrMachine *m, const HrType *t, guint32 zone, gboolean spot);
 /* Room for a task, as meant. */
 gboolean hr_machine_fits (const HrMachine *m, const HrJobSpec *s);
 void hr_machine_take (HrMachine *m, const HrJobSpec *s, HrRef r);
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -112,7 +112,7 @@
     m->speed = 1;
     m->error_job = HR_NONE;
     m->tasks = g_array_new (FALSE, TRUE, sizeof (HrRef));
-    m->alien = g_array_new (FALSE, TRUE, sizeof (HrRef));
+    m->direct = g_array_new (FALSE, TRUE, sizeof (HrDirectLaunch));
     m->list = g_array_new (FALSE, TRUE, sizeof (HrRef));
     g_ptr_array_add (c->machines, m);
   }
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -198,13 +198,7 @@
       HrMachine *m = name ? hr_machine_get (c, name) : NULL;
       if (!m || m->state != HR_M_GONE || m->deleted)
         continue; /* it may have reported before this answer came */
-      const HrType *t = hr_type_by_name (c, r->type);
-      m->type = r->type;
-      m->zone = r->zone;
-      m->spot = r->spot;
-      m->cpus += t->cpus;
-      m->gpus += t->gpus;
-      m->mem += t->mem;
+      hr_machine_describe (m, hr_type_by_name (c, r->type), r->zone, r->spot);
       m->state = HR_M_BOOTING;
       m->rented_at = sent;
       g_ptr_array_add (c->fleet, m);
@@ -336,20 +330,14 @@
     hr_fleet_delete (c, m, "it failed");
     return;
   }
-  if (m->state != HR_M_GONE)
-    return;
   guint32 type = hr_intern_find (&c->names->types, e->type);
   const HrType *t = type == HR_NONE ? NULL : hr_type_by_name (c, type);
   if (!t)
     return;
-  if (m->type == HR_NONE) {
-    m->type = type;
-    m->zone = hr_intern (&c->names->zones, e->zone);
-    m->spot = e->spot;
-    m->cpus += t->cpus;
-    m->gpus += t->gpus;
-    m->mem += t->mem;
-  }
+  /* Also of a machine that only records name so far: its zone counts for others. */
+  hr_machine_describe (m, t, hr_intern (&c->names->zones, e->zone), e->spot);
+  if (m->state != HR_M_GONE)
+    return;
   m->state = HR_M_BOOTING; /* until its worker reports */
   m->rented_at = c->now - MIN (e->age, t->boot_s * 0.6);
   if (e->state == HR_M_STARTING)
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -216,7 +216,10 @@
     HrTask *t = &j->tasks[i];
     if (t->state != HR_T_ASSIGNING && t->state != HR_T_BOUND)
       continue;
-    gboolean same = ((HrMachine *) c->machines->pdata[t->machine])->zone == m->zone;
+    guint32 zone = ((HrMachine *) c->machines->pdata[t->machine])->zone;
+    if (zone == HR_NONE)
+      return FALSE; /* known from a record alone: nothing is placed beside it blindly */
+    gboolean same = zone == m->zone;
     if (j->spec.one_zone && !same)
       return FALSE;
     here += same;
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -163,6 +163,8 @@
 /* bookkeeping/absence.c: proofs that a task is on no machine */
 gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
 gboolean hr_absence_orders_settled (const HrMachine *m);
+void hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token);
+gboolean hr_absence_may_clear (const HrCore *c, HrMachine *m, guint32 job, guint32 task, guint32 try);
 void hr_absence_tick (HrCore *c);
 /* Every task of sessions up to `upto` is gone from the machine. */
 void hr_absence_sessions (HrCore *c, HrMachine *m, guint32 upto, const char *why);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -262,7 +262,7 @@
     const HrType *ty = hr_type (c, m);
     g_array_set_size (m->tasks, 0);
     g_array_set_size (m->list, 0);
-    g_array_set_size (m->alien, 0);
+    g_array_set_size (m->direct, 0);
     m->alien_cpus = m->alien_gpus = m->alien_mem = 0;
     m->cpus = ty ? ty->cpus : 0;
     m->gpus = ty ? ty->gpus : 0;
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -3,29 +3,22 @@
 #include "protocol/jsonx.h"
 #include <string.h>
 
-/* Fills in what a machine is, once its type is known. */
+/* Ended attempts that a worker may hold before the baton is raised to clear them. */
+#define MAX_KEPT 12
+
+/* Fills in what a machine is and where; FALSE while its type is not known. */
 static gboolean
 describe (HrCore *c, HrMachine *m, const HrReport *r)
 {
-  if (m->type != HR_NONE && hr_type (c, m)) {
-    if (m->addr == NULL || strcmp (m->addr, r->addr) != 0) {
-      g_free (m->addr);
-      m->addr = g_strdup (r->addr);
-    }
-    return TRUE;
-  }
   guint32 type = hr_intern_find (&c->names->types, r->type);
   const HrType *t = type == HR_NONE ? NULL : hr_type_by_name (c, type);
   if (!t)
     return FALSE;
-  m->type = type;
-  m->zone = hr_intern (&c->names->zones, r->zone);
-  m->spot = r->spot;
-  m->cpus += t->cpus;
-  m->gpus += t->gpus;
-  m->mem += t->mem;
-  g_free (m->addr);
-  m->addr = g_strdup (r->addr);
+  hr_machine_describe (m, t, hr_intern (&c->names->zones, r->zone), r->spot);
+  if (g_strcmp0 (m->addr, r->addr) != 0) {
+    g_free (m->addr);
+    m->addr = g_strdup (r->addr);
+  }
   return TRUE;
 }
 
@@ -59,6 +52,8 @@
       continue;
     if (t->shown == HR_NOT_SHOWN && launchable (j, t)) {
       hr_order_launch (orders, j->id, r.task, t->try);
+      if (direct)
+        hr_absence_note_direct (m, r.job, r.task, t->try, c->baton);
       launch = TRUE;
     } else if (t->kill && (!direct || c->now - t->killed_at > 1)) {
       if (!t->killed_at)
@@ -93,12 +88,13 @@
 }
 
 static void
-alien (HrCore *c, HrMachine *m, HrJob *j, const HrWorkItem *it, json_t *orders)
+alien (HrCore *c, HrMachine *m, HrJob *j, const HrWorkItem *it, json_t *orders, guint *kept)
 {
   if (it->state == HR_W_EXITED) {
-    /* After `clear` a late launch would start it again. */
-    if (hr_absence_orders_settled (m))
+    if (hr_absence_may_clear (c, m, j ? j->idx : HR_NONE, it->task, it->attempt))
       hr_order_clear (orders, it->job, it->task, it->attempt);
+    else if (++*kept >= MAX_KEPT)
+      hr_leader_raise (c, "a worker holds many ended attempts that cannot be cleared yet");
     return;
   }
   /* It takes room until it is gone. */
@@ -116,6 +112,7 @@
 {
   g_autoptr (GArray) before = g_array_copy (m->tasks);
   g_autoptr (GHashTable) seen = g_hash_table_new (g_direct_hash, g_direct_equal);
+  guint kept = 0;
   m->alien_cpus = m->alien_gpus = m->alien_mem = 0;
   for (guint i = 0; i < r->items->len; i++) {
     HrWorkItem *it = &g_array_index (r->items, HrWorkItem, i);
@@ -138,7 +135,7 @@
       continue; /* its ending is still to be recorded: no clear before that */
     if (t && t->state == HR_T_ASSIGNING)
       continue;
-    alien (c, m, j, it, orders);
+    alien (c, m, j, it, orders, &kept);
   }
   if (!full)
     return;
@@ -254,6 +251,7 @@
   if (r->session > m->session) {
     m->reply_launch = m->do_lost = 0; /* orders of the old session are void */
     m->session = r->session;
+    g_array_set_size (m->direct, 0);
   }
   /* Not only when the session moves on: a new owner may know the session from
    * before, and read older ones in the records. */
