--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -24,6 +24,7 @@
   guint8 shown;    /* HrWorkState on its machine, or HR_NOT_SHOWN */
   guint8 kill;     /* a stop is wanted */
   guint8 planned;  /* stands in a machine's list */
+  guint8 inherited; /* read from the record of an earlier owner, not seen since */
   float grace;     /* of the stop */
   double killed_at; /* last stop order sent */
   double placed_at; /* bound since */
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -36,7 +36,7 @@
   t->try = attempt;
   t->state = HR_T_ASSIGNING;
   t->shown = HR_NOT_SHOWN;
-  t->kill = 0;
+  t->kill = t->inherited = 0;
   t->killed_at = t->ran_at = 0;
   t->placed_at = c->now;
   j->nlive++;
@@ -312,6 +312,7 @@
       t->machine = t->rmachine;
       t->session = t->rsession;
       t->state = HR_T_BOUND;
+      t->inherited = 1;
       j->nlive++;
       hr_machine_take (m, &j->spec, r);
       if (m->state == HR_M_GONE) {
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -36,7 +36,9 @@
 static gboolean
 launchable (const HrJob *j, const HrTask *t)
 {
-  return j->stance == HR_QUEUED && !t->kill && (j->spec.shape != HR_GANG || gang_launchable (j));
+  /* What an earlier owner recorded is not launched: it may have ended and made
+   * place for others since. It is seen on its machine, or proven gone. */
+  return j->stance == HR_QUEUED && !t->kill && !t->inherited && (j->spec.shape != HR_GANG || gang_launchable (j));
 }
 
 /* Orders for what is recorded on this machine. Returns whether a launch is among them. */
@@ -120,6 +122,7 @@
     HrTask *t = match (c, m, it, &j);
     if (t && t->state == HR_T_BOUND) {
       g_hash_table_add (seen, t);
+      t->inherited = 0;
       if (t->shown != it->state)
         c->plan_dirty = TRUE;
       t->shown = it->state;
@@ -148,7 +151,7 @@
         g_hash_table_contains (seen, t))
       continue;
     t->shown = HR_NOT_SHOWN;
-    if (launchable (j, t) || (j->stance == HR_QUEUED && !t->kill && !j->gang_over))
+    if (launchable (j, t) || (j->stance == HR_QUEUED && !t->kill && !t->inherited && !j->gang_over))
       continue; /* it is launched (again) where it is recorded */
     if (proof)
       hr_task_gone (c, j, ref.task, HR_X_NONE, "its worker's report lacks it");
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -1,6 +1,7 @@
 /* Troubles drawn from the seed: alone, together, and in the middle of each other. */
 #include "sim/world.h"
 
+
 static void
 start (World *w, gpointer p)
 {
@@ -25,7 +26,10 @@
                                  : NULL;
   double d = w_rand (w, 3, 40);
   gboolean hold = w_rand (w, 0, 1) < 0.5;
-  switch (g_rand_int_range (w->rand, 0, 13)) {
+  int kind = g_rand_int_range (w->rand, 0, 13);
+  sim_log_time = w->now;
+  g_debug ("fault %d on c%d or %s for %.1f s, %s", kind, i, m ? m->name : "-", d, hold ? "held" : "lost");
+  switch (kind) {
   case 0:
   case 1:
     crash (w, i);
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -193,6 +193,7 @@
 judge_tick (World *w)
 {
   double gpus = 0;
+  g_autoptr (GString) who = g_string_new (NULL);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *m = w->machines->pdata[i];
     for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
@@ -201,12 +202,13 @@
       if (!t->on)
         continue;
       gpus += j->gpus;
+      g_string_append_printf (who, " %s/%u.%u@%s", j->id, t->task, t->try, m->name);
       if (j->told_withdrawn && w->now > j->told_withdrawn + CANCEL)
         w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
     }
   }
   if (w->quota_gpus > 0 && gpus > w->quota_gpus + 1e-6)
-    w_broken (w, "quota", "%g GPUs are used", gpus);
+    w_broken (w, "quota", "%g GPUs are used by%s", gpus, who->str);
 }
 
 /* ---- what is submitted ---- */
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -241,8 +241,7 @@
   if (m->gone)
     return;
   w_at (w, w->now + 0.25, live, m);
-  if (m->hang > w->now)
-    return;
+  /* A hanging machine may resume within its lease, not after it. */
   if (w->now - m->lease_at > LEASE) {
     machine_stop_all (w, m, "lease");
     m->tenure++;
@@ -251,6 +250,8 @@
       report_due (w, m);
     return;
   }
+  if (m->hang > w->now)
+    return;
   gboolean changed = FALSE;
   for (guint i = 0; i < m->tasks->len; i++)
     changed |= task_step (w, m, &g_array_index (m->tasks, STask, i));
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -3,6 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
+double sim_log_time;
+int sim_log_node;
+
 typedef struct {
   double t;
   guint64 seq;
@@ -318,6 +321,8 @@
   g_autoptr (GPtrArray) batch = n->queue;
   n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_command_free);
   g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_effect_free);
+  sim_log_time = w->now;
+  sim_log_node = i;
   /* Clocks of different machines drift, and the time of day wanders. */
   hr_core_step (n->core, w->now * (1 + 0.0002 * i) + 100 * i, 1e9 + w->now + 0.05 * i, batch, out);
   for (guint k = 0; k < out->len; k++)
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -121,6 +121,10 @@
   guint invented_asked;
 };
 
+/* Who is at work, for logs. */
+extern double sim_log_time;
+extern int sim_log_node;
+
 World *world_new (guint32 seed);
 void world_run (World *w, double until);
 void world_free (World *w);
