--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -60,7 +60,8 @@
   double retry_at, pause;
   guint errors;
   HrExit last_error;
-  guint32 bad_machine; /* where it failed last */
+  guint32 bad_machine; /* where it failed last, avoided until */
+  double bad_until;
   gboolean counted;    /* its arrival was counted */
   double gang_start;   /* planned common start of a gang, steady time */
   double placed_at;    /* of the present gang attempt */
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -109,8 +109,7 @@
 startable (HrCore *c, HrJob *j, HrMachine *m)
 {
   return m->state == HR_M_UP && m->heard_at > 0 && c->now - m->heard_at < c->pol.silent_s &&
-         c->now >= m->full_until && c->now >= j->retry_at &&
-         !(j->errors && m->idx == j->bad_machine) && hr_allowed (c, j, m) &&
+         c->now >= m->full_until && c->now >= j->retry_at && hr_allowed (c, j, m) &&
          hr_zone_ok (c, j, m) && hr_machine_fits (m, &j->spec);
 }
 
@@ -472,11 +471,11 @@
   /* And for what found no list at all. */
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
-    guint left = j->ntasks - j->nlive - j->ndone - j->planned;
+    gint left = (gint) j->ntasks - (gint) (j->nlive + j->ndone + j->planned);
     if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
         j->retry_at > c->now || !hr_team_allows (c, j, 1))
       continue;
-    for (guint k = 0; k < MIN (left, 200); k++)
+    for (gint k = 0; k < MIN (left, 200); k++)
       if (!find_room (c, rooms, j, j->spec.cpus, j->spec.gpus, j->spec.mem, j->spec.spot,
                       j->spec.types, TRUE))
         need_one (c, needs, j->spec.types, j->spec.zone, j->spec.spot, j->spec.cpus, j->spec.gpus,
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -25,6 +25,9 @@
 {
   const HrJobSpec *s = &j->spec;
   const HrType *t = usable (m) ? hr_type (c, m) : NULL;
+  /* Where it failed last it is not tried again at once, if there is any other place. */
+  if (m->idx == j->bad_machine && c->now < j->bad_until)
+    return FALSE;
   return t && (!s->types || (s->types >> m->type & 1)) && (s->zone == HR_NONE || s->zone == m->zone) &&
          (s->spot || !m->spot) && s->cpus <= t->cpus + 1e-6 && s->gpus <= t->gpus + 1e-6 &&
          s->mem <= t->mem + 1e-6;
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -119,6 +119,7 @@
    * that keeps failing waits longer and longer. */
   j->pause = j->errors < 2 ? 0 : MIN (c->pol.retry_most_s, c->pol.retry_s * pow (2, MIN (j->errors - 2, 20)));
   j->retry_at = c->now + j->pause;
+  j->bad_until = c->now + MAX (60, 2 * j->pause);
   if (m->error_job != j->idx) {
     m->error_job = j->idx;
     m->errors++;
@@ -165,6 +166,25 @@
   s->correction += k * (ratio - s->correction);
 }
 
+/* A gang completes together: one is done, so all of that attempt are, also those
+ * whose machine went before it could say so. */
+static void
+gang_done (HrCore *c, HrJob *j, guint32 attempt)
+{
+  for (guint32 i = 0; i < j->ntasks; i++) {
+    HrTask *t = &j->tasks[i];
+    if (t->try != attempt)
+      continue;
+    if (t->state == HR_T_BOUND)
+      hr_task_done (c, j, i);
+    else if (t->state == HR_T_IDLE) {
+      t->state = HR_T_DONE;
+      j->ndone++;
+      hr_ledger_mark (c, j, i);
+    }
+  }
+}
+
 void
 hr_task_done (HrCore *c, HrJob *j, guint32 task)
 {
@@ -180,12 +200,8 @@
   j->ndone++;
   release (c, j, task);
   hr_ledger_mark (c, j, task);
-  if (j->spec.shape != HR_GANG || j->gang_over)
-    return;
-  /* A gang completes together: one is done, so all of them are. */
-  for (guint32 i = 0; i < j->ntasks; i++)
-    if (j->tasks[i].state == HR_T_BOUND && j->tasks[i].try == t->try)
-      hr_task_done (c, j, i);
+  if (j->spec.shape == HR_GANG)
+    gang_done (c, j, t->try);
 }
 
 void
@@ -298,7 +314,6 @@
       if (t->rdone) {
         t->state = HR_T_DONE;
         j->ndone++;
-        mixed |= j->spec.shape == HR_GANG;
         continue;
       }
       if (t->rmachine == HR_NONE) {
@@ -322,6 +337,18 @@
         g_ptr_array_add (c->fleet, m);
       }
     }
+    if (j->spec.shape == HR_GANG && j->ndone && j->stance == HR_QUEUED)
+      for (guint32 k = 0; k < j->ntasks; k++) {
+        /* The ending of a large gang was being recorded page by page. */
+        HrTask *t = &j->tasks[k];
+        if (t->state == HR_T_BOUND)
+          hr_task_done (c, j, k);
+        else if (t->state == HR_T_IDLE) {
+          t->state = HR_T_DONE;
+          j->ndone++;
+          hr_ledger_mark (c, j, k);
+        }
+      }
     if (j->stance == HR_WITHDRAWN)
       hr_job_withdrawn (c, j);
     else if (mixed && j->nlive) /* parts of different attempts: begin again with a new one */
