--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -251,6 +251,9 @@
   if (j->counted || c->wall - j->submitted > 30)
     return;
   j->counted = TRUE;
+  g_debug ("%s arrives: %s, %u tasks, estimate %.0f s, image %s of %.1f GB", j->id,
+           hr_intern_name (&c->names->classes, j->spec.klass), j->ntasks, j->spec.estimate,
+           hr_intern_name (&c->names->images, j->spec.image), j->spec.image_gb);
   HrClassStat *s = hr_class (c, j->spec.klass);
   double tau = 120, age = s->last_arrival ? c->now - s->last_arrival : 1e9;
   s->rate = s->rate * exp (-age / tau) + j->ntasks / tau;
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -126,8 +126,10 @@
       if (t->shown != it->state)
         c->plan_dirty = TRUE;
       t->shown = it->state;
-      if (it->state == HR_W_RUNNING && !t->ran_at)
+      if (it->state == HR_W_RUNNING && !t->ran_at) {
         t->ran_at = c->now;
+        g_debug ("%s/%u runs on %s", j->id, it->task, m->name);
+      }
       if (it->state != HR_W_FETCHING)
         hr_machine_touch_image (m, j->spec.image);
       if (it->state == HR_W_EXITED)
