--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -107,6 +107,7 @@
   GArray *tasks;  /* HrRef of tasks assigning or bound */
   double alien_cpus, alien_gpus, alien_mem; /* taken by what should not be there */
   double cpus, gpus, mem; /* free, as meant */
+  double claim_cpus, claim_gpus, claim_mem; /* of a booting machine: kept for services */
   guint32 images[16];     /* most recent first */
   guint nimages;
   guint errors; /* failures in a row */
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -85,7 +85,9 @@
     busy = g_array_new (FALSE, FALSE, sizeof (Busy));
   g_array_set_size (busy, 0);
   const HrType *ty = hr_type (c, m);
-  double cpus = m->cpus - m->alien_cpus, gpus = m->gpus - m->alien_gpus, mem = m->mem - m->alien_mem;
+  double cpus = m->cpus - m->alien_cpus - m->claim_cpus,
+         gpus = m->gpus - m->alien_gpus - m->claim_gpus,
+         mem = m->mem - m->alien_mem - m->claim_mem;
   double at = c->now;
   if (m->state == HR_M_BOOTING)
     at = MAX (c->now + 2, m->rented_at + ty->boot_s);
@@ -429,6 +431,36 @@
 
 /* ---- the pass ---- */
 
+/* Services outrank the lists: what waits for a boot has its room on the machines
+ * that come up next, and the lists are projected without that room. */
+static void
+claim_for_services (HrCore *c)
+{
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    m->claim_cpus = m->claim_gpus = m->claim_mem = 0;
+  }
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    const HrJobSpec *s = &j->spec;
+    if (j->stance != HR_QUEUED || s->shape != HR_SERVICE || !j->tasks)
+      continue;
+    guint left = j->ntasks - j->nlive;
+    for (guint k = 0; k < c->fleet->len && left; k++) {
+      HrMachine *m = c->fleet->pdata[k];
+      while (left && m->state == HR_M_BOOTING && hr_allowed (c, j, m) &&
+             s->cpus <= m->cpus - m->claim_cpus + 1e-6 &&
+             s->gpus <= m->gpus - m->claim_gpus + 1e-6 && s->mem <= m->mem - m->claim_mem + 1e-6) {
+        m->claim_cpus += s->cpus;
+        m->claim_gpus += s->gpus;
+        m->claim_mem += s->mem;
+        left--;
+      }
+    }
+  }
+}
+
+
 static gboolean
 stands (HrCore *c, HrMachine *m, HrRef r)
 {
@@ -451,6 +483,7 @@
 {
   g_autoptr (GPtrArray) lists = g_ptr_array_new ();
   guint queued = 0;
+  claim_for_services (c);
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
     for (guint k = 0; k < m->list->len;) {
