--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -119,6 +119,7 @@
   double tardiness; /* expected, of the list */
   guint late;
   double ready;     /* when the first listed task can start */
+  double begins;    /* scratch of one placement: ready, with the image fetch */
 } HrMachine;
 
 /* Statistics per class, for estimates and spare room. */
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -182,12 +182,21 @@
 
 /* ---- MT-EDF ---- */
 
+/* How long the image keeps a task from its work there. */
+static double
+fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m)
+{
+  const HrType *t = hr_type (c, m);
+  return hr_machine_has_image (m, j->spec.image) || !t ? 0 : j->spec.image_gb / t->fetch_rate;
+}
+
+/* Earliest-starting list first, the image fetch included. */
 static int
-by_ready (gconstpointer a, gconstpointer b)
+by_ready (gconstpointer a, gconstpointer b, gpointer data)
 {
   const HrMachine *x = *(HrMachine *const *) a, *y = *(HrMachine *const *) b;
-  if (x->ready != y->ready)
-    return x->ready < y->ready ? -1 : 1;
+  if (x->begins != y->begins)
+    return x->begins < y->begins ? -1 : 1;
   return x->idx < y->idx ? -1 : x->idx > y->idx;
 }
 
@@ -251,7 +260,11 @@
   HrMachine *best = NULL;
   Judge bj = { G_MAXUINT, INFINITY };
   double bs = INFINITY;
-  g_ptr_array_sort (order, by_ready);
+  for (guint k = 0; k < order->len; k++) {
+    HrMachine *m = order->pdata[k];
+    m->begins = m->ready + fetch_time (c, j, m);
+  }
+  g_ptr_array_sort_with_data (order, by_ready, NULL);
   /* When far more is queued than runs, a sample of the lists must do: the
    * earliest ones, and some drawn from the rest. */
   for (guint k = 0; k < order->len && tries > 0; k++) {
@@ -265,6 +278,7 @@
     Judge d = try_list (c, m, r, &start);
     if (start > c->now + 1e5)
       continue;
+    start += fetch_time (c, j, m);
     if (better (d, bj) || (!better (bj, d) && start < bs - 1e-6)) {
       bj = d;
       bs = start;
@@ -288,14 +302,15 @@
 mtedf_gang (HrCore *c, GPtrArray *order, HrJob *j)
 {
   g_autoptr (GArray) pick = NULL;
-  double common = INFINITY;
+  double common = INFINITY, soonest = INFINITY;
   guint zones = j->spec.one_zone ? c->names->zones.names->len : 1;
   j->gang_start = 0;
-  g_autofree double *start = g_new (double, order->len + 1);
+  g_autofree double *start = g_new (double, order->len + 1), *fetch = g_new (double, order->len + 1);
   for (guint k = 0; k < order->len; k++) {
     HrMachine *m = order->pdata[k];
     HrRef r = { j->idx, 0 };
     start[k] = INFINITY;
+    fetch[k] = fetch_time (c, j, m);
     if (hr_allowed (c, j, m))
       try_list (c, m, r, &start[k]);
   }
@@ -311,7 +326,7 @@
           used |= g_array_index (got, guint, i) == k;
         if (used || start[k] > c->now + 1e5 || (j->spec.one_zone && m->zone != z))
           continue;
-        if (best == HR_NONE || start[k] < start[best])
+        if (best == HR_NONE || start[k] + fetch[k] < start[best] + fetch[best])
           best = k;
       }
       if (best == HR_NONE)
@@ -319,7 +334,13 @@
       last = MAX (last, start[best]);
       g_array_append_val (got, best);
     }
-    if (got->len == j->ntasks && last < common) {
+    double begins = last;
+    for (guint i = 0; i < got->len; i++) {
+      guint k = g_array_index (got, guint, i);
+      begins = MAX (begins, start[k] + fetch[k]);
+    }
+    if (got->len == j->ntasks && begins < soonest) {
+      soonest = begins;
       common = last;
       g_clear_pointer (&pick, g_array_unref);
       pick = g_steal_pointer (&got);
