--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -313,6 +313,8 @@
     fetch[k] = fetch_time (c, j, m);
     if (hr_allowed (c, j, m))
       try_list (c, m, r, &start[k]);
+    /* Waiting for others to end is less sure than fetching: it counts double. */
+    fetch[k] += MAX (0, start[k] - c->now);
   }
   for (guint z = 0; z < zones; z++) {
     g_autoptr (GArray) got = g_array_new (FALSE, FALSE, sizeof (guint));
