--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -427,16 +427,30 @@
   return s;
 }
 
-/* Spare room for the next replicas of production services: they cannot wait for a boot. */
+static gboolean
+has_wait_aim (HrCore *c, guint32 klass)
+{
+  for (guint i = 0; i < c->set->aims->len; i++) {
+    HrAim *a = &g_array_index (c->set->aims, HrAim, i);
+    if (a->klass == klass && a->kind == HR_AIM_WAIT)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Spare room for what cannot wait for a boot: replicas of services, and classes
+ * whose start is an aim. */
 static void
 keep_headroom (HrCore *c, Room *rooms, GArray *needs)
 {
   for (guint k = 0; k < c->classes->len; k++) {
     HrClassStat *s = &g_array_index (c->classes, HrClassStat, k);
-    if (!s->seen || s->shape != HR_SERVICE)
+    gboolean service = s->shape == HR_SERVICE;
+    if (!s->seen || (!service && !has_wait_aim (c, k)))
       continue;
     double rate = s->rate * exp (-(c->now - s->last_arrival) / 120);
-    guint n = (guint) (c->pol.headroom_base + rate * boot_time (c) * c->pol.headroom_boots + 0.5);
+    double boots = service ? c->pol.headroom_boots : c->pol.headroom_waits;
+    guint n = (guint) ((service ? c->pol.headroom_base : 0) + rate * boot_time (c) * boots + 0.5);
     for (guint i = 0; i < n; i++)
       if (!find_room (c, rooms, NULL, s->cpus, s->gpus, s->mem, s->spot, s->types, FALSE))
         need_one (c, needs, s->types, HR_NONE, s->spot, s->cpus, s->gpus, s->mem);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -18,6 +18,7 @@
   X (sample_above, 1, 1e6, "queued tasks above which machine lists are sampled")                   \
   X (headroom_base, 0, 1000, "spare service tasks always kept room for")                           \
   X (headroom_boots, 0, 100, "boot times of service arrivals kept room for")                       \
+  X (headroom_waits, 0, 100, "the same for other classes whose start is an aim")                   \
   X (rent_slack, 0, 100, "boot times of wait tolerated before a machine is rented for it")         \
   X (rent_ask, 1, 10, "machines asked for, per machine missing, where boots often fail")           \
   X (idle_s, 0, 86400, "idle time after which a spare machine is returned")                        \
