--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -126,14 +126,14 @@
 typedef struct {
   double correction; /* actual / estimated run time, smoothed */
   guint samples;
-  double rate;       /* tasks arriving a second, smoothed over a minute */
+  double rate;       /* tasks arriving a second, smoothed */
+  double bucket, bucket_at; /* arrivals of the last seconds, not in the rate yet */
   double tasks, cpus, gpus, mem, image_gb; /* of its recent jobs */
   guint32 image;
   HrShape shape;
   HrRank rank;
   gboolean spot, seen;
   guint64 types;
-  double last_arrival;
 } HrClassStat;
 
 void hr_job_free (HrJob *j);
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -448,7 +448,7 @@
     gboolean service = s->shape == HR_SERVICE;
     if (!s->seen || (!service && !has_wait_aim (c, k)))
       continue;
-    double rate = s->rate * exp (-(c->now - s->last_arrival) / 120);
+    double rate = hr_class_arrivals (c, s, 0);
     double boots = service ? c->pol.headroom_boots : c->pol.headroom_waits;
     guint n = (guint) ((service ? c->pol.headroom_base : 0) + rate * boot_time (c) * boots + 0.5);
     for (guint i = 0; i < n; i++)
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -194,6 +194,7 @@
 /* Ends a gang's attempt: all its tasks have to go before the next one. */
 void hr_gang_end (HrCore *c, HrJob *j, double grace);
 void hr_job_withdrawn (HrCore *c, HrJob *j);
+double hr_class_arrivals (HrCore *c, HrClassStat *s, guint n);
 void hr_job_open (HrCore *c, HrJob *j);
 void hr_tasks_take_over (HrCore *c);
 guint32 hr_job_next_try (const HrJob *j);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -231,6 +231,29 @@
     hr_ledger_mark (c, j, 0);
 }
 
+#define BUCKET_S 10.0
+#define RATE_TAU_S 120.0
+
+/* Tasks arriving a second, smoothed. What arrives in one bunch (at the very start,
+ * or after an outage) says little about what comes next, so it counts capped. */
+double
+hr_class_arrivals (HrCore *c, HrClassStat *s, guint n)
+{
+  double keep = exp (-BUCKET_S / RATE_TAU_S);
+  if (!s->bucket_at)
+    s->bucket_at = c->now;
+  for (guint i = 0; c->now - s->bucket_at >= BUCKET_S && i < 200; i++) {
+    double most = 2 + 3 * s->rate * BUCKET_S;
+    s->rate = keep * s->rate + (1 - keep) * MIN (s->bucket, most) / BUCKET_S;
+    s->bucket = 0;
+    s->bucket_at += BUCKET_S;
+  }
+  if (c->now - s->bucket_at >= BUCKET_S)
+    s->bucket_at = c->now;
+  s->bucket += n;
+  return s->rate;
+}
+
 /* Keeps the list of jobs that the owner has to look at. */
 void
 hr_job_open (HrCore *c, HrJob *j)
@@ -255,9 +278,7 @@
            hr_intern_name (&c->names->classes, j->spec.klass), j->ntasks, j->spec.estimate,
            hr_intern_name (&c->names->images, j->spec.image), j->spec.image_gb);
   HrClassStat *s = hr_class (c, j->spec.klass);
-  double tau = 120, age = s->last_arrival ? c->now - s->last_arrival : 1e9;
-  s->rate = s->rate * exp (-age / tau) + j->ntasks / tau;
-  s->last_arrival = c->now;
+  hr_class_arrivals (c, s, j->ntasks);
   double k = s->seen ? 0.2 : 1;
   s->seen = TRUE;
   s->tasks += k * (j->ntasks - s->tasks);
