--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -99,6 +99,15 @@
          s->mem <= m->mem - m->alien_mem + EPS;
 }
 
+/* The same beside the room that is kept for services. */
+gboolean
+hr_machine_fits_beside_claims (const HrMachine *m, const HrJobSpec *s)
+{
+  return s->cpus <= m->cpus - m->alien_cpus - m->claim_cpus + EPS &&
+         s->gpus <= m->gpus - m->alien_gpus - m->claim_gpus + EPS &&
+         s->mem <= m->mem - m->alien_mem - m->claim_mem + EPS;
+}
+
 void
 hr_machine_take (HrMachine *m, const HrJobSpec *s, HrRef r)
 {
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -107,7 +107,7 @@
   GArray *tasks;  /* HrRef of tasks assigning or bound */
   double alien_cpus, alien_gpus, alien_mem; /* taken by what should not be there */
   double cpus, gpus, mem; /* free, as meant */
-  double claim_cpus, claim_gpus, claim_mem; /* of a booting machine: kept for services */
+  double claim_cpus, claim_gpus, claim_mem; /* of that, kept for services */
   guint32 images[16];     /* most recent first */
   guint nimages;
   guint errors; /* failures in a row */
@@ -150,5 +150,6 @@
 void hr_machine_describe (HrMachine *m, const HrType *t, guint32 zone, gboolean spot);
 /* Room for a task, as meant. */
 gboolean hr_machine_fits (const HrMachine *m, const HrJobSpec *s);
+gboolean hr_machine_fits_beside_claims (const HrMachine *m, const HrJobSpec *s);
 void hr_machine_take (HrMachine *m, const HrJobSpec *s, HrRef r);
 void hr_machine_give (HrMachine *m, const HrJobSpec *s, HrRef r);
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -110,7 +110,8 @@
 {
   return m->state == HR_M_UP && m->heard_at > 0 && c->now - m->heard_at < c->pol.silent_s &&
          c->now >= m->full_until && c->now >= j->retry_at && hr_allowed (c, j, m) &&
-         hr_zone_ok (c, j, m) && hr_machine_fits (m, &j->spec);
+         hr_zone_ok (c, j, m) && hr_machine_fits (m, &j->spec) &&
+         (j->spec.shape == HR_SERVICE || hr_machine_fits_beside_claims (m, &j->spec));
 }
 
 static void
@@ -440,18 +441,24 @@
 
 /* Spare room for what cannot wait for a boot: replicas of services, and classes
  * whose start is an aim. */
+guint
+hr_headroom (HrCore *c, guint32 klass)
+{
+  HrClassStat *s = &g_array_index (c->classes, HrClassStat, klass);
+  gboolean service = s->shape == HR_SERVICE;
+  if (!s->seen || (!service && !has_wait_aim (c, klass)))
+    return 0;
+  double boots = service ? c->pol.headroom_boots : c->pol.headroom_waits;
+  return (service ? c->pol.headroom_base : 0) +
+         hr_class_arrivals (c, s, 0) * boot_time (c) * boots + 0.5;
+}
+
 static void
 keep_headroom (HrCore *c, Room *rooms, GArray *needs)
 {
   for (guint k = 0; k < c->classes->len; k++) {
     HrClassStat *s = &g_array_index (c->classes, HrClassStat, k);
-    gboolean service = s->shape == HR_SERVICE;
-    if (!s->seen || (!service && !has_wait_aim (c, k)))
-      continue;
-    double rate = hr_class_arrivals (c, s, 0);
-    double boots = service ? c->pol.headroom_boots : c->pol.headroom_waits;
-    guint n = (guint) ((service ? c->pol.headroom_base : 0) + rate * boot_time (c) * boots + 0.5);
-    for (guint i = 0; i < n; i++)
+    for (guint n = hr_headroom (c, k); n > 0; n--)
       if (!find_room (c, rooms, NULL, s->cpus, s->gpus, s->mem, s->spot, s->types, FALSE))
         need_one (c, needs, s->types, HR_NONE, s->spot, s->cpus, s->gpus, s->mem);
   }
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -454,8 +454,24 @@
 
 /* ---- the pass ---- */
 
+/* Takes the room of up to n tasks off a machine for services. */
+static guint
+claim_on (HrMachine *m, double cpus, double gpus, double mem, guint n)
+{
+  while (n && cpus <= m->cpus - m->alien_cpus - m->claim_cpus + 1e-6 &&
+         gpus <= m->gpus - m->alien_gpus - m->claim_gpus + 1e-6 &&
+         mem <= m->mem - m->alien_mem - m->claim_mem + 1e-6) {
+    m->claim_cpus += cpus;
+    m->claim_gpus += gpus;
+    m->claim_mem += mem;
+    n--;
+  }
+  return n;
+}
+
 /* Services outrank the lists: what waits for a boot has its room on the machines
- * that come up next, and the lists are projected without that room. */
+ * that come up next, and some room is kept for the next arrivals; the lists are
+ * projected, and started, without that room. */
 static void
 claim_for_services (HrCore *c)
 {
@@ -471,19 +487,26 @@
     guint left = j->ntasks - j->nlive;
     for (guint k = 0; k < c->fleet->len && left; k++) {
       HrMachine *m = c->fleet->pdata[k];
-      while (left && m->state == HR_M_BOOTING && hr_allowed (c, j, m) &&
-             s->cpus <= m->cpus - m->claim_cpus + 1e-6 &&
-             s->gpus <= m->gpus - m->claim_gpus + 1e-6 && s->mem <= m->mem - m->claim_mem + 1e-6) {
-        m->claim_cpus += s->cpus;
-        m->claim_gpus += s->gpus;
-        m->claim_mem += s->mem;
-        left--;
-      }
+      if (m->state == HR_M_BOOTING && hr_allowed (c, j, m))
+        left = claim_on (m, s->cpus, s->gpus, s->mem, left);
     }
   }
+  for (guint i = 0; i < c->classes->len; i++) {
+    HrClassStat *s = &g_array_index (c->classes, HrClassStat, i);
+    guint left = s->seen && s->shape == HR_SERVICE ? hr_headroom (c, i) : 0;
+    /* Where the image is first, then where others run already. */
+    for (int pass = 0; pass < 3; pass++)
+      for (guint k = 0; k < c->fleet->len && left; k++) {
+        HrMachine *m = c->fleet->pdata[k];
+        if (m->state != HR_M_UP || !usable (c, m) || (m->spot && !s->spot) ||
+            (s->types && !(s->types >> m->type & 1)) ||
+            (pass == 0 && !hr_machine_has_image (m, s->image)) || (pass == 1 && !m->tasks->len))
+          continue;
+        left = claim_on (m, s->cpus, s->gpus, s->mem, left);
+      }
+  }
 }
 
-
 static gboolean
 stands (HrCore *c, HrMachine *m, HrRef r)
 {
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -223,4 +223,6 @@
 /* dispatch.c */
 gboolean hr_team_allows (HrCore *c, const HrJob *j, guint n);
 void hr_team_waits (HrCore *c);
+/* Tasks of the class that spare room is kept for. */
+guint hr_headroom (HrCore *c, guint32 klass);
 void hr_dispatch (HrCore *c);
