--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -428,28 +428,25 @@
   return s;
 }
 
-static gboolean
-has_wait_aim (HrCore *c, guint32 klass)
-{
-  for (guint i = 0; i < c->set->aims->len; i++) {
-    HrAim *a = &g_array_index (c->set->aims, HrAim, i);
-    if (a->klass == klass && a->kind == HR_AIM_WAIT)
-      return TRUE;
-  }
-  return FALSE;
-}
-
-/* Spare room for what cannot wait for a boot: replicas of services, and classes
- * whose start is an aim. */
+/* How many tasks of a class cannot wait for a boot: replicas of services, and
+ * classes for whose start or end there is an aim. */
 guint
 hr_headroom (HrCore *c, guint32 klass)
 {
   HrClassStat *s = &g_array_index (c->classes, HrClassStat, klass);
-  gboolean service = s->shape == HR_SERVICE;
-  if (!s->seen || (!service && !has_wait_aim (c, klass)))
+  double boots = 0;
+  if (!s->seen)
     return 0;
-  double boots = service ? c->pol.headroom_boots : c->pol.headroom_waits;
-  return (service ? c->pol.headroom_base : 0) +
+  if (s->shape == HR_SERVICE)
+    boots = c->pol.headroom_boots;
+  for (guint i = 0; i < c->set->aims->len && s->shape != HR_SERVICE; i++) {
+    HrAim *a = &g_array_index (c->set->aims, HrAim, i);
+    if (a->klass == klass && a->kind == HR_AIM_WAIT)
+      boots = MAX (boots, c->pol.headroom_waits);
+    else if (a->klass == klass && a->kind == HR_AIM_DEADLINE)
+      boots = MAX (boots, c->pol.headroom_deadlines);
+  }
+  return (s->shape == HR_SERVICE ? c->pol.headroom_base : 0) +
          hr_class_arrivals (c, s, 0) * boot_time (c) * boots + 0.5;
 }
 
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -19,6 +19,7 @@
   X (headroom_base, 0, 1000, "spare service tasks always kept room for")                           \
   X (headroom_boots, 0, 100, "boot times of service arrivals kept room for")                       \
   X (headroom_waits, 0, 100, "the same for other classes whose start is an aim")                   \
+  X (headroom_deadlines, 0, 100, "the same for classes with a deadline aim")                       \
   X (rent_slack, 0, 100, "boot times of wait tolerated before a machine is rented for it")         \
   X (rent_ask, 1, 10, "machines asked for, per machine missing, where boots often fail")           \
   X (idle_s, 0, 86400, "idle time after which a spare machine is returned")                        \
