--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -126,8 +126,8 @@
 typedef struct {
   double correction; /* actual / estimated run time, smoothed */
   guint samples;
-  double rate;       /* tasks arriving a second, smoothed */
-  double bucket, bucket_at; /* arrivals of the last seconds, not in the rate yet */
+  double sum, weight; /* tasks arriving a second, smoothed: sum / weight */
+  double bucket, bucket_at; /* arrivals of the last seconds, not in the sum yet */
   double tasks, cpus, gpus, mem, image_gb; /* of its recent jobs */
   guint32 image;
   HrShape shape;
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -494,13 +494,14 @@
   for (guint i = 0; i < c->classes->len; i++) {
     HrClassStat *s = &g_array_index (c->classes, HrClassStat, i);
     guint left = s->seen && s->shape == HR_SERVICE ? hr_headroom (c, i) : 0;
-    /* Where the image is first, then where others run already. */
-    for (int pass = 0; pass < 3; pass++)
+    /* Where others run already, and the image is, first: whole machines are for those
+     * who need whole machines. */
+    for (int pass = 0; pass < 4; pass++)
       for (guint k = 0; k < c->fleet->len && left; k++) {
         HrMachine *m = c->fleet->pdata[k];
         if (m->state != HR_M_UP || !usable (c, m) || (m->spot && !s->spot) ||
             (s->types && !(s->types >> m->type & 1)) ||
-            (pass == 0 && !hr_machine_has_image (m, s->image)) || (pass == 1 && !m->tasks->len))
+            (pass < 2 && !m->tasks->len) || (pass % 2 == 0 && !hr_machine_has_image (m, s->image)))
           continue;
         left = claim_on (m, s->cpus, s->gpus, s->mem, left);
       }
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -243,15 +243,16 @@
   if (!s->bucket_at)
     s->bucket_at = c->now;
   for (guint i = 0; c->now - s->bucket_at >= BUCKET_S && i < 200; i++) {
-    double most = 2 + 3 * s->rate * BUCKET_S;
-    s->rate = keep * s->rate + (1 - keep) * MIN (s->bucket, most) / BUCKET_S;
+    double most = 2 + 3 * (s->weight > 0 ? s->sum / s->weight : 0) * BUCKET_S;
+    s->sum = keep * s->sum + (1 - keep) * MIN (s->bucket, most) / BUCKET_S;
+    s->weight = keep * s->weight + (1 - keep); /* young averages count what they have seen */
     s->bucket = 0;
     s->bucket_at += BUCKET_S;
   }
   if (c->now - s->bucket_at >= BUCKET_S)
     s->bucket_at = c->now;
   s->bucket += n;
-  return s->rate;
+  return s->weight > 0 ? s->sum / s->weight : MIN (s->bucket, 2) / BUCKET_S;
 }
 
 /* Keeps the list of jobs that the owner has to look at. */
