--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -233,6 +233,18 @@
   return x->job != y->job ? (x->job < y->job ? -1 : 1) : (x->task > y->task) - (x->task < y->task);
 }
 
+/* Sooner done first; then the cheaper machine, then the fuller one. */
+static gboolean
+batch_better (HrCore *c, HrJob *j, HrMachine *a, HrMachine *b)
+{
+  double x = hr_estimate (c, j, a), y = hr_estimate (c, j, b);
+  if (fabs (x - y) > 1)
+    return x < y;
+  if (a->spot != b->spot)
+    return a->spot;
+  return a->tasks->len > b->tasks->len;
+}
+
 /* A machine with room takes the earliest-deadline task that fits from any list. */
 static void
 start_from_any (HrCore *c, const double *blocked)
@@ -257,7 +269,7 @@
       HrMachine *m = c->fleet->pdata[k];
       if (!startable (c, j, m) || !may_pass (c, j, m, blocked[k]))
         continue;
-      if (!best || hr_estimate (c, j, m) < hr_estimate (c, j, best) - 1e-6)
+      if (!best || batch_better (c, j, m, best))
         best = m;
     }
     if (best)
@@ -397,12 +409,12 @@
 }
 
 /* Room that is free, or will be once a boot or a stop has ended. Busy machines
- * first, so that idle ones stay free to go. */
+ * first, so that idle ones stay free to go; cheap ones before others. */
 static gboolean
 find_room (HrCore *c, Room *rooms, HrJob *j, double cpus, double gpus, double mem, gboolean spot,
            guint64 types, gboolean booting_only)
 {
-  for (int pass = 0; pass < 2; pass++)
+  for (int pass = 0; pass < 4; pass++)
     for (guint i = 0; i < c->fleet->len; i++) {
       Room *r = &rooms[i];
       HrMachine *m = r->m;
@@ -411,7 +423,7 @@
           (types && !(types >> m->type & 1)) || (j && (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))))
         continue;
       gboolean idle = m->tasks->len == 0 && !r->reserved;
-      if (idle == (pass == 0) || !room_take (r, cpus, gpus, mem))
+      if (idle != pass / 2 || m->spot != !(pass % 2) || !room_take (r, cpus, gpus, mem))
         continue;
       r->reserved = TRUE;
       return TRUE;
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -197,6 +197,10 @@
   const HrMachine *x = *(HrMachine *const *) a, *y = *(HrMachine *const *) b;
   if (x->begins != y->begins)
     return x->begins < y->begins ? -1 : 1;
+  if (x->spot != y->spot)
+    return x->spot ? -1 : 1; /* cheaper */
+  if (x->tasks->len + x->list->len != y->tasks->len + y->list->len) /* so that others fall empty */
+    return x->tasks->len + x->list->len > y->tasks->len + y->list->len ? -1 : 1;
   return x->idx < y->idx ? -1 : x->idx > y->idx;
 }
 
@@ -262,7 +266,7 @@
   double bs = INFINITY;
   for (guint k = 0; k < order->len; k++) {
     HrMachine *m = order->pdata[k];
-    m->begins = m->ready + fetch_time (c, j, m);
+    m->begins = floor (m->ready + fetch_time (c, j, m));
   }
   g_ptr_array_sort_with_data (order, by_ready, NULL);
   /* When far more is queued than runs, a sample of the lists must do: the
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -196,6 +196,7 @@
   m->errors = 0;
   m->error_job = HR_NONE;
   j->errors = 0;
+  g_debug ("%s/%u ends on %s", j->id, task, m->name);
   t->state = HR_T_DONE;
   j->ndone++;
   release (c, j, task);
