--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -114,7 +114,7 @@
   /* Planning and the fleet. */
   GArray *team_waits; /* guint32: per team, the gang that waits for the limit, or HR_NONE */
   gboolean plan_dirty;
-  double planned_at;
+  double planned_at, moved_at;
   gboolean types_asked, listing;
   double types_at, list_at, rent_at;
   gboolean list_complete;
