--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -445,7 +445,7 @@
 guint
 hr_headroom (HrCore *c, guint32 klass)
 {
-  HrClassStat *s = &g_array_index (c->classes, HrClassStat, klass);
+  HrClassStat *s = hr_class (c, klass); /* a class known from old records alone has no row yet */
   double boots = 0;
   if (!s->seen)
     return 0;
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -148,6 +148,8 @@
     j->last_error = why;
   }
   gboolean gang = j->spec.shape == HR_GANG && j->nlive > 1;
+  if (j->spec.shape == HR_SERVICE)
+    c->planned_at = 0; /* a replica is down: plan at once */
   release (c, j, task);
   if (gang && !j->gang_over && j->stance == HR_QUEUED)
     hr_gang_end (c, j, 0);
