--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -66,6 +66,8 @@
   double gang_start;   /* planned common start of a gang, steady time */
   double placed_at;    /* of the present gang attempt */
   guint planned;       /* tasks standing in lists */
+  guint32 part;        /* whose lists it may stand in; HR_NONE: large, any list */
+  gboolean parted;     /* its part was chosen */
 } HrJob;
 
 typedef enum { HR_M_BOOTING, HR_M_UP, HR_M_DELETING, HR_M_GONE } HrMachineState;
@@ -115,6 +117,7 @@
   double speed;  /* 1: as fast as its type; from finished tasks */
   double full_until;
   /* Plan */
+  guint32 part; /* by hash of its name */
   GArray *list; /* HrRef by deadline */
   double tardiness; /* expected, of the list */
   guint late;
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -154,8 +154,10 @@
         if (startable (c, j, m) && (!best || service_score (j, m) > service_score (j, best)))
           best = m;
       }
-      if (!best)
+      if (!best) {
+        j->part = HR_NONE; /* not in its part: any machine may */
         break;
+      }
       start (c, j, k, best, next_try (&j->tasks[k]));
     }
   }
--- /dev/null
+++ b/src/coordination/parts.c
@@ -0,0 +1,63 @@
+/* Hash parts of the plan: a machine belongs to the part that its name hashes to,
+ * an ordinary job to the part with most room when it comes, a large one to none:
+ * it may stand in any list. All parts are planned by the leader (docs/design.md). */
+#include "coordination/state.h"
+
+/* Rendezvous hashing: when a part is added, only machines that move to it move. */
+guint32
+hr_part_of (const char *machine, guint nparts)
+{
+  guint32 best = 0, most = 0, base = g_str_hash (machine);
+  for (guint i = 0; i < nparts; i++) {
+    guint32 h = base ^ (i + 1) * 0x9e3779b9u;
+    h = (h ^ h >> 16) * 0x85ebca6bu;
+    h = (h ^ h >> 13) * 0xc2b2ae35u;
+    h ^= h >> 16;
+    if (i == 0 || h > most) {
+      most = h;
+      best = i;
+    }
+  }
+  return best;
+}
+
+void
+hr_parts_assign (HrCore *c)
+{
+  c->nparts = 1 + c->fleet->len / (guint) c->pol.machines_per_part;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    m->part = hr_part_of (m->name, c->nparts);
+  }
+}
+
+static gboolean
+has_limit (HrCore *c, const HrJob *j)
+{
+  for (guint i = 0; i < c->set->teams->len; i++) {
+    HrTeam *t = &g_array_index (c->set->teams, HrTeam, i);
+    if (t->team == j->spec.team)
+      return t->cpus_max > 0 || t->gpus_max > 0;
+  }
+  return FALSE;
+}
+
+/* The roomiest part that holds the job; large jobs, and what no part holds, get any list. */
+void
+hr_part_choose (HrCore *c, HrJob *j)
+{
+  g_autofree double *room = g_new0 (double, c->nparts);
+  j->parted = TRUE;
+  j->part = HR_NONE;
+  if (c->nparts == 1 || (j->spec.shape == HR_GANG && j->ntasks > 1) || j->spec.one_zone ||
+      j->spec.spread || has_limit (c, j))
+    return;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (hr_allowed (c, j, m) && hr_machine_fits_beside_claims (m, &j->spec))
+      room[m->part] += m->gpus + m->cpus / 16;
+  }
+  for (guint i = 0; i < c->nparts; i++)
+    if (room[i] > 0 && (j->part == HR_NONE || room[i] > room[j->part]))
+      j->part = i;
+}
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -31,6 +31,8 @@
   /* Where it failed last it is not tried again at once, if there is any other place. */
   if (m->idx == j->bad_machine && c->now < j->bad_until)
     return FALSE;
+  if (j->part != HR_NONE && j->part < c->nparts && m->part != j->part)
+    return FALSE;
   return t && (!s->types || (s->types >> m->type & 1)) && (s->zone == HR_NONE || s->zone == m->zone) &&
          (s->spot || !m->spot) && s->cpus <= t->cpus + 1e-6 && s->gpus <= t->gpus + 1e-6 &&
          s->mem <= t->mem + 1e-6;
@@ -534,6 +536,7 @@
 {
   g_autoptr (GPtrArray) lists = g_ptr_array_new ();
   guint queued = 0;
+  hr_parts_assign (c);
   claim_for_services (c);
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
@@ -563,6 +566,8 @@
       continue;
     }
     i++;
+    if (!j->parted || (j->part != HR_NONE && j->part >= c->nparts))
+      hr_part_choose (c, j);
     if (j->stance == HR_QUEUED && j->spec.shape != HR_SERVICE && !j->gang_over &&
         j->retry_at <= c->now && hr_team_allows (c, j, 1) && j->nlive + j->ndone < j->ntasks) {
       g_ptr_array_add (fresh, j);
@@ -580,8 +585,10 @@
     }
     for (guint32 k = 0; k < j->ntasks && j->planned < WINDOW; k++)
       if (j->tasks[k].state == HR_T_IDLE && !j->tasks[k].planned &&
-          !mtedf_task (c, lists, j, k, tries))
+          !mtedf_task (c, lists, j, k, tries)) {
+        j->part = HR_NONE; /* its part cannot hold it after all: any list may */
         break;
+      }
   }
   tabu_search (c, lists);
 }
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -114,6 +114,7 @@
   /* Planning and the fleet. */
   GArray *team_waits; /* guint32: per team, the gang that waits for the limit, or HR_NONE */
   gboolean plan_dirty;
+  guint nparts;
   double planned_at, moved_at;
   gboolean types_asked, listing;
   double types_at, list_at, rent_at;
@@ -208,6 +209,11 @@
 void hr_fleet_want (HrCore *c, guint32 type, guint32 zone, gboolean spot, guint count);
 gboolean hr_types_load (HrCore *c, const json_t *o);
 
+/* parts.c */
+guint32 hr_part_of (const char *machine, guint nparts);
+void hr_parts_assign (HrCore *c);
+void hr_part_choose (HrCore *c, HrJob *j);
+
 /* planner.c */
 void hr_plan (HrCore *c);
 double hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -11,6 +11,7 @@
   X (silent_s, 1, 3600, "silence after which a machine's tasks are moved")                         \
   X (silent_share, 0, 1, "more silent machines than this share: blame the network, delete none")   \
   X (boot_limit, 1, 100, "boots longer than this many times startup_s are given up")               \
+  X (machines_per_part, 1, 1e6, "machines in one hash part of the plan")                           \
   X (tabu_rounds, 0, 100000, "rounds of tabu search in one pass")                                  \
   X (tabu_jobs, 0, 100000, "length of the list of tabu jobs")                                      \
   X (default_deadline, 0.1, 1000, "deadline of a job without one, in estimates after arrival")     \
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -373,6 +373,8 @@
   hr_core_policy_vars (n->set, vars);
   if (!hr_policy_load (SOURCE_ROOT "/deploy/policy.hop", vars, &w->pol, &e))
     g_error ("the policy: %s", e->message);
+  if (w->machines_per_part > 0)
+    w->pol.machines_per_part = w->machines_per_part;
   n->up = TRUE;
   n->gen++;
   n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_command_free);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -96,7 +96,7 @@
   guint64 seq;
   Node nodes[NODES];
   HrPolicy pol;
-  double quota_gpus;
+  double quota_gpus, machines_per_part; /* 0: as the policy says */
   /* state service */
   GHashTable *keys;  /* path -> SKey */
   GArray *log;       /* SChange */
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -9,11 +9,12 @@
 #include <cmocka.h>
 
 static guint
-play (guint32 seed, guint faults, double quota)
+play (guint32 seed, guint faults, double quota, double per_part)
 {
   World *w = world_new (seed);
   w->quota_gpus = quota;
-  if (quota > 0) /* the nodes read it when they start */
+  w->machines_per_part = per_part;
+  if (quota > 0 || per_part > 0) /* the nodes read it when they start */
     for (int i = 0; i < NODES; i++) {
       node_kill (w, i);
       node_start (w, i);
@@ -51,7 +52,7 @@
 {
   guint broken = 0;
   for (guint s = 1; s < 4; s++)
-    broken += play (s, 0, 0);
+    broken += play (s, 0, 0, 0);
   assert_int_equal (broken, 0);
 }
 
@@ -60,7 +61,7 @@
 {
   guint broken = 0;
   for (guint s = 100; s < 112; s++)
-    broken += play (s, 1, 0);
+    broken += play (s, 1, 0, 0);
   assert_int_equal (broken, 0);
 }
 
@@ -69,7 +70,7 @@
 {
   guint broken = 0;
   for (guint s = 200; s < 224; s++)
-    broken += play (s, 8, 0);
+    broken += play (s, 8, 0, 0);
   assert_int_equal (broken, 0);
 }
 
@@ -78,7 +79,16 @@
 {
   guint broken = 0;
   for (guint s = 300; s < 308; s++)
-    broken += play (s, 5, 12);
+    broken += play (s, 5, 12, 0);
+  assert_int_equal (broken, 0);
+}
+
+static void
+days_with_several_parts (void **state)
+{
+  guint broken = 0;
+  for (guint s = 400; s < 408; s++)
+    broken += play (s, 4, 0, 4);
   assert_int_equal (broken, 0);
 }
 
@@ -106,7 +116,7 @@
     guint broken = 0;
     g_log_set_writer_func (g_getenv ("HR_SIM_VERBOSE") ? verbose : silent, NULL, NULL);
     for (int s = atoi (argv[1]); s < atoi (argv[2]); s++)
-      broken += play (s, atoi (argv[3]), atof (argv[4]));
+      broken += play (s, atoi (argv[3]), atof (argv[4]), s % 5 == 0 ? 4 : 0);
     return broken != 0;
   }
   if (!g_getenv ("HR_SIM_VERBOSE"))
@@ -116,9 +126,10 @@
     cmocka_unit_test (days_with_one_trouble),
     cmocka_unit_test (days_with_many_troubles),
     cmocka_unit_test (days_with_a_team_limit),
+    cmocka_unit_test (days_with_several_parts),
   };
   if (argc == 2) { /* one part */
-    static const char *const parts[] = { "quiet", "one", "many", "limit" };
+    static const char *const parts[] = { "quiet", "one", "many", "limit", "parts" };
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = { tests[i] };
