--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -530,72 +530,6 @@
                                                                               : "nothing needs it");
 }
 
-/* ---- moving replicas together ---- */
-
-static guint
-slots (const HrMachine *m, const HrJobSpec *s)
-{
-  double n = 1000;
-  if (s->cpus > 0)
-    n = MIN (n, (m->cpus - m->alien_cpus + 1e-6) / s->cpus);
-  if (s->gpus > 0)
-    n = MIN (n, (m->gpus - m->alien_gpus + 1e-6) / s->gpus);
-  if (s->mem > 0)
-    n = MIN (n, (m->mem - m->alien_mem + 1e-6) / s->mem);
-  return n > 0 ? (guint) n : 0;
-}
-
-/* A service whose only machine-mates have gone pays for a machine alone. Where
- * another machine that is in use has its image and room for it, and enough spare
- * room is left for new replicas, it moves there: down for about a second. */
-static gboolean
-movable (HrCore *c, HrMachine *a)
-{
-  for (guint i = 0; i < a->tasks->len; i++) {
-    HrRef r = g_array_index (a->tasks, HrRef, i);
-    HrJob *j = c->jobs->pdata[r.job];
-    HrTask *t = &j->tasks[r.task];
-    guint room = 0;
-    gboolean there = FALSE;
-    if (j->spec.shape != HR_SERVICE || j->stance != HR_QUEUED || t->state != HR_T_BOUND || t->kill ||
-        t->shown != HR_W_RUNNING || !t->ran_at || c->now - t->ran_at < c->pol.move_after_s ||
-        j->nlive < j->ntasks)
-      return FALSE;
-    for (guint k = 0; k < c->fleet->len; k++) {
-      HrMachine *b = c->fleet->pdata[k];
-      if (b == a || b->state != HR_M_UP || !b->tasks->len || !hr_allowed (c, j, b) ||
-          c->now - b->heard_at > c->set->report_s * 1.5)
-        continue;
-      guint n = slots (b, &j->spec);
-      room += n;
-      there |= n >= a->tasks->len && hr_machine_has_image (b, j->spec.image) &&
-               (!j->spec.spread || b->zone == a->zone);
-    }
-    if (!there || room < a->tasks->len + hr_headroom (c, j->spec.klass))
-      return FALSE;
-  }
-  return TRUE;
-}
-
-static void
-move_together (HrCore *c, GPtrArray *services)
-{
-  if (services->len || c->now - c->moved_at < 5 || c->now - c->led_at < 60)
-    return;
-  for (guint i = 0; i < c->fleet->len; i++) {
-    HrMachine *a = c->fleet->pdata[i];
-    if (a->state != HR_M_UP || a->drain || a->list->len || a->tasks->len != 1 || !movable (c, a))
-      continue;
-    HrRef r = g_array_index (a->tasks, HrRef, 0);
-    HrJob *j = c->jobs->pdata[r.job];
-    g_info ("%s/%u leaves %s, which it holds alone", j->id, r.task, a->name);
-    a->drain = TRUE; /* and the machine goes back */
-    hr_task_stop (c, j, r.task, 0);
-    c->moved_at = c->now;
-    return;
-  }
-}
-
 static int
 by_rank (gconstpointer a, gconstpointer b)
 {
@@ -662,6 +596,5 @@
     Need *x = &g_array_index (needs, Need, i);
     hr_fleet_want (c, x->type, x->zone, x->spot, x->machines);
   }
-  move_together (c, services);
   return_idle (c, rooms);
 }
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -115,7 +115,7 @@
   GArray *team_waits; /* guint32: per team, the gang that waits for the limit, or HR_NONE */
   gboolean plan_dirty;
   guint nparts;
-  double planned_at, moved_at;
+  double planned_at;
   gboolean types_asked, listing;
   double types_at, list_at, rent_at;
   gboolean list_complete;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -22,8 +22,6 @@
   X (headroom_waits, 0, 100, "the same for other classes whose start is an aim")                   \
   X (headroom_deadlines, 0, 100, "the same for classes with a deadline aim")                       \
   X (rent_slack, 0, 100, "boot times of wait tolerated before a machine is rented for it")         \
-  X (rent_ask, 1, 10, "machines asked for, per machine missing, where boots often fail")           \
-  X (move_after_s, 0, 1e9, "run time after which a lone replica may move to another machine")      \
   X (idle_s, 0, 86400, "idle time after which a spare machine is returned")                        \
   X (spot_use, 0, 1, "1: rent spot machines for jobs that allow them")                             \
   X (error_limit, 1, 1000, "failures in a row, of several jobs, that make a machine faulty")       \
