--- a/src/bookkeeping/absence.c
+++ b/src/bookkeeping/absence.c
@@ -21,7 +21,7 @@
       return;
     }
   }
-  HrDirectLaunch d = { job, task, try, token };
+  HrDirectLaunch d = {job, task, try, token};
   g_array_append_val (m->direct, d);
 }
 
--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -174,8 +174,9 @@
 static void
 ask_page (HrCore *c)
 {
-  char *path = c->sync_after ? g_strdup_printf ("/kv?starts=" PREFIX "&after=%s&limit=1000", c->sync_after)
-                             : g_strdup ("/kv?starts=" PREFIX "&limit=1000");
+  char *path = c->sync_after
+                   ? g_strdup_printf ("/kv?starts=" PREFIX "&after=%s&limit=1000", c->sync_after)
+                   : g_strdup ("/kv?starts=" PREFIX "&limit=1000");
   hr_call (c, HR_TO_STORE, NULL, HR_GET, path, NULL, 5, on_page, GUINT_TO_POINTER (c->sync_gen));
 }
 
@@ -298,7 +299,7 @@
 void
 hr_follow_read (HrCore *c, HrReadFn fn, gpointer data)
 {
-  HrWaiter w = { fn, data };
+  HrWaiter w = {fn, data};
   if (c->sync != HR_SYNC_FOLLOWING || c->store_down) {
     fn (c, FALSE, data); /* no reading is to be had now: say so at once */
     return;
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -22,7 +22,7 @@
 json_t *
 hr_cond (json_t *when, const char *path, guint64 stamp)
 {
-  json_array_append_new (when, json_pack ("{sssI}", "path", path, "stamp", (json_int_t) stamp));
+  json_array_append_new (when, json_pack ("{sssI}", "path", path, "stamp", (json_int_t)stamp));
   return when;
 }
 
@@ -52,7 +52,6 @@
   g_queue_push_tail (&c->txns[kind], t);
 }
 
-
 static void
 on_commit (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
@@ -69,7 +68,7 @@
 static void
 send_txns (HrCore *c)
 {
-  static const double keep[HR_TXN_KINDS] = { 0, 0.05, 0.3 };
+  static const double keep[HR_TXN_KINDS] = {0, 0.05, 0.3};
   for (int k = 0; k < HR_TXN_KINDS; k++)
     while (!g_queue_is_empty (&c->txns[k]) && c->txns_out < MAX_WRITES_OUT &&
            c->now >= c->write_pause) {
@@ -129,7 +128,7 @@
   if (p->dirty)
     return;
   p->dirty = TRUE;
-  HrDirty d = { j->idx, p - j->pages };
+  HrDirty d = {j->idx, p - j->pages};
   g_array_append_val (c->dirty, d);
 }
 
@@ -270,7 +269,7 @@
     hr_follow_read (c, on_fresh, w);
   } else if (status == 400) {
     g_warning ("%s: the state service refuses the record: %s",
-               ((HrJob *) c->jobs->pdata[w->job])->id, hr_json_str (body, "error"));
+               ((HrJob *)c->jobs->pdata[w->job])->id, hr_json_str (body, "error"));
     write_lost (c, c->jobs->pdata[w->job], p);
     write_free (w);
   } else
@@ -299,8 +298,8 @@
     change |= t->inflight;
   }
   /* The last ending and the tombstone are one write where the tasks stand inline. */
-  gboolean done = j->stance == HR_QUEUED &&
-                  (j->per_page ? j->nrdone : j->ndone) == j->ntasks && (!j->per_page || n == 0);
+  gboolean done = j->stance == HR_QUEUED && (j->per_page ? j->nrdone : j->ndone) == j->ntasks &&
+                  (!j->per_page || n == 0);
   gboolean gone = j->stance != HR_QUEUED && j->nlive == 0 && !j->shrunk && n == 0;
   if (!change && !done && !gone)
     return;
@@ -320,8 +319,8 @@
   if (p->final)
     hr_set (w->writes, key, hr_record_tombstone (j, done ? HR_DONE : j->stance, w->tag), 0);
   else if (!j->per_page)
-    hr_set (w->writes, key,
-            hr_record_main (j, c->names, &c->machine_ids, j->stance, w->tag, TRUE), 0);
+    hr_set (w->writes, key, hr_record_main (j, c->names, &c->machine_ids, j->stance, w->tag, TRUE),
+            0);
   else {
     g_autofree char *pkey = hr_page_key (j, n);
     hr_cond (w->when, pkey, p->stamp);
--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -21,7 +21,7 @@
     else if (m == HR_NONE)
       json_array_append_new (x, json_integer (0));
     else
-      json_array_append_new (x, json_pack ("[sii]", hr_intern_name (machines, m), (int) s, (int) a));
+      json_array_append_new (x, json_pack ("[sii]", hr_intern_name (machines, m), (int)s, (int)a));
   }
   return x;
 }
@@ -30,8 +30,8 @@
 hr_record_main (const HrJob *j, const HrNames *names, const HrIntern *machines, HrStance stance,
                 const char *tag, gboolean pending)
 {
-  json_t *o = json_pack ("{sssisfsiso}", "w", tag, "s", (int) stance, "t", j->submitted, "q",
-                         (int) j->per_page, "j", hr_jobspec_pack (&j->spec, names));
+  json_t *o = json_pack ("{sssisfsiso}", "w", tag, "s", (int)stance, "t", j->submitted, "q",
+                         (int)j->per_page, "j", hr_jobspec_pack (&j->spec, names));
   if (!j->per_page)
     json_object_set_new (o, "x", pack_tasks (j, 0, j->ntasks, machines, pending));
   return hr_json_take_text (o);
@@ -40,9 +40,9 @@
 char *
 hr_record_tombstone (const HrJob *j, HrStance stance, const char *tag)
 {
-  return hr_json_take_text (json_pack ("{sssisisi}", "w", tag, "s", (int) stance, "n",
-                                       (int) j->ntasks, "d",
-                                       (int) (stance == HR_DONE ? j->ntasks : j->nrdone)));
+  return hr_json_take_text (json_pack ("{sssisisi}", "w", tag, "s", (int)stance, "n",
+                                       (int)j->ntasks, "d",
+                                       (int)(stance == HR_DONE ? j->ntasks : j->nrdone)));
 }
 
 char *
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -20,12 +20,12 @@
   guint32 machine, session, try;    /* as meant: differs while a write is under way */
   guint8 state;                     /* HrTaskState */
   guint8 rdone;
-  guint8 inflight; /* part of the write that is under way */
-  guint8 shown;    /* HrWorkState on its machine, or HR_NOT_SHOWN */
-  guint8 kill;     /* a stop is wanted */
-  guint8 planned;  /* stands in a machine's list */
+  guint8 inflight;  /* part of the write that is under way */
+  guint8 shown;     /* HrWorkState on its machine, or HR_NOT_SHOWN */
+  guint8 kill;      /* a stop is wanted */
+  guint8 planned;   /* stands in a machine's list */
   guint8 inherited; /* read from the record of an earlier owner, not seen since */
-  float grace;     /* of the stop */
+  float grace;      /* of the stop */
   double killed_at; /* last stop order sent */
   double placed_at; /* bound since */
   double ran_at;    /* seen running since; 0: not yet */
@@ -33,7 +33,7 @@
 
 typedef struct {
   guint64 stamp;
-  char *tag; /* of the write under way, else NULL */
+  char *tag;      /* of the write under way, else NULL */
   gboolean dirty; /* stands in the list of pages to write */
   gboolean final; /* the write under way is the tombstone */
 } HrPage;
@@ -44,9 +44,9 @@
   gboolean known; /* the record has been read or written */
   HrStance stance;
   HrJobSpec spec;
-  guint64 stamp; /* of the main record */
-  char *tag;     /* writer's tag of the main record */
-  double submitted, deadline; /* time of day */
+  guint64 stamp;                 /* of the main record */
+  char *tag;                     /* writer's tag of the main record */
+  double submitted, deadline;    /* time of day */
   guint32 ntasks, nrdone, ndone; /* ndone: as meant */
   HrTask *tasks;                 /* NULL once final and shrunk */
   guint per_page;                /* 0: tasks stand in the main record */
@@ -62,12 +62,12 @@
   HrExit last_error;
   guint32 bad_machine; /* where it failed last, avoided until */
   double bad_until;
-  gboolean counted;    /* its arrival was counted */
-  double gang_start;   /* planned common start of a gang, steady time */
-  double placed_at;    /* of the present gang attempt */
-  guint planned;       /* tasks standing in lists */
-  guint32 part;        /* whose lists it may stand in; HR_NONE: large, any list */
-  gboolean parted;     /* its part was chosen */
+  gboolean counted;  /* its arrival was counted */
+  double gang_start; /* planned common start of a gang, steady time */
+  double placed_at;  /* of the present gang attempt */
+  guint planned;     /* tasks standing in lists */
+  guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
+  gboolean parted;   /* its part was chosen */
 } HrJob;
 
 typedef enum { HR_M_BOOTING, HR_M_UP, HR_M_DELETING, HR_M_GONE } HrMachineState;
@@ -95,7 +95,7 @@
   double heard_at;    /* last report; 0: none to this owner */
   double answered_at; /* last 200 to a report; 0: none */
   double up_at;
-  double idle_at; /* without tasks since; 0: busy */
+  double idle_at;   /* without tasks since; 0: busy */
   double notice_at; /* when the cloud takes it; 0: no notice */
   gboolean drain;
   guint64 reply_launch; /* seq of the report whose answer held a launch; 0: none pending */
@@ -104,33 +104,33 @@
   GArray *direct;       /* HrDirectLaunch of this session */
   gboolean urgent;      /* orders to send at once */
   double do_pause;
-  gboolean delete_out; /* the call for it is under way */
-  gboolean deleted;    /* the cloud confirmed it */
-  GArray *tasks;  /* HrRef of tasks assigning or bound */
+  gboolean delete_out;                      /* the call for it is under way */
+  gboolean deleted;                         /* the cloud confirmed it */
+  GArray *tasks;                            /* HrRef of tasks assigning or bound */
   double alien_cpus, alien_gpus, alien_mem; /* taken by what should not be there */
-  double cpus, gpus, mem; /* free, as meant */
+  double cpus, gpus, mem;                   /* free, as meant */
   double claim_cpus, claim_gpus, claim_mem; /* of that, kept for services */
-  guint32 images[16];     /* most recent first */
+  guint32 images[16];                       /* most recent first */
   guint nimages;
   guint errors; /* failures in a row */
   guint32 error_job;
-  double speed;  /* 1: as fast as its type; from finished tasks */
+  double speed; /* 1: as fast as its type; from finished tasks */
   double full_until;
   /* Plan */
-  guint32 part; /* by hash of its name */
-  GArray *list; /* HrRef by deadline */
+  guint32 part;     /* by hash of its name */
+  GArray *list;     /* HrRef by deadline */
   double tardiness; /* expected, of the list */
   guint late;
-  double ready;     /* when the first listed task can start */
-  double begins;    /* scratch of one placement: ready, with the image fetch */
+  double ready;  /* when the first listed task can start */
+  double begins; /* scratch of one placement: ready, with the image fetch */
 } HrMachine;
 
 /* Statistics per class, for estimates and spare room. */
 typedef struct {
   double correction; /* actual / estimated run time, smoothed */
   guint samples;
-  double sum, weight; /* tasks arriving a second, smoothed: sum / weight */
-  double bucket, bucket_at; /* arrivals of the last seconds, not in the sum yet */
+  double sum, weight;                      /* tasks arriving a second, smoothed: sum / weight */
+  double bucket, bucket_at;                /* arrivals of the last seconds, not in the sum yet */
   double tasks, cpus, gpus, mem, image_gb; /* of its recent jobs */
   guint32 image;
   HrShape shape;
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -1,5 +1,6 @@
 #include "coordination/state.h"
 #include "protocol/jsonx.h"
+#include <gio/gio.h>
 #include <string.h>
 
 typedef struct {
@@ -49,7 +50,9 @@
 void
 hr_refuse (HrCore *c, guint64 id, int status, int retry_after, const char *reason)
 {
-  hr_reply (c, id, status, json_pack ("{ss}", "error", reason), retry_after);
+  /* A parser's message may quote bytes of the request that are no UTF-8. */
+  g_autofree char *text = g_utf8_make_valid (reason, -1);
+  hr_reply (c, id, status, json_pack ("{ss}", "error", text), retry_after);
 }
 
 char *
@@ -123,7 +126,7 @@
 hr_class (HrCore *c, guint32 klass)
 {
   while (c->classes->len <= klass) {
-    HrClassStat s = { .correction = 1 };
+    HrClassStat s = {.correction = 1};
     g_array_append_val (c->classes, s);
   }
   return &g_array_index (c->classes, HrClassStat, klass);
@@ -160,8 +163,8 @@
   c->peers = g_array_new (FALSE, TRUE, sizeof (HrPeerView));
   hr_intern_init (&c->job_ids);
   hr_intern_init (&c->machine_ids);
-  c->jobs = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_job_free);
-  c->machines = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_machine_free);
+  c->jobs = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_job_free);
+  c->machines = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_machine_free);
   c->open = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->classes = g_array_new (FALSE, TRUE, sizeof (HrClassStat));
   c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
@@ -171,8 +174,8 @@
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
-  c->write_bucket = (HrBucket){ set->state_write_rps, set->state_write_rps, set->state_write_rps, 0 };
-  c->cloud_bucket = (HrBucket){ set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0 };
+  c->write_bucket = (HrBucket){set->state_write_rps, set->state_write_rps, set->state_write_rps, 0};
+  c->cloud_bucket = (HrBucket){set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0};
   return c;
 }
 
@@ -291,6 +294,22 @@
   c->out = NULL;
 }
 
+gboolean
+hr_core_policy_check (const HrPolicy *p, GHashTable *vars, GError **error)
+{
+  const double *lease = g_hash_table_lookup (vars, "lease_s");
+  const double *cancel = g_hash_table_lookup (vars, "cancel_s");
+  /* An owner that the state service refuses cannot see a cancellation. It goes on
+   * answering workers for hold_s, and their leases outlast that. */
+  double ends = p->hold_s + *lease * 1.002 + p->lease_margin_s;
+  if (ends < *cancel)
+    return TRUE;
+  g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_DATA,
+               "policy: expected hold_s + lease_s + lease_margin_s below cancel_s (%g), not %g",
+               *cancel, ends);
+  return FALSE;
+}
+
 void
 hr_core_policy_vars (const HrSettings *s, GHashTable *vars)
 {
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -13,5 +13,7 @@
  * HrCommand, effects HrEffect. */
 void hr_core_step (HrCore *c, double now, double wall, GPtrArray *commands, GPtrArray *effects);
 void hr_core_free (HrCore *c);
+/* What no single tunable's range can say: the figures that the rules rest on together. */
+gboolean hr_core_policy_check (const HrPolicy *p, GHashTable *vars, GError **error);
 /* The platform's figures that a policy may use; of a sample platform when set is NULL. */
 void hr_core_policy_vars (const HrSettings *set, GHashTable *vars);
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -73,7 +73,7 @@
         c->now < j->retry_at || within_limit (c, j, j->ntasks))
       continue;
     guint32 *w = &g_array_index (c->team_waits, guint32, j->spec.team);
-    if (*w == HR_NONE || j->deadline < ((HrJob *) c->jobs->pdata[*w])->deadline)
+    if (*w == HR_NONE || j->deadline < ((HrJob *)c->jobs->pdata[*w])->deadline)
       *w = j->idx;
   }
 }
@@ -83,10 +83,11 @@
 gboolean
 hr_team_allows (HrCore *c, const HrJob *j, guint n)
 {
-  guint32 w = j->spec.team < c->team_waits->len ? g_array_index (c->team_waits, guint32, j->spec.team)
-                                                : HR_NONE;
+  guint32 w = j->spec.team < c->team_waits->len
+                  ? g_array_index (c->team_waits, guint32, j->spec.team)
+                  : HR_NONE;
   if (w != HR_NONE && w != j->idx && j->spec.shape != HR_SERVICE &&
-      j->deadline > ((HrJob *) c->jobs->pdata[w])->deadline)
+      j->deadline > ((HrJob *)c->jobs->pdata[w])->deadline)
     return FALSE;
   return within_limit (c, j, n);
 }
@@ -120,7 +121,7 @@
   if (j->tasks[task].planned) {
     hr_unplan (j, task);
     for (guint i = 0; i < c->fleet->len; i++)
-      hr_list_remove (c->fleet->pdata[i], (HrRef){ j->idx, task });
+      hr_list_remove (c->fleet->pdata[i], (HrRef){j->idx, task});
   }
   hr_task_assign (c, j, task, m, attempt);
 }
@@ -256,7 +257,7 @@
     HrMachine *m = c->fleet->pdata[i];
     for (guint k = 0; k < m->list->len; k++) {
       HrRef r = g_array_index (m->list, HrRef, k);
-      if (((HrJob *) c->jobs->pdata[r.job])->spec.shape == HR_BATCH)
+      if (((HrJob *)c->jobs->pdata[r.job])->spec.shape == HR_BATCH)
         g_array_append_val (all, r);
     }
   }
@@ -286,8 +287,7 @@
 {
   if (victim->spec.rank > j->spec.rank)
     return TRUE;
-  return victim->spec.team != j->spec.team && team_beyond (c, victim, 0) &&
-         !team_beyond (c, j, 1);
+  return victim->spec.team != j->spec.team && team_beyond (c, victim, 0) && !team_beyond (c, j, 1);
 }
 
 static double
@@ -397,7 +397,7 @@
   if (!n) {
     g_array_set_size (needs, needs->len + 1);
     n = &g_array_index (needs, Need, needs->len - 1);
-    *n = (Need){ best->type, zone, best_spot, 0, 0, 0, 0 };
+    *n = (Need){best->type, zone, best_spot, 0, 0, 0, 0};
   }
   if (cpus > n->cpus + 1e-6 || gpus > n->gpus + 1e-6 || mem > n->mem + 1e-6) {
     n->machines++;
@@ -422,7 +422,8 @@
       HrMachine *m = r->m;
       if ((m->state != HR_M_UP && m->state != HR_M_BOOTING) || m->drain ||
           (booting_only && m->state != HR_M_BOOTING) || (m->spot && !spot) ||
-          (types && !(types >> m->type & 1)) || (j && (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))))
+          (types && !(types >> m->type & 1)) ||
+          (j && (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))))
         continue;
       gboolean idle = m->tasks->len == 0 && !r->reserved;
       if (idle != pass / 2 || m->spot != !(pass % 2) || !room_take (r, cpus, gpus, mem))
@@ -502,7 +503,7 @@
   /* And for what found no list at all. */
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
-    gint left = (gint) j->ntasks - (gint) (j->nlive + j->ndone + j->planned);
+    gint left = (gint)j->ntasks - (gint)(j->nlive + j->ndone + j->planned);
     if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
         j->retry_at > c->now || !hr_team_allows (c, j, 1))
       continue;
@@ -526,14 +527,14 @@
       g_ptr_array_add (away, m);
   }
   for (guint i = 0; i < away->len; i++)
-    hr_fleet_delete (c, away->pdata[i], ((HrMachine *) away->pdata[i])->drain ? "it is drained"
-                                                                              : "nothing needs it");
+    hr_fleet_delete (c, away->pdata[i],
+                     ((HrMachine *)away->pdata[i])->drain ? "it is drained" : "nothing needs it");
 }
 
 static int
 by_rank (gconstpointer a, gconstpointer b)
 {
-  const HrJob *x = *(HrJob *const *) a, *y = *(HrJob *const *) b;
+  const HrJob *x = *(HrJob *const *)a, *y = *(HrJob *const *)b;
   if (x->spec.rank != y->spec.rank)
     return x->spec.rank < y->spec.rank ? -1 : 1;
   if (x->submitted != y->submitted)
@@ -565,7 +566,7 @@
   g_autofree Room *rooms = g_new0 (Room, n + 1);
   for (guint i = 0; i < n; i++) {
     HrMachine *m = c->fleet->pdata[i];
-    rooms[i] = (Room){ m, m->cpus, m->gpus, m->mem, FALSE };
+    rooms[i] = (Room){m, m->cpus, m->gpus, m->mem, FALSE};
     for (guint k = 0; k < m->tasks->len; k++) {
       HrRef r = g_array_index (m->tasks, HrRef, k);
       HrJob *j = c->jobs->pdata[r.job];
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -114,7 +114,7 @@
   }
   if (!d->n || !hr_bucket_take (&c->cloud_bucket, c->now, 1, 0)) {
     for (guint i = 0; i < d->n; i++)
-      ((HrMachine *) c->machines->pdata[d->machines[i]])->delete_out = FALSE;
+      ((HrMachine *)c->machines->pdata[d->machines[i]])->delete_out = FALSE;
     json_decref (names);
     g_free (d);
     return;
@@ -157,7 +157,7 @@
     g_array_set_size (c->refused, c->refused->len + 1);
     r = &g_array_index (c->refused, HrRefusal, c->refused->len - 1);
   }
-  *r = (HrRefusal){ type, zone, spot, c->now + REFUSED_S };
+  *r = (HrRefusal){type, zone, spot, c->now + REFUSED_S};
 }
 
 typedef struct {
@@ -229,14 +229,14 @@
            hr_json_take_text (json_pack ("{sssssssbsi}", "ask", r->name, "hull",
                                          hr_intern_name (&c->names->types, r->type), "quarry",
                                          hr_intern_name (&c->names->zones, r->zone), "loaners",
-                                         r->spot, "count", (int) r->count)),
+                                         r->spot, "count", (int)r->count)),
            6, on_rented, r);
 }
 
 void
 hr_fleet_want (HrCore *c, guint32 type, guint32 zone, gboolean spot, guint count)
 {
-  HrWant w = { type, zone, spot, count };
+  HrWant w = {type, zone, spot, count};
   if (count)
     g_array_append_val (c->wants, w);
 }
@@ -269,7 +269,8 @@
 {
   /* What an earlier owner rented shows in the list: look before renting. The
    * very first owner has nothing to look for. */
-  gboolean looked = c->led_baton == 1 || (c->list_complete && c->now - c->led_at > c->set->list_lag_s);
+  gboolean looked =
+      c->led_baton == 1 || (c->list_complete && c->now - c->led_at > c->set->list_lag_s);
   if (!looked || c->asks_out || c->now < c->rent_at || c->now - c->confirmed_at > 4)
     return;
   for (guint i = 0; i < c->wants->len; i++) {
@@ -285,7 +286,8 @@
         n = MIN (n, MAX (1, (w->count + t->zones->len - 1) / t->zones->len));
       Rental *r = g_new0 (Rental, 1);
       r->led_at = c->led_at;
-      r->name = g_strdup_printf ("%s.%s.%" G_GUINT64_FORMAT, c->set->label, c->incarnation, ++c->ask);
+      r->name =
+          g_strdup_printf ("%s.%s.%" G_GUINT64_FORMAT, c->set->label, c->incarnation, ++c->ask);
       r->type = w->type;
       r->zone = z;
       r->spot = w->spot;
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -42,8 +42,8 @@
 void
 hr_leader_map_read (HrCore *c)
 {
-  gboolean mine = c->map_stamp && g_strcmp0 (c->map_inc, c->incarnation) == 0 &&
-                  c->baton > c->fenced;
+  gboolean mine =
+      c->map_stamp && g_strcmp0 (c->map_inc, c->incarnation) == 0 && c->baton > c->fenced;
   if (mine && !c->leads)
     become (c);
   else if (!mine && c->leads)
@@ -53,8 +53,8 @@
 static char *
 owner_text (HrCore *c, guint64 baton)
 {
-  return hr_json_take_text (json_pack ("{sIssss}", "b", (json_int_t) baton, "o", c->set->label, "i",
-                                       c->incarnation));
+  return hr_json_take_text (
+      json_pack ("{sIssss}", "b", (json_int_t)baton, "o", c->set->label, "i", c->incarnation));
 }
 
 static void
@@ -114,13 +114,14 @@
     if (!c->claim_asked) {
       c->claim_asked = c->now;
       hr_call (c, HR_TO_STORE, NULL, HR_POST, g_strdup ("/leases"),
-               g_strdup_printf ("{\"life_ms\":%d}", (int) (c->pol.leader_lease_s * 1000)), 2,
+               g_strdup_printf ("{\"life_ms\":%d}", (int)(c->pol.leader_lease_s * 1000)), 2,
                on_claim, NULL);
     }
     return;
   }
   c->electing = TRUE;
-  json_t *when = hr_cond (hr_cond (json_array (), "h/leader", c->leader_stamp), "h/map", c->map_stamp);
+  json_t *when =
+      hr_cond (hr_cond (json_array (), "h/leader", c->leader_stamp), "h/map", c->map_stamp);
   json_t *writes = hr_set (json_array (), "h/leader", owner_text (c, 0), c->claim);
   hr_set (writes, "h/map", owner_text (c, MAX (c->baton, c->fenced) + 1), 0);
   hr_commit (c, HR_TXN_USER, when, writes, 2, 2, on_taken, NULL);
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -33,9 +33,9 @@
     return FALSE;
   if (j->part != HR_NONE && j->part < c->nparts && m->part != j->part)
     return FALSE;
-  return t && (!s->types || (s->types >> m->type & 1)) && (s->zone == HR_NONE || s->zone == m->zone) &&
-         (s->spot || !m->spot) && s->cpus <= t->cpus + 1e-6 && s->gpus <= t->gpus + 1e-6 &&
-         s->mem <= t->mem + 1e-6;
+  return t && (!s->types || (s->types >> m->type & 1)) &&
+         (s->zone == HR_NONE || s->zone == m->zone) && (s->spot || !m->spot) &&
+         s->cpus <= t->cpus + 1e-6 && s->gpus <= t->gpus + 1e-6 && s->mem <= t->mem + 1e-6;
 }
 
 /* Expected run time with the image fetch. */
@@ -59,7 +59,7 @@
 static void
 add_busy (GArray *busy, double end, const HrJobSpec *s)
 {
-  Busy b = { end, s->cpus, s->gpus, s->mem };
+  Busy b = {end, s->cpus, s->gpus, s->mem};
   guint i = busy->len;
   g_array_append_val (busy, b);
   for (; i > 0 && g_array_index (busy, Busy, i - 1).end > end; i--)
@@ -88,8 +88,7 @@
   g_array_set_size (busy, 0);
   const HrType *ty = hr_type (c, m);
   double cpus = m->cpus - m->alien_cpus - m->claim_cpus,
-         gpus = m->gpus - m->alien_gpus - m->claim_gpus,
-         mem = m->mem - m->alien_mem - m->claim_mem;
+         gpus = m->gpus - m->alien_gpus - m->claim_gpus, mem = m->mem - m->alien_mem - m->claim_mem;
   double at = c->now;
   if (m->state == HR_M_BOOTING)
     at = MAX (c->now + 2, m->rented_at + ty->boot_s);
@@ -196,11 +195,11 @@
 static int
 by_ready (gconstpointer a, gconstpointer b, gpointer data)
 {
-  const HrMachine *x = *(HrMachine *const *) a, *y = *(HrMachine *const *) b;
+  const HrMachine *x = *(HrMachine *const *)a, *y = *(HrMachine *const *)b;
   if (x->begins != y->begins)
     return x->begins < y->begins ? -1 : 1;
   if (x->spot != y->spot)
-    return x->spot ? -1 : 1; /* cheaper */
+    return x->spot ? -1 : 1;                                        /* cheaper */
   if (x->tasks->len + x->list->len != y->tasks->len + y->list->len) /* so that others fall empty */
     return x->tasks->len + x->list->len > y->tasks->len + y->list->len ? -1 : 1;
   return x->idx < y->idx ? -1 : x->idx > y->idx;
@@ -229,7 +228,7 @@
   g_autofree double *starts = g_new (double, m->list->len);
   hr_project (c, m, starts);
   *start = starts[at];
-  Judge d = { m->late - late, m->tardiness - tard };
+  Judge d = {m->late - late, m->tardiness - tard};
   g_array_remove_index (m->list, at);
   m->late = late;
   m->tardiness = tard;
@@ -248,7 +247,7 @@
     HrTask *t = &j->tasks[i];
     if (t->state != HR_T_ASSIGNING && t->state != HR_T_BOUND)
       continue;
-    guint32 zone = ((HrMachine *) c->machines->pdata[t->machine])->zone;
+    guint32 zone = ((HrMachine *)c->machines->pdata[t->machine])->zone;
     if (zone == HR_NONE)
       return FALSE; /* known from a record alone: nothing is placed beside it blindly */
     gboolean same = zone == m->zone;
@@ -262,9 +261,9 @@
 static gboolean
 mtedf_task (HrCore *c, GPtrArray *order, HrJob *j, guint32 task, guint tries)
 {
-  HrRef r = { j->idx, task };
+  HrRef r = {j->idx, task};
   HrMachine *best = NULL;
-  Judge bj = { G_MAXUINT, INFINITY };
+  Judge bj = {G_MAXUINT, INFINITY};
   double bs = INFINITY;
   for (guint k = 0; k < order->len; k++) {
     HrMachine *m = order->pdata[k];
@@ -277,7 +276,7 @@
     HrMachine *m = order->pdata[k];
     if (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))
       continue;
-    if (k > tries && g_rand_int_range (c->rand, 0, order->len) > (gint) tries)
+    if (k > tries && g_rand_int_range (c->rand, 0, order->len) > (gint)tries)
       continue;
     tries--;
     double start;
@@ -311,10 +310,11 @@
   double common = INFINITY, soonest = INFINITY;
   guint zones = j->spec.one_zone ? c->names->zones.names->len : 1;
   j->gang_start = 0;
-  g_autofree double *start = g_new (double, order->len + 1), *fetch = g_new (double, order->len + 1);
+  g_autofree double *start = g_new (double, order->len + 1),
+                    *fetch = g_new (double, order->len + 1);
   for (guint k = 0; k < order->len; k++) {
     HrMachine *m = order->pdata[k];
-    HrRef r = { j->idx, 0 };
+    HrRef r = {j->idx, 0};
     start[k] = INFINITY;
     fetch[k] = fetch_time (c, j, m);
     if (hr_allowed (c, j, m))
@@ -359,7 +359,7 @@
   j->gang_start = common;
   for (guint32 i = 0; i < j->ntasks; i++) {
     HrMachine *m = order->pdata[g_array_index (pick, guint, i)];
-    HrRef r = { j->idx, i };
+    HrRef r = {j->idx, i};
     list_insert (c, m, r);
     hr_project (c, m, NULL);
     j->tasks[i].planned = 1;
@@ -389,14 +389,14 @@
   double total = 0;
   for (guint i = 0; i < n; i++) {
     avail[i] = cand[i] = TRUE;
-    total += ((HrMachine *) lists->pdata[i])->tardiness;
+    total += ((HrMachine *)lists->pdata[i])->tardiness;
   }
   for (guint round = 0; round < c->pol.tabu_rounds && total > 1e-6; round++) {
     guint hi = HR_NONE, lo = HR_NONE;
     for (guint i = 0; i < n; i++) {
       HrMachine *m = lists->pdata[i];
       if (avail[i] && m->list->len &&
-          (hi == HR_NONE || m->tardiness > ((HrMachine *) lists->pdata[hi])->tardiness))
+          (hi == HR_NONE || m->tardiness > ((HrMachine *)lists->pdata[hi])->tardiness))
         hi = i;
     }
     if (hi == HR_NONE)
@@ -405,7 +405,7 @@
     /* The most tardy job of the tardiest list. Gangs stay: their slots hang together. */
     g_autofree double *starts = g_new (double, a->list->len);
     hr_project (c, a, starts);
-    HrRef pick = { HR_NONE, 0 };
+    HrRef pick = {HR_NONE, 0};
     double worst = 0;
     for (guint i = 0; i < a->list->len; i++) {
       HrRef r = g_array_index (a->list, HrRef, i);
@@ -425,9 +425,9 @@
     for (guint i = 0; i < n; i++) {
       HrMachine *m = lists->pdata[i];
       if (i != hi && cand[i] && hr_allowed (c, j, m) && hr_zone_ok (c, j, m) &&
-          (lo == HR_NONE || m->tardiness < ((HrMachine *) lists->pdata[lo])->tardiness ||
-           (m->tardiness == ((HrMachine *) lists->pdata[lo])->tardiness &&
-            m->ready < ((HrMachine *) lists->pdata[lo])->ready)))
+          (lo == HR_NONE || m->tardiness < ((HrMachine *)lists->pdata[lo])->tardiness ||
+           (m->tardiness == ((HrMachine *)lists->pdata[lo])->tardiness &&
+            m->ready < ((HrMachine *)lists->pdata[lo])->ready)))
         lo = i;
     }
     if (lo == HR_NONE) {
@@ -438,12 +438,12 @@
       continue;
     }
     HrMachine *b = lists->pdata[lo];
-    Judge before = { a->late + b->late, a->tardiness + b->tardiness };
+    Judge before = {a->late + b->late, a->tardiness + b->tardiness};
     hr_list_remove (a, pick);
     list_insert (c, b, pick);
     hr_project (c, a, NULL);
     hr_project (c, b, NULL);
-    Judge after = { a->late + b->late, a->tardiness + b->tardiness };
+    Judge after = {a->late + b->late, a->tardiness + b->tardiness};
     if (better (after, before)) {
       total += after.tard - before.tard;
       memset (avail, 0xff, n * sizeof *avail);
@@ -506,8 +506,8 @@
       for (guint k = 0; k < c->fleet->len && left; k++) {
         HrMachine *m = c->fleet->pdata[k];
         if (m->state != HR_M_UP || !usable (c, m) || (m->spot && !s->spot) ||
-            (s->types && !(s->types >> m->type & 1)) ||
-            (pass < 2 && !m->tasks->len) || (pass % 2 == 0 && !hr_machine_has_image (m, s->image)))
+            (s->types && !(s->types >> m->type & 1)) || (pass < 2 && !m->tasks->len) ||
+            (pass % 2 == 0 && !hr_machine_has_image (m, s->image)))
           continue;
         left = claim_on (m, s->cpus, s->gpus, s->mem, left);
       }
@@ -525,7 +525,7 @@
 static int
 by_deadline (gconstpointer a, gconstpointer b)
 {
-  const HrJob *x = *(HrJob *const *) a, *y = *(HrJob *const *) b;
+  const HrJob *x = *(HrJob *const *)a, *y = *(HrJob *const *)b;
   if (x->deadline != y->deadline)
     return x->deadline < y->deadline ? -1 : 1;
   return x->idx < y->idx ? -1 : x->idx > y->idx;
@@ -575,7 +575,7 @@
     }
   }
   g_ptr_array_sort (fresh, by_deadline);
-  guint tries = queued > c->pol.sample_above ? (guint) c->pol.sample_lists : G_MAXUINT;
+  guint tries = queued > c->pol.sample_above ? (guint)c->pol.sample_lists : G_MAXUINT;
   for (guint i = 0; i < fresh->len; i++) {
     HrJob *j = fresh->pdata[i];
     if (j->spec.shape == HR_GANG) {
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -73,7 +73,7 @@
   char *sync_after;
   gboolean synced_once, watching, reading;
   double watch_not_before;
-  GArray *waiters, *waiters_now; /* HrWaiter */
+  GArray *waiters, *waiters_now;  /* HrWaiter */
   double read_sent, confirmed_at; /* confirmed_at: when the last good reading was sent */
   double sync_retry_at;
   gboolean store_down;
@@ -108,7 +108,7 @@
   GArray *types;              /* HrType */
   gboolean types_saved;
   guint64 types_stamp;
-  GArray *classes; /* HrClassStat by class index */
+  GArray *classes;  /* HrClassStat by class index */
   GPtrArray *fleet; /* the machines that are not gone */
 
   /* Planning and the fleet. */
@@ -165,7 +165,8 @@
 gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
 gboolean hr_absence_orders_settled (const HrMachine *m);
 void hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token);
-gboolean hr_absence_may_clear (const HrCore *c, HrMachine *m, guint32 job, guint32 task, guint32 try);
+gboolean hr_absence_may_clear (const HrCore *c, HrMachine *m, guint32 job, guint32 task,
+                               guint32 try);
 void hr_absence_tick (HrCore *c);
 /* Every task of sessions up to `upto` is gone from the machine. */
 void hr_absence_sessions (HrCore *c, HrMachine *m, guint32 upto, const char *why);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -30,7 +30,7 @@
 hr_task_assign (HrCore *c, HrJob *j, guint32 task, HrMachine *m, guint32 attempt)
 {
   HrTask *t = &j->tasks[task];
-  HrRef r = { j->idx, task };
+  HrRef r = {j->idx, task};
   t->machine = m->idx;
   t->session = m->session;
   t->try = attempt;
@@ -51,7 +51,7 @@
 {
   HrTask *t = &j->tasks[task];
   HrMachine *m = machine_of (c, t);
-  HrRef r = { j->idx, task };
+  HrRef r = {j->idx, task};
   hr_machine_give (m, &j->spec, r);
   j->nlive--;
   t->kill = 0;
@@ -117,7 +117,9 @@
   j->errors++;
   /* Mostly the machine is at fault, so the first try elsewhere is at once; a job
    * that keeps failing waits longer and longer. */
-  j->pause = j->errors < 2 ? 0 : MIN (c->pol.retry_most_s, c->pol.retry_s * pow (2, MIN (j->errors - 2, 20)));
+  j->pause = j->errors < 2
+                 ? 0
+                 : MIN (c->pol.retry_most_s, c->pol.retry_s * pow (2, MIN (j->errors - 2, 20)));
   j->retry_at = c->now + j->pause;
   j->bad_until = c->now + MAX (60, 2 * j->pause);
   if (m->error_job != j->idx) {
@@ -349,7 +351,7 @@
         continue;
       }
       HrMachine *m = hr_machine_get (c, hr_intern_name (&c->machine_ids, t->rmachine));
-      HrRef r = { j->idx, k };
+      HrRef r = {j->idx, k};
       mixed |= j->spec.shape == HR_GANG && (k > 0 && (!bound || t->rtry != j->tasks[0].rtry));
       bound = TRUE;
       t->machine = t->rmachine;
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -5,7 +5,7 @@
 
 #define MAX_TRIES 6
 
-static const char *const stances[] = { "queued", "done", "withdrawn" };
+static const char *const stances[] = {"queued", "done", "withdrawn"};
 
 typedef enum { ASK_POLL, ASK_SUBMIT, ASK_ABORT } AskKind;
 typedef struct {
@@ -46,15 +46,14 @@
   if (j->errors && j->retry_at > c->now)
     return g_strdup_printf ("failed %u times in a row (%s), last on %s; next try in %.0f s",
                             j->errors, hr_exit_name (j->last_error),
-                            hr_intern_name (&c->machine_ids, j->bad_machine),
-                            j->retry_at - c->now);
+                            hr_intern_name (&c->machine_ids, j->bad_machine), j->retry_at - c->now);
   if (j->gang_over)
     return g_strdup ("an attempt of the gang has ended; waiting for its last tasks to exit");
   if (j->nlive + j->ndone == j->ntasks)
     return g_strdup ("every task has a machine");
   guint booting = 0;
   for (guint i = 0; i < c->fleet->len; i++)
-    booting += ((HrMachine *) c->fleet->pdata[i])->state == HR_M_BOOTING;
+    booting += ((HrMachine *)c->fleet->pdata[i])->state == HR_M_BOOTING;
   return g_strdup_printf ("%u tasks wait for room; %u of them stand in a machine's plan; "
                           "%u machines are starting",
                           j->ntasks - j->nlive - j->ndone, j->planned, booting);
@@ -71,8 +70,8 @@
   const char *st = j->stance == HR_QUEUED && running ? "running" : stances[j->stance];
   g_autofree char *why = reason (c, j);
   hr_reply (c, a->request, status,
-            json_pack ("{sssssisiss}", "name_id", a->id, "stance", st, "done", (int) done,
-                       "running", (int) running, "reason", why),
+            json_pack ("{sssssisiss}", "name_id", a->id, "stance", st, "done", (int)done, "running",
+                       (int)running, "reason", why),
             0);
   ask_free (a);
 }
@@ -129,7 +128,8 @@
 {
   const HrTeam *t = team_of (c, s->team);
   if (!t)
-    return g_strdup_printf ("team %s is not known here", hr_intern_name (&c->names->teams, s->team));
+    return g_strdup_printf ("team %s is not known here",
+                            hr_intern_name (&c->names->teams, s->team));
   gboolean fits = FALSE;
   for (guint i = 0; i < c->types->len && !fits; i++) {
     const HrType *ty = &g_array_index (c->types, HrType, i);
@@ -164,9 +164,10 @@
       j->submitted = a->asked;
       g_free (j->tag);
       j->tag = g_strdup (a->tag);
-      hr_job_set_spec (j, &a->spec, a->spec.tasks <= hr_tasks_per_page (c->set->value_kb)
-                                        ? 0
-                                        : hr_tasks_per_page (c->set->value_kb));
+      hr_job_set_spec (j, &a->spec,
+                       a->spec.tasks <= hr_tasks_per_page (c->set->value_kb)
+                           ? 0
+                           : hr_tasks_per_page (c->set->value_kb));
       if (!j->per_page)
         j->pages[0].stamp = epoch;
       hr_job_open (c, j);
@@ -187,15 +188,15 @@
 send_submit (HrCore *c, Ask *a)
 {
   g_autofree char *key = g_strconcat ("h/j/", a->id, NULL);
-  HrJob tmp = { .submitted = a->asked };
+  HrJob tmp = {.submitted = a->asked};
   guint per = hr_tasks_per_page (c->set->value_kb);
   hr_job_set_spec (&tmp, &a->spec, a->spec.tasks <= per ? 0 : per);
   if (!a->tag)
     a->tag = hr_new_tag (c);
   json_t *when = hr_cond (json_array (), key, 0);
-  json_t *writes = hr_set (json_array (), key,
-                           hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, a->tag, FALSE),
-                           0);
+  json_t *writes =
+      hr_set (json_array (), key,
+              hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, a->tag, FALSE), 0);
   hr_job_shrink (&tmp);
   hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, a);
 }
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -38,7 +38,8 @@
 {
   /* What an earlier owner recorded is not launched: it may have ended and made
    * place for others since. It is seen on its machine, or proven gone. */
-  return j->stance == HR_QUEUED && !t->kill && !t->inherited && (j->spec.shape != HR_GANG || gang_launchable (j));
+  return j->stance == HR_QUEUED && !t->kill && !t->inherited &&
+         (j->spec.shape != HR_GANG || gang_launchable (j));
 }
 
 /* Orders for what is recorded on this machine. Returns whether a launch is among them. */
@@ -250,7 +251,8 @@
   if (r->session == m->session && r->seq <= m->seq) {
     /* Overtaken by a newer list, of an answer to /do perhaps: nothing in it counts. */
     m->answered_at = c->now;
-    hr_reply (c, cmd->id, 200, json_pack ("{sIso}", "baton", (json_int_t) c->baton, "orders", orders), 0);
+    hr_reply (c, cmd->id, 200,
+              json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders), 0);
     return;
   }
   if (r->session > m->session) {
@@ -275,7 +277,8 @@
   if (orders_for (c, m, orders, FALSE))
     m->reply_launch = r->seq;
   m->answered_at = c->now;
-  hr_reply (c, cmd->id, 200, json_pack ("{sIso}", "baton", (json_int_t) c->baton, "orders", orders), 0);
+  hr_reply (c, cmd->id, 200, json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders),
+            0);
 }
 
 typedef struct {
@@ -331,7 +334,7 @@
       continue;
     }
     Direct *d = g_new0 (Direct, 1);
-    *d = (Direct){ m->idx, c->baton, m->session, c->led_at, launch };
+    *d = (Direct){m->idx, c->baton, m->session, c->led_at, launch};
     m->do_out++;
     hr_call (c, HR_TO_WORKER, m->addr, HR_POST, g_strdup ("/do"),
              hr_orders_text (c->baton, m->session, orders), 3, on_direct, d);
--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -25,8 +25,8 @@
   Daemon *d = data;
   d->pending = 0;
   g_autoptr (GPtrArray) batch = g_steal_pointer (&d->queue);
-  d->queue = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_command_free);
-  g_autoptr (GPtrArray) effects = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_effect_free);
+  d->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  g_autoptr (GPtrArray) effects = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
   hr_core_step (d->core, g_get_monotonic_time () / 1e6, g_get_real_time () / 1e6, batch, effects);
   for (guint i = 0; i < effects->len; i++) {
     HrEffect *e = effects->pdata[i];
@@ -63,7 +63,7 @@
 static GLogWriterOutput
 write_log (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
 {
-  if ((int) (level & G_LOG_LEVEL_MASK) > log_level)
+  if ((int)(level & G_LOG_LEVEL_MASK) > log_level)
     return G_LOG_WRITER_HANDLED;
   const char *text = "", *domain = "hoprock";
   for (gsize i = 0; i < n; i++) {
@@ -103,7 +103,7 @@
   g_autoptr (GError) error = NULL;
   HrPolicy p;
   hr_core_policy_vars (NULL, vars);
-  if (!hr_policy_load (file, vars, &p, &error)) {
+  if (!hr_policy_load (file, vars, &p, &error) || !hr_core_policy_check (&p, vars, &error)) {
     fprintf (stderr, "hoprockd: %s\n", error->message);
     return 1;
   }
@@ -118,18 +118,21 @@
   g_autofree char *config = NULL, *policy_file = NULL, *check = NULL;
   gboolean version = FALSE;
   const GOptionEntry entries[] = {
-    { "config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "the platform's settings (JSON)", "FILE" },
-    { "policy", 'p', 0, G_OPTION_ARG_FILENAME, &policy_file, "the operators' policy", "FILE" },
-    { "check-policy", 0, 0, G_OPTION_ARG_FILENAME, &check, "check a policy file and leave", "FILE" },
-    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "show the version and leave", NULL },
-    { NULL }
-  };
-  /* No GIO extension is needed (no TLS, no proxies); loading them costs memory and start-up time. */
+      {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "the platform's settings (JSON)", "FILE"},
+      {"policy", 'p', 0, G_OPTION_ARG_FILENAME, &policy_file, "the operators' policy", "FILE"},
+      {"check-policy", 0, 0, G_OPTION_ARG_FILENAME, &check, "check a policy file and leave",
+       "FILE"},
+      {"version", 0, 0, G_OPTION_ARG_NONE, &version, "show the version and leave", NULL},
+      {NULL}};
+  /* No GIO extension is needed (no TLS, no proxies); loading them costs memory and start-up time.
+   */
   g_setenv ("GIO_MODULE_DIR", "/nonexistent", TRUE);
   g_setenv ("GIO_USE_VFS", "local", TRUE);
-  g_autoptr (GOptionContext) ctx = g_option_context_new ("- a controller of the hoprock cluster scheduler");
+  g_autoptr (GOptionContext) ctx =
+      g_option_context_new ("- a controller of the hoprock cluster scheduler");
   g_option_context_add_main_entries (ctx, entries, NULL);
-  g_option_context_set_description (ctx, "LOG_LEVEL=error|info|debug says how much goes to standard error.");
+  g_option_context_set_description (
+      ctx, "LOG_LEVEL=error|info|debug says how much goes to standard error.");
   g_autoptr (GError) error = NULL;
   if (!g_option_context_parse (ctx, &argc, &argv, &error) || argc > 1) {
     fprintf (stderr, "hoprockd: %s\n", error ? error->message : "unexpected argument; see --help");
@@ -156,16 +159,18 @@
   g_autoptr (GHashTable) vars = hr_policy_vars_new ();
   if (settings)
     hr_core_policy_vars (settings, vars);
-  if (!settings || !hr_policy_load (policy_file, vars, &policy, &error)) {
+  if (!settings || !hr_policy_load (policy_file, vars, &policy, &error) ||
+      !hr_core_policy_check (&policy, vars, &error)) {
     fprintf (stderr, "hoprockd: %s\n", error->message);
     return 1;
   }
-  Daemon d = { 0 };
-  d.queue = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_command_free);
+  Daemon d = {0};
+  d.queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
   /* The incarnation tells this process from every earlier one of the same label. */
   g_autofree char *uuid = g_uuid_string_random ();
   uuid[8] = 0;
-  g_autofree char *incarnation = g_strdup_printf ("%" G_GINT64_FORMAT "-%s", g_get_real_time (), uuid);
+  g_autofree char *incarnation =
+      g_strdup_printf ("%" G_GINT64_FORMAT "-%s", g_get_real_time (), uuid);
   d.core = hr_core_new (settings, &policy, &names, incarnation, g_random_int ());
   d.client = hr_http_client_new (settings->state, settings->cloud, sink, &d);
   d.peers = hr_peers_new (settings, sink, &d, &error);
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -21,8 +21,8 @@
 } Tunable;
 
 static const Tunable tunables[] = {
-#define X(name, lo, hi, doc) { #name, lo, hi, G_STRUCT_OFFSET (HrPolicy, name), doc },
-  HR_POLICY_TUNABLES (X)
+#define X(name, lo, hi, doc) {#name, lo, hi, G_STRUCT_OFFSET (HrPolicy, name), doc},
+    HR_POLICY_TUNABLES (X)
 #undef X
 };
 
@@ -37,19 +37,19 @@
 } Parser;
 
 static const GScannerConfig config = {
-  .cset_skip_characters = (char *) " \t\r\n",
-  .cset_identifier_first = (char *) G_CSET_a_2_z "_" G_CSET_A_2_Z,
-  .cset_identifier_nth = (char *) G_CSET_a_2_z "_" G_CSET_A_2_Z G_CSET_DIGITS,
-  .cpair_comment_single = (char *) "#\n",
-  .case_sensitive = TRUE,
-  .skip_comment_single = TRUE,
-  .scan_identifier = TRUE,
-  .scan_identifier_1char = TRUE,
-  .scan_float = TRUE,
-  .numbers_2_int = TRUE,
-  .int_2_float = TRUE,
-  .scan_identifier_NULL = FALSE,
-  .char_2_token = TRUE,
+    .cset_skip_characters = (char *)" \t\r\n",
+    .cset_identifier_first = (char *)G_CSET_a_2_z "_" G_CSET_A_2_Z,
+    .cset_identifier_nth = (char *)G_CSET_a_2_z "_" G_CSET_A_2_Z G_CSET_DIGITS,
+    .cpair_comment_single = (char *)"#\n",
+    .case_sensitive = TRUE,
+    .skip_comment_single = TRUE,
+    .scan_identifier = TRUE,
+    .scan_identifier_1char = TRUE,
+    .scan_float = TRUE,
+    .numbers_2_int = TRUE,
+    .int_2_float = TRUE,
+    .scan_identifier_NULL = FALSE,
+    .char_2_token = TRUE,
 };
 
 static double
@@ -250,7 +250,7 @@
   }
   need (p, ';', "';'");
   G_STRUCT_MEMBER (double, p->out, t->offset) = v;
-  g_hash_table_add (p->set, (gpointer) t->name);
+  g_hash_table_add (p->set, (gpointer)t->name);
 }
 
 static void
@@ -262,8 +262,8 @@
 hr_policy_eval (const char *file, const char *text, GHashTable *vars, HrPolicy *out, GError **error)
 {
   memset (out, 0, sizeof *out);
-  Parser p = { .scan = g_scanner_new (&config), .file = file, .vars = vars, .out = out,
-               .error = error };
+  Parser p = {
+      .scan = g_scanner_new (&config), .file = file, .vars = vars, .out = out, .error = error};
   p.set = g_hash_table_new (g_str_hash, g_str_equal);
   p.scan->msg_handler = quiet;
   g_scanner_input_text (p.scan, text, strlen (text));
--- a/src/protocol/cloud.c
+++ b/src/protocol/cloud.c
@@ -17,7 +17,7 @@
   size_t i, j;
   json_array_foreach (list, i, o)
   {
-    HrType t = { 0 };
+    HrType t = {0};
     const char *sku = hr_json_str (o, "sku");
     if (!sku || !hr_json_num (o, "vcpus", &t.cpus) || !hr_json_num (o, "accelerators", &t.gpus) ||
         !hr_json_num (o, "memory_gb", &t.mem) || !hr_json_num (o, "cache_gb", &t.cache_gb) ||
@@ -32,11 +32,11 @@
       continue; /* more types than the bit set of a job holds */
     t.zones = g_array_new (FALSE, TRUE, sizeof (guint32));
     json_t *zones = json_object_get (o, "quarries");
-    json_array_foreach (zones, j, z)
-      if (json_is_string (z)) {
-        guint32 k = hr_intern (&names->zones, json_string_value (z));
-        g_array_append_val (t.zones, k);
-      }
+    json_array_foreach (zones, j, z) if (json_is_string (z))
+    {
+      guint32 k = hr_intern (&names->zones, json_string_value (z));
+      g_array_append_val (t.zones, k);
+    }
     if (t.zones->len)
       g_array_append_val (out, t);
     else
--- a/src/protocol/jobspec.c
+++ b/src/protocol/jobspec.c
@@ -3,8 +3,8 @@
 #include <math.h>
 #include <string.h>
 
-static const char *const shapes[] = { "batch", "ensemble", "daemon" };
-static const char *const ranks[] = { "production", "urgent", "normal", "low" };
+static const char *const shapes[] = {"batch", "ensemble", "daemon"};
+static const char *const ranks[] = {"production", "urgent", "normal", "low"};
 
 void
 hr_names_init (HrNames *n)
@@ -122,20 +122,20 @@
     return bad (reason, "quarry", "expected the name of a zone, or null");
   size_t i;
   json_t *t;
-  json_array_foreach (types, i, t)
-    if (!json_is_string (t))
-      return bad (reason, "hulls", "expected an array of machine types, or null");
+  json_array_foreach (types, i, t) if (!json_is_string (t)) return bad (
+      reason, "hulls", "expected an array of machine types, or null");
   if (types && json_is_array (types) && json_array_size (types) == 0)
     return bad (reason, "hulls", "an empty list allows no machine");
   if (!text_field (o, "jobclass", &names->classes, &s->klass, reason) ||
       !text_field (o, "crew", &names->teams, &s->team, reason) ||
       !text_field (o, "bundle", &names->images, &s->image, reason))
     return FALSE;
-  json_array_foreach (types, i, t) {
+  json_array_foreach (types, i, t)
+  {
     /* Types that the cloud does not offer are dropped; if none is left, the
      * top bit, which no type has, makes the job fit nothing. */
     guint32 k = hr_intern_find (&names->types, json_string_value (t));
-    s->types |= k < 63 ? (guint64) 1 << k : (guint64) 1 << 63;
+    s->types |= k < 63 ? (guint64)1 << k : (guint64)1 << 63;
   }
   s->zone = json_is_string (zone) ? hr_intern (&names->zones, json_string_value (zone)) : HR_NONE;
   return TRUE;
@@ -155,10 +155,9 @@
       s->zone == HR_NONE ? json_null () : json_string (hr_intern_name (&names->zones, s->zone));
   return json_pack ("[sssiiiffffofffobbbf]", hr_intern_name (&names->classes, s->klass),
                     hr_intern_name (&names->teams, s->team),
-                    hr_intern_name (&names->images, s->image), (int) s->shape, (int) s->rank,
-                    (int) s->tasks, s->cpus, s->gpus, s->mem, s->image_gb, types, s->estimate,
-                    s->checkpoint, s->save, zone, s->one_zone, s->spread, s->spot,
-                    s->deadline);
+                    hr_intern_name (&names->images, s->image), (int)s->shape, (int)s->rank,
+                    (int)s->tasks, s->cpus, s->gpus, s->mem, s->image_gb, types, s->estimate,
+                    s->checkpoint, s->save, zone, s->one_zone, s->spread, s->spot, s->deadline);
 }
 
 gboolean
@@ -168,7 +167,7 @@
   int shape, rank, tasks, z, sp, st;
   json_t *types, *zone;
   memset (s, 0, sizeof *s);
-  if (json_unpack ((json_t *) a, "[sssiiiFFFFoFFFobbbF]", &k, &t, &im, &shape, &rank, &tasks,
+  if (json_unpack ((json_t *)a, "[sssiiiFFFFoFFFobbbF]", &k, &t, &im, &shape, &rank, &tasks,
                    &s->cpus, &s->gpus, &s->mem, &s->image_gb, &types, &s->estimate, &s->checkpoint,
                    &s->save, &zone, &z, &sp, &st, &s->deadline) != 0)
     return FALSE;
@@ -190,7 +189,7 @@
   {
     /* A record is read before the machine types are known: intern them here. */
     guint32 x = json_is_string (e) ? hr_intern (&names->types, json_string_value (e)) : 63;
-    s->types |= (guint64) 1 << MIN (x, 63);
+    s->types |= (guint64)1 << MIN (x, 63);
   }
   return TRUE;
 }
--- a/src/protocol/jsonx.c
+++ b/src/protocol/jsonx.c
@@ -21,9 +21,9 @@
   if (!json_is_integer (v))
     return FALSE;
   json_int_t i = json_integer_value (v);
-  if (i < 0 || (guint64) i > max)
+  if (i < 0 || (guint64)i > max)
     return FALSE;
-  *out = (guint64) i;
+  *out = (guint64)i;
   return TRUE;
 }
 
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -82,14 +82,15 @@
   s->txn_ops = MIN (ops, 1000);
   if (s->cancel_s <= s->lease_s + 2)
     return fail (e, "facts.workers.cancel_s", "more than lease_s and two seconds");
-  const json_t *teams = json_object_get (facts, "teams"), *aims = json_object_get (facts, "objectives");
+  const json_t *teams = json_object_get (facts, "teams"),
+               *aims = json_object_get (facts, "objectives");
   if (!json_is_array (teams) || json_array_size (teams) == 0)
     return fail (e, "facts.teams", "an array with at least one team");
   size_t i;
   json_t *o;
   json_array_foreach (teams, i, o)
   {
-    HrTeam t = { 0 };
+    HrTeam t = {0};
     const char *name = hr_json_str (o, "name");
     if (!name || !*name)
       return fail (e, "facts.teams[].name", "a text that is not empty");
@@ -106,7 +107,7 @@
     const char *kind = hr_json_str (o, "kind"), *k = hr_json_str (o, "class");
     if (!kind || !k)
       continue; /* an aim of a kind we don't know steers nothing */
-    HrAim a = { HR_AIM_OTHER, hr_intern (&names->classes, k), 0, 0 };
+    HrAim a = {HR_AIM_OTHER, hr_intern (&names->classes, k), 0, 0};
     if (g_str_equal (kind, "wait"))
       a.kind = HR_AIM_WAIT;
     else if (g_str_equal (kind, "deadline"))
@@ -148,7 +149,7 @@
   json_t *o;
   json_array_foreach (members, i, o)
   {
-    HrMember m = { 0 };
+    HrMember m = {0};
     gboolean ok = text (o, "members[].label", "label", &m.label, e) &&
                   address (o, "members[].endpoint", "endpoint", &m.endpoint, e);
     m.zone = g_strdup (hr_json_str (o, "area"));
--- a/src/protocol/worker.c
+++ b/src/protocol/worker.c
@@ -3,9 +3,9 @@
 #include "protocol/jsonx.h"
 #include <string.h>
 
-static const char *const states[] = { "fetching", "gathering", "running", "flushing", "exited" };
-static const char *const causes[] = { "",      "done", "halted", "peers",  "incomplete",
-                                      "error", "full", "in_use", "unknown" };
+static const char *const states[] = {"fetching", "gathering", "running", "flushing", "exited"};
+static const char *const causes[] = {"",      "done", "halted", "peers",  "incomplete",
+                                     "error", "full", "in_use", "unknown"};
 
 const char *
 hr_exit_name (HrExit x)
@@ -20,12 +20,13 @@
              *cause = hr_json_str (o, "cause");
   const char *slash = piece ? strrchr (piece, '/') : NULL;
   guint64 task, attempt;
-  if (!slash || !st || !g_ascii_string_to_unsigned (slash + 1, 10, 0, HR_MAX_TASKS - 1, &task, NULL) ||
+  if (!slash || !st ||
+      !g_ascii_string_to_unsigned (slash + 1, 10, 0, HR_MAX_TASKS - 1, &task, NULL) ||
       !hr_json_count (o, "try", G_MAXUINT32, &attempt))
     return FALSE;
   char *job = g_strndup (piece, slash - piece);
   g_ptr_array_add (r->texts, job);
-  *it = (HrWorkItem){ .job = job, .task = task, .attempt = attempt };
+  *it = (HrWorkItem){.job = job, .task = task, .attempt = attempt};
   for (it->state = 0; it->state < G_N_ELEMENTS (states); it->state++)
     if (g_str_equal (states[it->state], st))
       break;
@@ -95,7 +96,7 @@
 order (const char *verb, const char *job, guint32 task, guint32 attempt)
 {
   g_autofree char *piece = g_strdup_printf ("%s/%u", job, task);
-  return json_pack ("{sssssi}", "verb", verb, "piece", piece, "try", (int) attempt);
+  return json_pack ("{sssssi}", "verb", verb, "piece", piece, "try", (int)attempt);
 }
 
 void
@@ -121,7 +122,7 @@
 char *
 hr_orders_text (guint64 token, guint64 session, json_t *orders)
 {
-  json_t *o = json_pack ("{sIso}", "baton", (json_int_t) token, "orders", orders);
+  json_t *o = json_pack ("{sIso}", "baton", (json_int_t)token, "orders", orders);
   if (session)
     json_object_set_new (o, "tenure", json_integer (session));
   return hr_json_take_text (o);
--- a/src/protocol/worker.h
+++ b/src/protocol/worker.h
@@ -3,7 +3,13 @@
 #include <jansson.h>
 #include <glib.h>
 
-typedef enum { HR_W_FETCHING, HR_W_GATHERING, HR_W_RUNNING, HR_W_FLUSHING, HR_W_EXITED } HrWorkState;
+typedef enum {
+  HR_W_FETCHING,
+  HR_W_GATHERING,
+  HR_W_RUNNING,
+  HR_W_FLUSHING,
+  HR_W_EXITED
+} HrWorkState;
 typedef enum {
   HR_X_NONE,
   HR_X_DONE,
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -67,7 +67,7 @@
 void
 hr_http_client_call (HrHttpClient *c, const HrEffect *e)
 {
-  static const char *const methods[] = { "GET", "POST", "DELETE" };
+  static const char *const methods[] = {"GET", "POST", "DELETE"};
   const char *host = e->target == HR_TO_STORE   ? c->store
                      : e->target == HR_TO_CLOUD ? c->cloud
                                                 : e->addr;
@@ -89,7 +89,7 @@
     soup_message_set_request_body_from_bytes (call->msg, "application/json", b);
   }
   call->cancel = g_cancellable_new ();
-  call->timer = g_timeout_add (MAX (1, (guint) (e->timeout_s * 1000)), on_deadline, call);
+  call->timer = g_timeout_add (MAX (1, (guint)(e->timeout_s * 1000)), on_deadline, call);
   soup_session_send_and_read_async (c->session, call->msg, G_PRIORITY_DEFAULT, call->cancel,
                                     on_done, call);
 }
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -26,8 +26,8 @@
 on_early (SoupServer *soup, SoupServerMessage *msg, const char *path, GHashTable *query,
           gpointer data)
 {
-  goffset len = soup_message_headers_get_content_length (
-      soup_server_message_get_request_headers (msg));
+  goffset len =
+      soup_message_headers_get_content_length (soup_server_message_get_request_headers (msg));
   if (len > HR_MAX_BODY)
     soup_message_body_set_accumulate (soup_server_message_get_request_body (msg), FALSE);
   g_signal_connect (msg, "got-chunk", G_CALLBACK (on_chunk), NULL);
@@ -78,9 +78,9 @@
   g_autoptr (GSocketConnectable) net = g_network_address_parse (address, 0, error);
   if (!net)
     return NULL;
-  g_autoptr (GSocketAddress) sock =
-      g_inet_socket_address_new_from_string (g_network_address_get_hostname (G_NETWORK_ADDRESS (net)),
-                                             g_network_address_get_port (G_NETWORK_ADDRESS (net)));
+  g_autoptr (GSocketAddress) sock = g_inet_socket_address_new_from_string (
+      g_network_address_get_hostname (G_NETWORK_ADDRESS (net)),
+      g_network_address_get_port (G_NETWORK_ADDRESS (net)));
   if (!sock) {
     g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT, "%s is not an address", address);
     return NULL;
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -142,8 +142,8 @@
 hr_peers_tell (HrPeers *p, const HrHint *h)
 {
   Hr__Hint m = HR__HINT__INIT;
-  m.label = (char *) h->label;
-  m.incarnation = (char *) h->incarnation;
+  m.label = (char *)h->label;
+  m.incarnation = (char *)h->incarnation;
   m.baton = h->baton;
   m.map_stamp = h->map_stamp;
   m.store_served = h->store_served;
@@ -160,7 +160,7 @@
     }
     if (!l->conn || l->writing)
       continue; /* hints are not queued: the next one says it all */
-    guint32 be = GUINT32_TO_BE ((guint32) len);
+    guint32 be = GUINT32_TO_BE ((guint32)len);
     memcpy (l->frame, &be, 4);
     hr__hint__pack (&m, l->frame + 4);
     l->writing = TRUE;
@@ -175,9 +175,9 @@
   g_autoptr (GSocketConnectable) net = g_network_address_parse (s->back, 0, error);
   if (!net)
     return NULL;
-  g_autoptr (GSocketAddress) sock =
-      g_inet_socket_address_new_from_string (g_network_address_get_hostname (G_NETWORK_ADDRESS (net)),
-                                             g_network_address_get_port (G_NETWORK_ADDRESS (net)));
+  g_autoptr (GSocketAddress) sock = g_inet_socket_address_new_from_string (
+      g_network_address_get_hostname (G_NETWORK_ADDRESS (net)),
+      g_network_address_get_port (G_NETWORK_ADDRESS (net)));
   HrPeers *p = g_new0 (HrPeers, 1);
   p->sink = sink;
   p->data = data;
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -4,7 +4,7 @@
 
 #define LAG 3.0
 
-static const char *const zones[] = { "z0", "z1" };
+static const char *const zones[] = {"z0", "z1"};
 
 static void
 gone (World *w, SMachine *m)
@@ -106,10 +106,11 @@
 {
   json_t *o = json_loads (r->body, 0, NULL), *e;
   size_t i;
-  json_array_foreach (json_object_get (o, "rockhands"), i, e)
-    for (guint k = 0; k < w->machines->len; k++)
-      if (strcmp (((SMachine *) w->machines->pdata[k])->name, json_string_value (e)) == 0)
-        gone (w, w->machines->pdata[k]);
+  json_array_foreach (json_object_get (o, "rockhands"), i,
+                      e) for (guint k = 0; k < w->machines->len;
+                              k++) if (strcmp (((SMachine *)w->machines->pdata[k])->name,
+                                               json_string_value (e)) == 0)
+      gone (w, w->machines->pdata[k]);
   json_decref (o);
   w_answer (w, r, 200, g_strdup ("{}"));
 }
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -1,7 +1,6 @@
 /* Troubles drawn from the seed: alone, together, and in the middle of each other. */
 #include "sim/world.h"
 
-
 static void
 start (World *w, gpointer p)
 {
@@ -22,13 +21,14 @@
 {
   int i = g_rand_int_range (w->rand, 0, NODES);
   Node *n = &w->nodes[i];
-  SMachine *m = w->machines->len ? w->machines->pdata[g_rand_int_range (w->rand, 0, w->machines->len)]
-                                 : NULL;
+  SMachine *m =
+      w->machines->len ? w->machines->pdata[g_rand_int_range (w->rand, 0, w->machines->len)] : NULL;
   double d = w_rand (w, 3, 40);
   gboolean hold = w_rand (w, 0, 1) < 0.5;
   int kind = g_rand_int_range (w->rand, 0, 13);
   sim_log_time = w->now;
-  g_debug ("fault %d on c%d or %s for %.1f s, %s", kind, i, m ? m->name : "-", d, hold ? "held" : "lost");
+  g_debug ("fault %d on c%d or %s for %.1f s, %s", kind, i, m ? m->name : "-", d,
+           hold ? "held" : "lost");
   switch (kind) {
   case 0:
   case 1:
@@ -68,7 +68,7 @@
     break;
   case 10:
     for (guint k = 0; k < w->machines->len; k++)
-      if (((SMachine *) w->machines->pdata[k])->spot && w_rand (w, 0, 1) < 0.5)
+      if (((SMachine *)w->machines->pdata[k])->spot && w_rand (w, 0, 1) < 0.5)
         machine_take (w, w->machines->pdata[k]);
     break;
   case 11:
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -52,7 +52,7 @@
 static void
 change (World *w, const char *path, char *text, guint64 claim)
 {
-  SChange c = { g_strdup (path), g_strdup (text), w->epoch };
+  SChange c = {g_strdup (path), g_strdup (text), w->epoch};
   g_array_append_val (w->log, c);
   if (!text) {
     g_hash_table_remove (w->keys, path);
@@ -74,14 +74,14 @@
     SChange *c = &g_array_index (w->log, SChange, i);
     if (c->stamp <= after || !g_str_has_prefix (c->path, prefix))
       continue;
-    json_t *o = json_pack ("{sssI}", c->text ? "set" : "delete", c->path, "stamp",
-                           (json_int_t) c->stamp);
+    json_t *o =
+        json_pack ("{sssI}", c->text ? "set" : "delete", c->path, "stamp", (json_int_t)c->stamp);
     if (c->text)
       json_object_set_new (o, "value", json_loads (c->text, JSON_DECODE_ANY, NULL));
     json_array_append_new (log, o);
     ++*n;
   }
-  return take_text (json_pack ("{sIso}", "epoch", (json_int_t) w->epoch, "log", log));
+  return take_text (json_pack ("{sIso}", "epoch", (json_int_t)w->epoch, "log", log));
 }
 
 static void
@@ -126,7 +126,7 @@
     gpointer k;
     g_hash_table_iter_init (&it, w->keys);
     while (g_hash_table_iter_next (&it, &k, &v))
-      if (((SKey *) v)->claim == l->id)
+      if (((SKey *)v)->claim == l->id)
         g_ptr_array_add (dead, g_strdup (k));
     if (dead->len)
       w->epoch++;
@@ -166,12 +166,12 @@
   {
     const char *path = json_string_value (json_object_get (e, "path"));
     SKey *k = g_hash_table_lookup (w->keys, path);
-    if ((guint64) json_integer_value (json_object_get (e, "stamp")) != (k ? k->stamp : 0))
+    if ((guint64)json_integer_value (json_object_get (e, "stamp")) != (k ? k->stamp : 0))
       json_array_append_new (failed, json_string (path));
   }
   if (json_array_size (failed)) {
     w_answer (w, r, 409,
-              take_text (json_pack ("{sosI}", "failed", failed, "epoch", (json_int_t) w->epoch)));
+              take_text (json_pack ("{sosI}", "failed", failed, "epoch", (json_int_t)w->epoch)));
     json_decref (o);
     return;
   }
@@ -209,7 +209,7 @@
 static int
 by_text (gconstpointer a, gconstpointer b)
 {
-  return strcmp (*(char *const *) a, *(char *const *) b);
+  return strcmp (*(char *const *)a, *(char *const *)b);
 }
 
 static void
@@ -229,11 +229,11 @@
     SKey *s = g_hash_table_lookup (w->keys, keys->pdata[i]);
     json_array_append_new (rows, json_pack ("{sssosI}", "path", keys->pdata[i], "value",
                                             json_loads (s->text, JSON_DECODE_ANY, NULL), "stamp",
-                                            (json_int_t) s->stamp));
+                                            (json_int_t)s->stamp));
   }
   w_answer (w, r, 200,
             take_text (json_pack ("{sosbsI}", "rows", rows, "more", keys->len > 7, "epoch",
-                                  (json_int_t) w->epoch)));
+                                  (json_int_t)w->epoch)));
 }
 
 static void
@@ -280,7 +280,7 @@
       w_answer (w, r, 200,
                 take_text (json_pack ("{sssosI}", "path", r->path + 4, "value",
                                       json_loads (k->text, JSON_DECODE_ANY, NULL), "stamp",
-                                      (json_int_t) k->stamp)));
+                                      (json_int_t)k->stamp)));
   } else if (g_str_has_prefix (r->path, "/changes?")) {
     g_autofree char *after = query (r->path, "after"), *hold = query (r->path, "hold_ms");
     SWatch *s = g_new0 (SWatch, 1);
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -27,7 +27,7 @@
 ask (World *w, SJob *j)
 {
   Ask *a = g_new (Ask, 1);
-  *a = (Ask){ j, w->now };
+  *a = (Ask){j, w->now};
   return a;
 }
 
@@ -246,17 +246,17 @@
   j->due_cancel = w->now + w_rand (w, 1, 80);
   j->done = g_new0 (guint, j->tasks);
   j->progress = g_new0 (double, j->tasks);
-  static const char *const shapes[] = { "batch", "ensemble", "daemon" };
-  static const char *const ranks[] = { "normal", "urgent", "production" };
-  static const char *const classes[] = { "array", "gang", "live" };
+  static const char *const shapes[] = {"batch", "ensemble", "daemon"};
+  static const char *const ranks[] = {"normal", "urgent", "production"};
+  static const char *const classes[] = {"array", "gang", "live"};
   g_autofree char *image = g_strdup_printf ("img-%u", j->image);
   json_t *o = json_pack (
       "{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass", classes[j->shape],
-      "crew", "crew", "shape", shapes[j->shape], "rank", ranks[j->shape], "pieces", (int) j->tasks,
+      "crew", "crew", "shape", shapes[j->shape], "rank", ranks[j->shape], "pieces", (int)j->tasks,
       "vcpus", j->cpus, "accelerators", j->gpus, "memory_gb", j->mem, "bundle", image, "size_gb",
-      j->image_gb, "hulls", "quarry", "together", j->one_zone, "apart", j->spread, "loaners", j->spot,
-      "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s", j->checkpoint,
-      "stash_s", j->save);
+      j->image_gb, "hulls", "quarry", "together", j->one_zone, "apart", j->spread, "loaners",
+      j->spot, "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
+      j->checkpoint, "stash_s", j->save);
   if (j->shape == HR_BATCH)
     json_object_set_new (o, "due_s", json_real (j->run * 2 + 30));
   char *raw = json_dumps (o, JSON_COMPACT);
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -7,8 +7,8 @@
 #define GANG_WAIT 30.0
 #define GANG_PEER 4.0
 
-static const char *const states[] = { "fetching", "gathering", "running", "flushing", "exited" };
-static const char *const zones[] = { "z0", "z1" };
+static const char *const states[] = {"fetching", "gathering", "running", "flushing", "exited"};
+static const char *const zones[] = {"z0", "z1"};
 
 static void report_due (World *w, gpointer p);
 
@@ -32,7 +32,7 @@
     return;
   if (t->state == S_RUN && j->checkpoint > 0) {
     double p = progress (w, t);
-    double saved = ((int) (p / j->checkpoint)) * j->checkpoint;
+    double saved = ((int)(p / j->checkpoint)) * j->checkpoint;
     j->progress[t->task] = MAX (j->progress[t->task], saved);
   }
   t->state = S_EXIT;
@@ -57,8 +57,8 @@
   for (guint i = 0; i < m->tasks->len; i++) {
     STask *t = &g_array_index (m->tasks, STask, i);
     g_autofree char *piece = g_strdup_printf ("%s/%u", job (w, t)->id, t->task);
-    json_t *o = json_pack ("{sssiss}", "piece", piece, "try", (int) t->try, "stance",
-                           states[t->state]);
+    json_t *o =
+        json_pack ("{sssiss}", "piece", piece, "try", (int)t->try, "stance", states[t->state]);
     if (t->state == S_EXIT)
       json_object_set_new (o, "cause", json_string (t->cause));
     if (t->kept)
@@ -66,8 +66,8 @@
     json_array_append_new (list, o);
   }
   json_t *o = json_pack ("{sssssssssbsisisIso}", "rockhand", m->name, "addr", m->addr, "hull", "g2",
-                         "quarry", zones[m->zone], "loaners", m->spot, "tenure", (int) m->tenure,
-                         "tally", (int) m->tally, "baton", (json_int_t) m->baton, "pieces", list);
+                         "quarry", zones[m->zone], "loaners", m->spot, "tenure", (int)m->tenure,
+                         "tally", (int)m->tally, "baton", (json_int_t)m->baton, "pieces", list);
   if (m->warned)
     json_object_set_new (o, "warning_s", json_real (MAX (0, m->warned - w->now)));
   char *raw = json_dumps (o, JSON_COMPACT), *text = g_strdup (raw);
@@ -81,7 +81,7 @@
 {
   guint32 idx;
   SJob *j = job_by_id (w, id, &idx);
-  STask t = { .job = idx, .task = task, .try = try, .state = S_FETCH };
+  STask t = {.job = idx, .task = task, .try = try, .state = S_FETCH};
   double cpus = 0, gpus = 0, mem = 0;
   if (!j || task >= j->tasks) {
     w_broken (w, "protocol", "launch of %s/%u", id, task);
@@ -101,7 +101,8 @@
     gpus += job (w, x)->gpus;
     mem += job (w, x)->mem;
   }
-  if (t.state != S_EXIT && (cpus + j->cpus > 12.001 || gpus + j->gpus > 2.001 || mem + j->mem > 96.001)) {
+  if (t.state != S_EXIT &&
+      (cpus + j->cpus > 12.001 || gpus + j->gpus > 2.001 || mem + j->mem > 96.001)) {
     t.state = S_EXIT;
     t.cause = "full";
   }
@@ -324,7 +325,7 @@
     return;
   }
   Out *o = g_new (Out, 1);
-  *o = (Out){ m, ++m->report, m->tenure, w->now };
+  *o = (Out){m, ++m->report, m->tenure, w->now};
   m->out = TRUE;
   m->report_sent = w->now;
   guint idx;
@@ -357,7 +358,7 @@
 {
   SMachine *m = NULL;
   for (guint i = 0; i < w->machines->len; i++)
-    if (strcmp (((SMachine *) w->machines->pdata[i])->addr, r->addr) == 0)
+    if (strcmp (((SMachine *)w->machines->pdata[i])->addr, r->addr) == 0)
       m = w->machines->pdata[i];
   if (!m || m->gone || !m->up)
     return;
@@ -369,7 +370,7 @@
   json_t *o = json_loads (r->body, 0, NULL);
   guint64 baton = json_integer_value (json_object_get (o, "baton"));
   gboolean ok = baton >= m->baton &&
-                json_integer_value (json_object_get (o, "tenure")) == (json_int_t) m->tenure;
+                json_integer_value (json_object_get (o, "tenure")) == (json_int_t)m->tenure;
   if (ok) {
     m->baton = baton;
     obey (w, m, json_object_get (o, "orders"));
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -24,7 +24,7 @@
 w_at (World *w, double t, WFn fn, gpointer data)
 {
   Event *e = g_new (Event, 1);
-  *e = (Event){ t, ++w->seq, fn, data };
+  *e = (Event){t, ++w->seq, fn, data};
   g_sequence_insert_sorted (w->events, e, by_time, NULL);
 }
 
@@ -70,7 +70,7 @@
   g_ptr_array_add (n->queue, cmd);
   if (!n->stepping) {
     n->stepping = TRUE;
-    w_at (w, w->now + 0.002, run_node, GINT_TO_POINTER (i + (int) n->gen * NODES));
+    w_at (w, w->now + 0.002, run_node, GINT_TO_POINTER (i + (int)n->gen * NODES));
   }
 }
 
@@ -167,7 +167,7 @@
     return;
   }
   Answer *a = g_new (Answer, 1);
-  *a = (Answer){ r, status, body };
+  *a = (Answer){r, status, body};
   r->refs++;
   w_at (w, t, deliver_answer, a);
 }
@@ -226,8 +226,13 @@
       return;
     t = cut + delay (w);
   }
-  if (!w->calm && w_rand (w, 0, 1) < w->loss)
+  if (!w->calm && w_rand (w, 0, 1) < w->loss) {
+    if (r->node >= 0 && w_rand (w, 0, 1) < 0.5) { /* no answer, but carried out later */
+      r->refs++;
+      w_at (w, t + w_rand (w, 3, w->late), arrive, r);
+    }
     return;
+  }
   r->refs++;
   w_at (w, t, arrive, r);
   /* Late copies: what was sent once may be carried out again, minutes later. */
@@ -304,7 +309,7 @@
     for (int k = 0; k < NODES; k++)
       if (k != i && n->cut_peers <= w->now && w->nodes[k].cut_peers <= w->now) {
         Hint *h = g_new (Hint, 1);
-        *h = (Hint){ k, e->hint };
+        *h = (Hint){k, e->hint};
         w_at (w, w->now + delay (w), deliver_hint, h);
       }
 }
@@ -319,8 +324,8 @@
     return;
   n->stepping = FALSE;
   g_autoptr (GPtrArray) batch = n->queue;
-  n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_command_free);
-  g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_effect_free);
+  n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
   sim_log_time = w->now;
   sim_log_node = i;
   /* Clocks of different machines drift, and the time of day wanders. */
@@ -350,16 +355,16 @@
   for (int k = 0; k < NODES; k++)
     if (k != i) {
       g_autofree char *l = g_strdup_printf ("c%d", k);
-      json_array_append_new (members, json_pack ("{ssssss}", "label", l, "area", "z0", "endpoint",
-                                                 "127.0.0.1:9"));
+      json_array_append_new (
+          members, json_pack ("{ssssss}", "label", l, "area", "z0", "endpoint", "127.0.0.1:9"));
     }
   g_autofree char *label = g_strdup_printf ("c%d", i);
   json_t *facts = json_pack (
-      "{s[{sssfsfsfsf}]s[{sssssf}]s{sfsfsfsfsf}s{sfsfsfsi}s{sfsf}}", "teams", "name", "crew", "cpus",
-      0.0, "cpus_max", 0.0, "gpus", 0.0, "gpus_max", w->quota_gpus, "objectives", "kind", "finished",
-      "class", "gang", "within_s", 200.0, "workers", "report_s", 2.5, "lease_s", 14.0, "gang_wait_s",
-      30.0, "gang_peer_s", 4.0, "cancel_s", 36.0, "state", "rps", 250.0, "write_rps", 60.0,
-      "value_kb", 4.0, "txn_ops", 12, "cloud", "rps", 8.0, "list_lag_s", 3.0);
+      "{s[{sssfsfsfsf}]s[{sssssf}]s{sfsfsfsfsf}s{sfsfsfsi}s{sfsf}}", "teams", "name", "crew",
+      "cpus", 0.0, "cpus_max", 0.0, "gpus", 0.0, "gpus_max", w->quota_gpus, "objectives", "kind",
+      "finished", "class", "gang", "within_s", 200.0, "workers", "report_s", 2.5, "lease_s", 14.0,
+      "gang_wait_s", 30.0, "gang_peer_s", 4.0, "cancel_s", 36.0, "state", "rps", 250.0, "write_rps",
+      60.0, "value_kb", 4.0, "txn_ops", 12, "cloud", "rps", 8.0, "list_lag_s", 3.0);
   json_t *root = json_pack ("{sssssssss{ssss}soso}", "label", label, "area", "z0", "front",
                             "127.0.0.1:1", "back", "127.0.0.1:2", "outside", "cloud", "127.0.0.1:3",
                             "state", "127.0.0.1:4", "members", members, "facts", facts);
@@ -377,12 +382,12 @@
     w->pol.machines_per_part = w->machines_per_part;
   n->up = TRUE;
   n->gen++;
-  n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify) hr_command_free);
-  n->open = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify) req_unref);
+  n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  n->open = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)req_unref);
   n->stepping = FALSE;
   g_autofree char *inc = g_strdup_printf ("%d-%u", i, n->gen);
   n->core = hr_core_new (n->set, &w->pol, &n->names, inc, g_rand_int (w->rand));
-  node_tick (w, GINT_TO_POINTER (i + (int) n->gen * NODES));
+  node_tick (w, GINT_TO_POINTER (i + (int)n->gen * NODES));
 }
 
 void
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -36,7 +36,7 @@
   GHashTable *open; /* request id -> Req */
   guint64 next;
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
-  gboolean hold;                                               /* cuts hold packets back */
+  gboolean hold;                                                /* cuts hold packets back */
 } Node;
 
 #define NODES 3
@@ -98,8 +98,8 @@
   HrPolicy pol;
   double quota_gpus, machines_per_part; /* 0: as the policy says */
   /* state service */
-  GHashTable *keys;  /* path -> SKey */
-  GArray *log;       /* SChange */
+  GHashTable *keys; /* path -> SKey */
+  GArray *log;      /* SChange */
   GHashTable *leases;
   guint64 epoch, claims;
   GPtrArray *watches;
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -47,14 +47,14 @@
 static void
 mistakes (void **state)
 {
-  static const char *const bad[] = { "",        "1 +",    "nothing",      "1 / 0",  "min()", "(1",
-                                     "1 ? 2",   "1 == ",  "-1",           "1e99",   "1 2",   "&& 1",
-                                     "1 ? 2 :", "max(1,", "idle_s",       "\"text\"" };
+  static const char *const bad[] = {"",        "1 +",    "nothing", "1 / 0",   "min()", "(1",
+                                    "1 ? 2",   "1 == ",  "-1",      "1e99",    "1 2",   "&& 1",
+                                    "1 ? 2 :", "max(1,", "idle_s",  "\"text\""};
   for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
     if (!isnan (value (bad[i])))
       fail_msg ("accepted: %s", bad[i]);
-  assert_true (isnan (value ("1; idle_s = 2")));   /* each tunable once */
-  assert_true (isnan (value ("1; no_such = 2")));  /* only those that exist */
+  assert_true (isnan (value ("1; idle_s = 2")));  /* each tunable once */
+  assert_true (isnan (value ("1; no_such = 2"))); /* only those that exist */
 }
 
 /* Whatever bytes stand in the file: an answer, with a place in the file, and no crash. */
@@ -68,7 +68,8 @@
   for (guint n = 0; n < 3000; n++) {
     g_autofree char *text = with ("idle_s = max(1, lease_s * (2 + 3)) ? 4 : 5;");
     for (int k = g_rand_int_range (r, 1, 5); k > 0; k--)
-      text[g_rand_int_range (r, 0, strlen (text))] = "();=+-*/?:&|<>!,.#\"'0a \n\x80"[g_rand_int_range (r, 0, 24)];
+      text[g_rand_int_range (r, 0, strlen (text))] =
+          "();=+-*/?:&|<>!,.#\"'0a \n\x80"[g_rand_int_range (r, 0, 24)];
     g_autoptr (GError) e = NULL;
     HrPolicy p;
     if (!hr_policy_eval ("t", text, vars, &p, &e)) {
@@ -84,7 +85,7 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (arithmetic), cmocka_unit_test (mistakes),
-                                      cmocka_unit_test (generated_files) };
+  const struct CMUnitTest tests[] = {cmocka_unit_test (arithmetic), cmocka_unit_test (mistakes),
+                                     cmocka_unit_test (generated_files)};
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -11,7 +11,7 @@
 #include <cmocka.h>
 
 #define JOB                                                                                        \
-  "{\"name_id\":\"job-000412\",\"jobclass\":\"train\",\"crew\":\"vision\",\"shape\":\"ensemble\","  \
+  "{\"name_id\":\"job-000412\",\"jobclass\":\"train\",\"crew\":\"vision\",\"shape\":\"ensemble\"," \
   "\"rank\":\"urgent\",\"pieces\":16,\"vcpus\":8.0,\"accelerators\":1.0,\"memory_gb\":64.0,"       \
   "\"bundle\":\"img-07\",\"size_gb\":6.2,\"hulls\":[\"g8\"],\"quarry\":null,\"together\":true,"    \
   "\"apart\":false,\"loaners\":true,\"guess_s\":240.0,\"cairn_s\":30.0,\"stash_s\":4.0,"           \
@@ -51,16 +51,14 @@
 wrong_fields (void **state)
 {
   static const char *const cases[][2] = {
-    { "name_id", "\"job 1\"" },   { "name_id", "7" },        { "name_id", "\"job-\"" },
-    { "shape", "\"gang\"" },      { "rank", "null" },        { "pieces", "0" },
-    { "pieces", "100001" },       { "pieces", "1.5" },       { "pieces", "\"3\"" },
-    { "pieces", "-1" },           { "vcpus", "-0.5" },       { "vcpus", "\"1\"" },
-    { "accelerators", "null" },   { "memory_gb", "[]" },     { "bundle", "\"\"" },
-    { "size_gb", "true" },        { "hulls", "\"g8\"" },     { "hulls", "[1]" },
-    { "hulls", "[]" },            { "quarry", "7" },         { "together", "1" },
-    { "apart", "null" },          { "loaners", "\"true\"" }, { "guess_s", "-1" },
-    { "cairn_s", "{}" },          { "stash_s", "\"\"" },     { "due_s", "\"soon\"" },
-    { "crew", "null" },           { "jobclass", "3" },
+      {"name_id", "\"job 1\""}, {"name_id", "7"},    {"name_id", "\"job-\""}, {"shape", "\"gang\""},
+      {"rank", "null"},         {"pieces", "0"},     {"pieces", "100001"},    {"pieces", "1.5"},
+      {"pieces", "\"3\""},      {"pieces", "-1"},    {"vcpus", "-0.5"},       {"vcpus", "\"1\""},
+      {"accelerators", "null"}, {"memory_gb", "[]"}, {"bundle", "\"\""},      {"size_gb", "true"},
+      {"hulls", "\"g8\""},      {"hulls", "[1]"},    {"hulls", "[]"},         {"quarry", "7"},
+      {"together", "1"},        {"apart", "null"},   {"loaners", "\"true\""}, {"guess_s", "-1"},
+      {"cairn_s", "{}"},        {"stash_s", "\"\""}, {"due_s", "\"soon\""},   {"crew", "null"},
+      {"jobclass", "3"},
   };
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++) {
     json_t *o = json_loads (JOB, 0, NULL);
@@ -78,8 +76,9 @@
 static void
 wrong_bodies (void **state)
 {
-  static const char *const bad[] = { "",  "{",      "[]",   "null", "7", "{\"pieces\":1}", "{} {}",
-                                     "\"", "{\"pieces\":99999999999999999999999}" };
+  static const char *const bad[] = {"",      "{",  "[]",
+                                    "null",  "7",  "{\"pieces\":1}",
+                                    "{} {}", "\"", "{\"pieces\":99999999999999999999999}"};
   for (gsize i = 0; i < G_N_ELEMENTS (bad); i++) {
     HrJobSpec s;
     g_autofree char *why = NULL;
@@ -162,11 +161,12 @@
 {
   HrNames names;
   hr_names_init (&names);
-  json_t *o = json_loads (
-      "{\"hulls\":[{\"sku\":\"g8\",\"vcpus\":96,\"accelerators\":8,\"memory_gb\":768,\"cache_gb\":200,"
-      "\"fetch_gb_per_s\":1.0,\"hourly\":12.0,\"low_price\":4.5,\"startup_s\":45,"
-      "\"quarries\":[\"a\",\"b\"]},{\"sku\":\"broken\"}]}",
-      0, NULL);
+  json_t *o =
+      json_loads ("{\"hulls\":[{\"sku\":\"g8\",\"vcpus\":96,\"accelerators\":8,\"memory_gb\":768,"
+                  "\"cache_gb\":200,"
+                  "\"fetch_gb_per_s\":1.0,\"hourly\":12.0,\"low_price\":4.5,\"startup_s\":45,"
+                  "\"quarries\":[\"a\",\"b\"]},{\"sku\":\"broken\"}]}",
+                  0, NULL);
   g_autoptr (GArray) t = hr_types_parse (o, &names);
   assert_int_equal (t->len, 1);
   assert_int_equal (g_array_index (t, HrType, 0).zones->len, 2);
@@ -181,10 +181,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (a_submission),     cmocka_unit_test (wrong_fields),
-    cmocka_unit_test (wrong_bodies),     cmocka_unit_test (generated_bodies),
-    cmocka_unit_test (reports),          cmocka_unit_test (orders),
-    cmocka_unit_test (machine_types),
+      cmocka_unit_test (a_submission),  cmocka_unit_test (wrong_fields),
+      cmocka_unit_test (wrong_bodies),  cmocka_unit_test (generated_bodies),
+      cmocka_unit_test (reports),       cmocka_unit_test (orders),
+      cmocka_unit_test (machine_types),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -10,7 +10,7 @@
 static HrJobSpec
 any_spec (GRand *r, HrNames *n, guint tasks)
 {
-  HrJobSpec s = { 0 };
+  HrJobSpec s = {0};
   s.klass = hr_intern (&n->classes, "k");
   s.team = hr_intern (&n->teams, "t");
   s.image = hr_intern (&n->images, "i");
@@ -91,8 +91,12 @@
 static void
 nonsense (void **state)
 {
-  static const char *const bad[] = { "{}", "[]", "7", "{\"w\":\"a\",\"s\":9}", "{\"w\":\"a\",\"s\":0,\"j\":[]}",
-                                     "{\"w\":\"a\",\"s\":1,\"n\":-1,\"d\":0}" };
+  static const char *const bad[] = {"{}",
+                                    "[]",
+                                    "7",
+                                    "{\"w\":\"a\",\"s\":9}",
+                                    "{\"w\":\"a\",\"s\":0,\"j\":[]}",
+                                    "{\"w\":\"a\",\"s\":1,\"n\":-1,\"d\":0}"};
   HrNames names;
   hr_names_init (&names);
   for (gsize i = 0; i < G_N_ELEMENTS (bad); i++) {
@@ -108,6 +112,7 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (there_and_back), cmocka_unit_test (nonsense) };
+  const struct CMUnitTest tests[] = {cmocka_unit_test (there_and_back),
+                                     cmocka_unit_test (nonsense)};
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -9,9 +9,8 @@
 #include <cmocka.h>
 
 static guint
-play (guint32 seed, guint faults, double quota, double per_part)
+play_on (World *w, guint32 seed, guint faults, double quota, double per_part)
 {
-  World *w = world_new (seed);
   w->quota_gpus = quota;
   w->machines_per_part = per_part;
   if (quota > 0 || per_part > 0) /* the nodes read it when they start */
@@ -38,15 +37,21 @@
       w_broken (w, "liveness", "%s never ran", j->id);
   }
   for (guint i = 0; i < MIN (w->broken->len, 12); i++)
-    fprintf (stderr, "seed %u: %s\n", seed, (char *) w->broken->pdata[i]);
+    fprintf (stderr, "seed %u: %s\n", seed, (char *)w->broken->pdata[i]);
   if (g_getenv ("HR_SIM_VERBOSE"))
-    fprintf (stderr, "seed %u: %u jobs, %u starts, %u machines, epoch %" G_GUINT64_FORMAT "\n", seed,
-             w->jobs->len, w->starts, w->machines->len, w->epoch);
+    fprintf (stderr, "seed %u: %u jobs, %u starts, %u machines, epoch %" G_GUINT64_FORMAT "\n",
+             seed, w->jobs->len, w->starts, w->machines->len, w->epoch);
   guint broken = w->broken->len;
   world_free (w);
   return broken;
 }
 
+static guint
+play (guint32 seed, guint faults, double quota, double per_part)
+{
+  return play_on (world_new (seed), seed, faults, quota, per_part);
+}
+
 static void
 quiet_days (void **state)
 {
@@ -92,13 +97,27 @@
   assert_int_equal (broken, 0);
 }
 
+/* Messages lost and carried out again, far more often than anywhere. */
+static void
+days_with_late_copies (void **state)
+{
+  guint broken = 0;
+  for (guint s = 500; s < 512; s++) {
+    World *w = world_new (s);
+    w->dup = 0.15;
+    w->loss = 0.06;
+    broken += play_on (w, s, 3, 0, 0);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
 static GLogWriterOutput
 verbose (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
 {
   for (gsize i = 0; i < n; i++)
     if (g_str_equal (f[i].key, "MESSAGE"))
-      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *) f[i].value);
+      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *)f[i].value);
   return G_LOG_WRITER_HANDLED;
 }
 
@@ -122,17 +141,18 @@
   if (!g_getenv ("HR_SIM_VERBOSE"))
     g_log_set_writer_func (silent, NULL, NULL);
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (quiet_days),
-    cmocka_unit_test (days_with_one_trouble),
-    cmocka_unit_test (days_with_many_troubles),
-    cmocka_unit_test (days_with_a_team_limit),
-    cmocka_unit_test (days_with_several_parts),
+      cmocka_unit_test (quiet_days),
+      cmocka_unit_test (days_with_one_trouble),
+      cmocka_unit_test (days_with_many_troubles),
+      cmocka_unit_test (days_with_a_team_limit),
+      cmocka_unit_test (days_with_several_parts),
+      cmocka_unit_test (days_with_late_copies),
   };
   if (argc == 2) { /* one part */
-    static const char *const parts[] = { "quiet", "one", "many", "limit", "parts" };
+    static const char *const parts[] = {"quiet", "one", "many", "limit", "parts", "copies"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
-        const struct CMUnitTest part[] = { tests[i] };
+        const struct CMUnitTest part[] = {tests[i]};
         return cmocka_run_group_tests_name (argv[1], part, NULL, NULL);
       }
     fprintf (stderr, "no part %s\n", argv[1]);
