--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -94,9 +94,8 @@
   double rented_at;   /* steady time, by our clock */
   double heard_at;    /* last report; 0: none to this owner */
   double answered_at; /* last 200 to a report; 0: none */
-  double up_at;
-  double idle_at;   /* without tasks since; 0: busy */
-  double notice_at; /* when the cloud takes it; 0: no notice */
+  double idle_at;     /* without tasks since; 0: busy */
+  double notice_at;   /* when the cloud takes it; 0: no notice */
   gboolean drain;
   guint64 reply_launch; /* seq of the report whose answer held a launch; 0: none pending */
   guint do_out;         /* direct calls without an answer yet */
@@ -114,7 +113,6 @@
   guint nimages;
   guint errors; /* failures in a row */
   guint32 error_job;
-  double speed; /* 1: as fast as its type; from finished tasks */
   double full_until;
   /* Plan */
   guint32 part;     /* by hash of its name */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -112,7 +112,6 @@
     m->name = hr_intern_name (&c->machine_ids, m->idx);
     m->type = m->zone = HR_NONE;
     m->state = HR_M_GONE;
-    m->speed = 1;
     m->error_job = HR_NONE;
     m->tasks = g_array_new (FALSE, TRUE, sizeof (HrRef));
     m->direct = g_array_new (FALSE, TRUE, sizeof (HrDirectLaunch));
@@ -132,6 +131,15 @@
   return &g_array_index (c->classes, HrClassStat, klass);
 }
 
+const HrTeam *
+hr_team (const HrCore *c, guint32 team)
+{
+  for (guint i = 0; i < c->set->teams->len; i++)
+    if (g_array_index (c->set->teams, HrTeam, i).team == team)
+      return &g_array_index (c->set->teams, HrTeam, i);
+  return NULL;
+}
+
 const HrType *
 hr_type_by_name (const HrCore *c, guint32 name)
 {
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -23,15 +23,6 @@
 
 /* ---- limits of teams ---- */
 
-static const HrTeam *
-team_of (HrCore *c, const HrJob *j)
-{
-  for (guint i = 0; i < c->set->teams->len; i++)
-    if (g_array_index (c->set->teams, HrTeam, i).team == j->spec.team)
-      return &g_array_index (c->set->teams, HrTeam, i);
-  return NULL;
-}
-
 static void
 team_use (HrCore *c, guint32 team, double *cpus, double *gpus)
 {
@@ -48,7 +39,7 @@
 static gboolean
 within_limit (HrCore *c, const HrJob *j, guint n)
 {
-  const HrTeam *t = team_of (c, j);
+  const HrTeam *t = hr_team (c, j->spec.team);
   double cpus, gpus;
   if (!t || (t->cpus_max <= 0 && t->gpus_max <= 0))
     return TRUE;
@@ -96,7 +87,7 @@
 static gboolean
 team_beyond (HrCore *c, const HrJob *j, guint n)
 {
-  const HrTeam *t = team_of (c, j);
+  const HrTeam *t = hr_team (c, j->spec.team);
   double cpus, gpus;
   if (!t)
     return TRUE;
--- a/src/coordination/parts.c
+++ b/src/coordination/parts.c
@@ -31,26 +31,17 @@
   }
 }
 
-static gboolean
-has_limit (HrCore *c, const HrJob *j)
-{
-  for (guint i = 0; i < c->set->teams->len; i++) {
-    HrTeam *t = &g_array_index (c->set->teams, HrTeam, i);
-    if (t->team == j->spec.team)
-      return t->cpus_max > 0 || t->gpus_max > 0;
-  }
-  return FALSE;
-}
-
 /* The roomiest part that holds the job; large jobs, and what no part holds, get any list. */
 void
 hr_part_choose (HrCore *c, HrJob *j)
 {
+  const HrTeam *t = hr_team (c, j->spec.team);
+  gboolean limit = t && (t->cpus_max > 0 || t->gpus_max > 0);
   g_autofree double *room = g_new0 (double, c->nparts);
   j->parted = TRUE;
   j->part = HR_NONE;
   if (c->nparts == 1 || (j->spec.shape == HR_GANG && j->ntasks > 1) || j->spec.one_zone ||
-      j->spec.spread || has_limit (c, j))
+      j->spec.spread || limit)
     return;
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -44,7 +44,7 @@
 {
   const HrType *t = hr_type (c, m);
   double run = j->spec.estimate > 0 ? j->spec.estimate : 60;
-  run *= hr_class (c, j->spec.klass)->correction / m->speed;
+  run *= hr_class (c, j->spec.klass)->correction;
   if (t && !hr_machine_has_image (m, j->spec.image))
     run += j->spec.image_gb / t->fetch_rate;
   return run;
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -125,8 +125,6 @@
   GArray *refused; /* HrRefusal: where the cloud had no capacity, until when */
   guint asks_out;
   guint deletes_out;
-  gboolean cloud_down;
-  double log_at;
 };
 
 /* core.c */
@@ -141,6 +139,7 @@
 HrMachine *hr_machine_find (HrCore *c, const char *name);
 HrMachine *hr_machine_get (HrCore *c, const char *name);
 HrClassStat *hr_class (HrCore *c, guint32 klass);
+const HrTeam *hr_team (const HrCore *c, guint32 team); /* NULL: not known here */
 const HrType *hr_type (const HrCore *c, const HrMachine *m);
 const HrType *hr_type_by_name (const HrCore *c, guint32 name);
 
@@ -193,6 +192,8 @@
 void hr_task_gone (HrCore *c, HrJob *j, guint32 task, HrExit why, const char *proof);
 void hr_task_done (HrCore *c, HrJob *j, guint32 task);
 void hr_task_stop (HrCore *c, HrJob *j, guint32 task, double grace);
+/* All its tasks are recorded, of one attempt. */
+gboolean hr_gang_ready (const HrJob *j);
 /* Ends a gang's attempt: all its tasks have to go before the next one. */
 void hr_gang_end (HrCore *c, HrJob *j, double grace);
 void hr_job_withdrawn (HrCore *c, HrJob *j);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -70,8 +70,8 @@
   release (c, j, task);
 }
 
-static gboolean
-gang_ready (const HrJob *j)
+gboolean
+hr_gang_ready (const HrJob *j)
 {
   for (guint32 i = 0; i < j->ntasks; i++)
     if (j->tasks[i].state != HR_T_BOUND || j->tasks[i].try != j->tasks[0].try)
@@ -91,7 +91,7 @@
     return;
   }
   m->urgent = TRUE;
-  if (j->spec.shape == HR_GANG && gang_ready (j))
+  if (j->spec.shape == HR_GANG && hr_gang_ready (j))
     for (guint32 i = 0; i < j->ntasks; i++)
       machine_of (c, &j->tasks[i])->urgent = TRUE;
 }
@@ -173,11 +173,11 @@
 /* A gang completes together: one is done, so all of that attempt are, also those
  * whose machine went before it could say so. */
 static void
-gang_done (HrCore *c, HrJob *j, guint32 attempt)
+gang_done (HrCore *c, HrJob *j, guint32 attempt, gboolean any)
 {
   for (guint32 i = 0; i < j->ntasks; i++) {
     HrTask *t = &j->tasks[i];
-    if (t->try != attempt)
+    if (t->try != attempt && !any)
       continue;
     if (t->state == HR_T_BOUND)
       hr_task_done (c, j, i);
@@ -206,7 +206,7 @@
   release (c, j, task);
   hr_ledger_mark (c, j, task);
   if (j->spec.shape == HR_GANG)
-    gang_done (c, j, t->try);
+    gang_done (c, j, t->try, FALSE);
 }
 
 void
@@ -368,17 +368,7 @@
       }
     }
     if (j->spec.shape == HR_GANG && j->ndone && j->stance == HR_QUEUED)
-      for (guint32 k = 0; k < j->ntasks; k++) {
-        /* The ending of a large gang was being recorded page by page. */
-        HrTask *t = &j->tasks[k];
-        if (t->state == HR_T_BOUND)
-          hr_task_done (c, j, k);
-        else if (t->state == HR_T_IDLE) {
-          t->state = HR_T_DONE;
-          j->ndone++;
-          hr_ledger_mark (c, j, k);
-        }
-      }
+      gang_done (c, j, 0, TRUE); /* a large gang's ending was being recorded page by page */
     if (j->stance == HR_WITHDRAWN)
       hr_job_withdrawn (c, j);
     else if (mixed && j->nlive) /* parts of different attempts: begin again with a new one */
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -114,19 +114,10 @@
 
 /* ---- submissions ---- */
 
-static const HrTeam *
-team_of (HrCore *c, guint32 team)
-{
-  for (guint i = 0; i < c->set->teams->len; i++)
-    if (g_array_index (c->set->teams, HrTeam, i).team == team)
-      return &g_array_index (c->set->teams, HrTeam, i);
-  return NULL;
-}
-
 static char *
 impossible (HrCore *c, const HrJobSpec *s)
 {
-  const HrTeam *t = team_of (c, s->team);
+  const HrTeam *t = hr_team (c, s->team);
   if (!t)
     return g_strdup_printf ("team %s is not known here",
                             hr_intern_name (&c->names->teams, s->team));
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -22,24 +22,13 @@
   return TRUE;
 }
 
-static gboolean
-gang_launchable (const HrJob *j)
-{
-  if (j->gang_over)
-    return FALSE;
-  for (guint32 i = 0; i < j->ntasks; i++)
-    if (j->tasks[i].state != HR_T_BOUND || j->tasks[i].try != j->tasks[0].try)
-      return FALSE;
-  return TRUE;
-}
-
 static gboolean
 launchable (const HrJob *j, const HrTask *t)
 {
   /* What an earlier owner recorded is not launched: it may have ended and made
    * place for others since. It is seen on its machine, or proven gone. */
   return j->stance == HR_QUEUED && !t->kill && !t->inherited &&
-         (j->spec.shape != HR_GANG || gang_launchable (j));
+         (j->spec.shape != HR_GANG || (!j->gang_over && hr_gang_ready (j)));
 }
 
 /* Orders for what is recorded on this machine. Returns whether a launch is among them. */
@@ -204,7 +193,6 @@
   } else if (m->state == HR_M_BOOTING)
     g_info ("%s is up after %.0f s", m->name, c->now - m->rented_at);
   m->state = HR_M_UP;
-  m->up_at = c->now;
   m->idle_at = m->tasks->len ? 0 : c->now;
   c->plan_dirty = TRUE;
 }
