--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -138,6 +138,25 @@
   w_at (w, w->now + 0.05, leases_tick, NULL);
 }
 
+/* A write of the owner (tasks of a job that goes on) holds on the map's stamp, or a
+ * former owner's late write would count. */
+static void
+check_fence (World *w, json_t *when, json_t *put)
+{
+  const char *path = json_string_value (json_object_get (put, "set"));
+  json_t *value = json_object_get (put, "value"), *e, *x = json_object_get (value, "x");
+  size_t i;
+  gboolean bound = FALSE, fenced = FALSE;
+  if (!path || !(g_str_has_prefix (path, "h/j/") || g_str_has_prefix (path, "h/t/")) ||
+      json_integer_value (json_object_get (value, "s")) == 2)
+    return;
+  json_array_foreach (x, i, e) bound |= json_is_array (e);
+  json_array_foreach (when, i, e) fenced |=
+      g_strcmp0 (json_string_value (json_object_get (e, "path")), "h/map") == 0;
+  if (bound && !fenced)
+    w_broken (w, "fence", "%s is written without a hold on the map", path);
+}
+
 static void
 commit (World *w, Req *r)
 {
@@ -149,6 +168,7 @@
   json_array_foreach (writes, i, e)
   {
     guint64 claim = json_integer_value (json_object_get (e, "claim"));
+    check_fence (w, when, e);
     lease_gone |= claim && !g_hash_table_contains (w->leases, &claim);
     if (json_object_get (e, "value")) {
       g_autofree char *t = text_of (json_object_get (e, "value"));
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -95,6 +95,8 @@
         HrCommand *c = hr_command_new (HR_C_RESULT);
         c->id = r->call;
         c->status = a->status;
+        if (r->target == HR_TO_STORE && a->status == 200)
+          n->store_at = w->now;
         if (a->body)
           c->body = g_bytes_new (a->body, strlen (a->body));
         push (w, r->node, c);
@@ -287,6 +289,13 @@
     if (r) {
       if (e->status >= 500 && e->status != 503)
         w_broken (w, "status", "%s answered %d", r->path, e->status);
+      /* An owner that has read nothing for so long may have been replaced, and knows
+       * of no cancellation since: answering would keep tasks alive for ever. */
+      if (e->status == 200 && strcmp (r->path, "/hello") == 0 &&
+          w->now - n->store_at > w->pol.hold_s + 3)
+        w_broken (w, "hold",
+                  "c%d answers a worker %.1f s after its last word from the state service", i,
+                  w->now - n->store_at);
       w_answer (w, r, e->status, g_strdup (e->body));
       g_hash_table_remove (n->open, &e->id);
     }
@@ -385,6 +394,7 @@
   n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
   n->open = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)req_unref);
   n->stepping = FALSE;
+  n->store_at = w->now;
   g_autofree char *inc = g_strdup_printf ("%d-%u", i, n->gen);
   n->core = hr_core_new (n->set, &w->pol, &n->names, inc, g_rand_int (w->rand));
   node_tick (w, GINT_TO_POINTER (i + (int)n->gen * NODES));
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -35,6 +35,7 @@
   gboolean stepping;
   GHashTable *open; /* request id -> Req */
   guint64 next;
+  double store_at; /* when the state service last answered it */
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
   gboolean hold;                                                /* cuts hold packets back */
 } Node;
