--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -1,5 +1,6 @@
 /* A stand-in for the state service. */
 #include "sim/world.h"
+#include "bookkeeping/tables.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -138,6 +139,29 @@
   w_at (w, w->now + 0.05, leases_tick, NULL);
 }
 
+/* Notes which process recorded each assignment first: its tag begins with its incarnation. */
+static void
+note_assignments (World *w, json_t *put)
+{
+  const char *path = json_string_value (json_object_get (put, "set"));
+  json_t *value = json_object_get (put, "value"), *e;
+  const char *tag = json_string_value (json_object_get (value, "w"));
+  size_t i;
+  if (!path || !tag || !(g_str_has_prefix (path, "h/j/") || g_str_has_prefix (path, "h/t/")))
+    return;
+  const char *page = path[2] == 't' ? strrchr (path, '/') : NULL;
+  guint first = page ? atoi (page + 1) * hr_tasks_per_page (4) : 0;
+  g_autofree char *id = page ? g_strndup (path + 4, page - path - 4) : g_strdup (path + 4);
+  json_array_foreach (json_object_get (value, "x"), i, e)
+  {
+    g_autofree char *key = g_strdup_printf ("%s/%u/%d", id, first + (guint)i,
+                                            (int)json_integer_value (json_array_get (e, 2)));
+    if (json_is_array (e) && !g_hash_table_contains (w->assigned, key))
+      g_hash_table_insert (w->assigned, g_steal_pointer (&key),
+                           g_strndup (tag, strcspn (tag, ".")));
+  }
+}
+
 /* A write of the owner (tasks of a job that goes on) holds on the map's stamp, or a
  * former owner's late write would count. */
 static void
@@ -203,6 +227,7 @@
   json_array_foreach (writes, i, e)
   {
     const char *set = json_string_value (json_object_get (e, "set"));
+    note_assignments (w, e);
     if (set)
       change (w, set, text_of (json_object_get (e, "value")),
               json_integer_value (json_object_get (e, "claim")));
@@ -331,6 +356,7 @@
   w->log = g_array_new (FALSE, TRUE, sizeof (SChange));
   g_array_set_clear_func (w->log, change_clear);
   w->watches = g_ptr_array_new ();
+  w->assigned = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w_at (w, 0.05, leases_tick, NULL);
 }
 
@@ -347,4 +373,5 @@
   g_hash_table_unref (w->keys);
   g_hash_table_unref (w->leases);
   g_array_unref (w->log);
+  g_hash_table_unref (w->assigned);
 }
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -280,6 +280,27 @@
   g_free (h);
 }
 
+/* A process launches only what it recorded itself: what an earlier owner recorded
+ * may have ended since, and others may use its place. */
+static void
+check_launches (World *w, int i, const char *text)
+{
+  json_t *o = json_loads (text, 0, NULL), *e;
+  size_t k;
+  g_autofree char *inc = g_strdup_printf ("%d-%u", i, w->nodes[i].gen);
+  json_array_foreach (json_object_get (o, "orders"), k, e)
+  {
+    g_autofree char *key =
+        g_strdup_printf ("%s/%d", json_string_value (json_object_get (e, "piece")),
+                         (int)json_integer_value (json_object_get (e, "try")));
+    const char *by = g_hash_table_lookup (w->assigned, key);
+    if (strcmp (json_string_value (json_object_get (e, "verb")), "launch") == 0 &&
+        g_strcmp0 (by, inc) != 0)
+      w_broken (w, "launch", "c%d launches %s, recorded by %s", i, key, by ? by : "nobody");
+  }
+  json_decref (o);
+}
+
 static void
 perform (World *w, int i, HrEffect *e)
 {
@@ -289,6 +310,8 @@
     if (r) {
       if (e->status >= 500 && e->status != 503)
         w_broken (w, "status", "%s answered %d", r->path, e->status);
+      if (e->status == 200 && strcmp (r->path, "/hello") == 0)
+        check_launches (w, i, e->body);
       /* An owner that has read nothing for so long may have been replaced, and knows
        * of no cancellation since: answering would keep tasks alive for ever. */
       if (e->status == 200 && strcmp (r->path, "/hello") == 0 &&
@@ -300,6 +323,8 @@
       g_hash_table_remove (n->open, &e->id);
     }
   } else if (e->kind == HR_E_CALL) {
+    if (e->target == HR_TO_WORKER)
+      check_launches (w, i, e->body);
     Req *r = g_new0 (Req, 1);
     r->node = i;
     r->gen = n->gen;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -98,6 +98,7 @@
   Node nodes[NODES];
   HrPolicy pol;
   double quota_gpus, machines_per_part; /* 0: as the policy says */
+  GHashTable *assigned;                 /* "job/task/try" -> the process that recorded it */
   /* state service */
   GHashTable *keys; /* path -> SKey */
   GArray *log;      /* SChange */
