--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -99,13 +99,18 @@
          s->mem <= m->mem - m->alien_mem + EPS;
 }
 
-/* The same beside the room that is kept for services. */
+gboolean
+hr_machine_has_beside_claims (const HrMachine *m, double cpus, double gpus, double mem)
+{
+  return cpus <= m->cpus - m->alien_cpus - m->claim_cpus + EPS &&
+         gpus <= m->gpus - m->alien_gpus - m->claim_gpus + EPS &&
+         mem <= m->mem - m->alien_mem - m->claim_mem + EPS;
+}
+
 gboolean
 hr_machine_fits_beside_claims (const HrMachine *m, const HrJobSpec *s)
 {
-  return s->cpus <= m->cpus - m->alien_cpus - m->claim_cpus + EPS &&
-         s->gpus <= m->gpus - m->alien_gpus - m->claim_gpus + EPS &&
-         s->mem <= m->mem - m->alien_mem - m->claim_mem + EPS;
+  return hr_machine_has_beside_claims (m, s->cpus, s->gpus, s->mem);
 }
 
 void
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -64,7 +64,6 @@
   double bad_until;
   gboolean counted;  /* its arrival was counted */
   double gang_start; /* planned common start of a gang, steady time */
-  double placed_at;  /* of the present gang attempt */
   guint planned;     /* tasks standing in lists */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
@@ -151,6 +150,8 @@
 void hr_machine_describe (HrMachine *m, const HrType *t, guint32 zone, gboolean spot);
 /* Room for a task, as meant. */
 gboolean hr_machine_fits (const HrMachine *m, const HrJobSpec *s);
+/* Room for an amount beside what is kept for services. */
+gboolean hr_machine_has_beside_claims (const HrMachine *m, double cpus, double gpus, double mem);
 gboolean hr_machine_fits_beside_claims (const HrMachine *m, const HrJobSpec *s);
 void hr_machine_take (HrMachine *m, const HrJobSpec *s, HrRef r);
 void hr_machine_give (HrMachine *m, const HrJobSpec *s, HrRef r);
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -174,7 +174,6 @@
     if (!on[i] || j->tasks[i].state != HR_T_IDLE)
       return FALSE;
   guint32 attempt = hr_job_next_try (j);
-  j->placed_at = c->now;
   for (guint32 i = 0; i < j->ntasks; i++)
     start (c, j, i, on[i], attempt);
   return TRUE;
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -464,9 +464,7 @@
 static guint
 claim_on (HrMachine *m, double cpus, double gpus, double mem, guint n)
 {
-  while (n && cpus <= m->cpus - m->alien_cpus - m->claim_cpus + 1e-6 &&
-         gpus <= m->gpus - m->alien_gpus - m->claim_gpus + 1e-6 &&
-         mem <= m->mem - m->alien_mem - m->claim_mem + 1e-6) {
+  while (n && hr_machine_has_beside_claims (m, cpus, gpus, mem)) {
     m->claim_cpus += cpus;
     m->claim_gpus += gpus;
     m->claim_mem += mem;
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -143,7 +143,7 @@
         g_hash_table_contains (seen, t))
       continue;
     t->shown = HR_NOT_SHOWN;
-    if (launchable (j, t) || (j->stance == HR_QUEUED && !t->kill && !t->inherited && !j->gang_over))
+    if (j->stance == HR_QUEUED && !t->kill && !t->inherited && !j->gang_over)
       continue; /* it is launched (again) where it is recorded */
     if (proof)
       hr_task_gone (c, j, ref.task, HR_X_NONE, "its worker's report lacks it");
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -1,5 +1,6 @@
 /* A stand-in for the cloud: rentals by name, late lists, boots that fail. */
 #include "sim/world.h"
+#include "protocol/jsonx.h"
 #include <string.h>
 
 #define LAG 3.0
@@ -92,10 +93,7 @@
       w_at (w, m->boots, boot, m);
   }
   json_t *a = json_pack ("{so}", "rockhands", names);
-  char *raw = json_dumps (a, JSON_COMPACT);
-  char *text = g_strdup (raw);
-  free (raw);
-  json_decref (a);
+  char *text = hr_json_take_text (a);
   g_hash_table_insert (w->asks, g_strdup (ask), g_strdup (text));
   json_decref (o);
   w_answer (w, r, 200, text);
@@ -137,10 +135,7 @@
                          m->boots > at ? "starting" : "running", "age_s", at - m->rented));
   }
   json_t *a = json_pack ("{sosb}", "rockhands", rows, "more", more);
-  char *raw = json_dumps (a, JSON_COMPACT);
-  json_decref (a);
-  w_answer (w, r, 200, g_strdup (raw));
-  free (raw);
+  w_answer (w, r, 200, hr_json_take_text (a));
 }
 
 void
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -1,5 +1,6 @@
 /* A stand-in for the state service. */
 #include "sim/world.h"
+#include "protocol/jsonx.h"
 #include "bookkeeping/tables.h"
 #include <stdlib.h>
 #include <string.h>
@@ -34,22 +35,6 @@
   g_free (k);
 }
 
-static char *
-text_of (json_t *v)
-{
-  char *raw = json_dumps (v, JSON_COMPACT | JSON_ENCODE_ANY), *t = g_strdup (raw);
-  free (raw);
-  return t;
-}
-
-static char *
-take_text (json_t *v)
-{
-  char *t = text_of (v);
-  json_decref (v);
-  return t;
-}
-
 static void
 change (World *w, const char *path, char *text, guint64 claim)
 {
@@ -82,7 +67,7 @@
     json_array_append_new (log, o);
     ++*n;
   }
-  return take_text (json_pack ("{sIso}", "epoch", (json_int_t)w->epoch, "log", log));
+  return hr_json_take_text (json_pack ("{sIso}", "epoch", (json_int_t)w->epoch, "log", log));
 }
 
 static void
@@ -195,7 +180,7 @@
     check_fence (w, when, e);
     lease_gone |= claim && !g_hash_table_contains (w->leases, &claim);
     if (json_object_get (e, "value")) {
-      g_autofree char *t = text_of (json_object_get (e, "value"));
+      g_autofree char *t = hr_json_take_text (json_incref (json_object_get (e, "value")));
       if (strlen (t) > 4096)
         w_broken (w, "limit", "a value of %zu bytes", strlen (t));
     }
@@ -214,8 +199,9 @@
       json_array_append_new (failed, json_string (path));
   }
   if (json_array_size (failed)) {
-    w_answer (w, r, 409,
-              take_text (json_pack ("{sosI}", "failed", failed, "epoch", (json_int_t)w->epoch)));
+    w_answer (
+        w, r, 409,
+        hr_json_take_text (json_pack ("{sosI}", "failed", failed, "epoch", (json_int_t)w->epoch)));
     json_decref (o);
     return;
   }
@@ -229,7 +215,7 @@
     const char *set = json_string_value (json_object_get (e, "set"));
     note_assignments (w, e);
     if (set)
-      change (w, set, text_of (json_object_get (e, "value")),
+      change (w, set, hr_json_take_text (json_incref (json_object_get (e, "value"))),
               json_integer_value (json_object_get (e, "claim")));
     else
       change (w, json_string_value (json_object_get (e, "delete")), NULL, 0);
@@ -277,8 +263,8 @@
                                             (json_int_t)s->stamp));
   }
   w_answer (w, r, 200,
-            take_text (json_pack ("{sosbsI}", "rows", rows, "more", keys->len > 7, "epoch",
-                                  (json_int_t)w->epoch)));
+            hr_json_take_text (json_pack ("{sosbsI}", "rows", rows, "more", keys->len > 7, "epoch",
+                                          (json_int_t)w->epoch)));
 }
 
 static void
@@ -323,9 +309,9 @@
       w_answer (w, r, 404, g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT "}", w->epoch));
     else
       w_answer (w, r, 200,
-                take_text (json_pack ("{sssosI}", "path", r->path + 4, "value",
-                                      json_loads (k->text, JSON_DECODE_ANY, NULL), "stamp",
-                                      (json_int_t)k->stamp)));
+                hr_json_take_text (json_pack ("{sssosI}", "path", r->path + 4, "value",
+                                              json_loads (k->text, JSON_DECODE_ANY, NULL), "stamp",
+                                              (json_int_t)k->stamp)));
   } else if (g_str_has_prefix (r->path, "/changes?")) {
     g_autofree char *after = query (r->path, "after"), *hold = query (r->path, "hold_ms");
     SWatch *s = g_new0 (SWatch, 1);
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -1,5 +1,6 @@
 /* Users, and the judge of the protocol's rules. */
 #include "sim/world.h"
+#include "protocol/jsonx.h"
 #include <string.h>
 
 #define CANCEL 36.0
@@ -259,10 +260,7 @@
       j->checkpoint, "stash_s", j->save);
   if (j->shape == HR_BATCH)
     json_object_set_new (o, "due_s", json_real (j->run * 2 + 30));
-  char *raw = json_dumps (o, JSON_COMPACT);
-  j->body = g_strdup (raw);
-  free (raw);
-  json_decref (o);
+  j->body = hr_json_take_text (o);
   g_ptr_array_add (w->jobs, j);
   g_hash_table_insert (w->job_index, j->id, GUINT_TO_POINTER (w->jobs->len));
   submit (w, j);
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -1,5 +1,6 @@
 /* A stand-in for the workers: reports, tokens, leases, tasks and gangs. */
 #include "sim/world.h"
+#include "protocol/jsonx.h"
 #include <string.h>
 
 #define REPORT 2.5
@@ -70,10 +71,7 @@
                          "tally", (int)m->tally, "baton", (json_int_t)m->baton, "pieces", list);
   if (m->warned)
     json_object_set_new (o, "warning_s", json_real (MAX (0, m->warned - w->now)));
-  char *raw = json_dumps (o, JSON_COMPACT), *text = g_strdup (raw);
-  free (raw);
-  json_decref (o);
-  return text;
+  return hr_json_take_text (o);
 }
 
 static void
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -53,48 +53,42 @@
 }
 
 static void
-quiet_days (void **state)
+play_seeds (guint from, guint to, guint faults, double quota, double per_part)
 {
   guint broken = 0;
-  for (guint s = 1; s < 4; s++)
-    broken += play (s, 0, 0, 0);
+  for (guint s = from; s < to; s++)
+    broken += play (s, faults, quota, per_part);
   assert_int_equal (broken, 0);
 }
 
+static void
+quiet_days (void **state)
+{
+  play_seeds (1, 4, 0, 0, 0);
+}
+
 static void
 days_with_one_trouble (void **state)
 {
-  guint broken = 0;
-  for (guint s = 100; s < 112; s++)
-    broken += play (s, 1, 0, 0);
-  assert_int_equal (broken, 0);
+  play_seeds (100, 112, 1, 0, 0);
 }
 
 static void
 days_with_many_troubles (void **state)
 {
-  guint broken = 0;
-  for (guint s = 200; s < 224; s++)
-    broken += play (s, 8, 0, 0);
-  assert_int_equal (broken, 0);
+  play_seeds (200, 224, 8, 0, 0);
 }
 
 static void
 days_with_a_team_limit (void **state)
 {
-  guint broken = 0;
-  for (guint s = 300; s < 308; s++)
-    broken += play (s, 5, 12, 0);
-  assert_int_equal (broken, 0);
+  play_seeds (300, 308, 5, 12, 0);
 }
 
 static void
 days_with_several_parts (void **state)
 {
-  guint broken = 0;
-  for (guint s = 400; s < 408; s++)
-    broken += play (s, 4, 0, 4);
-  assert_int_equal (broken, 0);
+  play_seeds (400, 408, 4, 0, 4);
 }
 
 /* Messages lost and carried out again, far more often than anywhere. */
