--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 
 #define TICK_MS 100
+#define GATHER_MS 5
 
 typedef struct {
   HrCore *core;
@@ -37,6 +38,7 @@
     else
       hr_peers_tell (d->peers, &e->hint);
   }
+  hr_http_server_flush (d->server);
   return G_SOURCE_REMOVE;
 }
 
@@ -58,6 +60,19 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Under load the loop waits a little for more to come before it sleeps: one turn, with
+ * its fixed cost, then serves several requests. */
+static gint
+poll_in_batches (GPollFD *fds, guint n, gint timeout)
+{
+  if (timeout < 0 || timeout > GATHER_MS) {
+    g_usleep (GATHER_MS * 1000);
+    if (timeout > 0)
+      timeout -= GATHER_MS;
+  }
+  return g_poll (fds, n, timeout);
+}
+
 static int log_level = G_LOG_LEVEL_MESSAGE;
 
 static GLogWriterOutput
@@ -175,12 +190,13 @@
   d.client = hr_http_client_new (settings->state, settings->cloud, sink, &d);
   d.peers = hr_peers_new (settings, sink, &d, &error);
   if (d.peers)
-    d.server = hr_http_server_new (settings->front, sink, &d, &error);
+    d.server = hr_http_server_new (settings->front, settings->sockets, sink, &d, &error);
   if (!d.server) {
     fprintf (stderr, "hoprockd: cannot listen: %s\n", error->message);
     return 1;
   }
   g_info ("hoprockd %s: %s, incarnation %s", HR_VERSION, settings->label, incarnation);
+  g_main_context_set_poll_func (g_main_context_default (), poll_in_batches);
   g_timeout_add (TICK_MS, on_tick, &d);
   on_tick (&d);
   g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -80,6 +80,11 @@
   if (ops < 3)
     return fail (e, "facts.state.txn_ops", "at least 3 changes a transaction");
   s->txn_ops = MIN (ops, 1000);
+  double sockets = 1024;
+  hr_json_num (json_object_get (facts, "machine_limits"), "fd_limit", &sockets);
+  if (sockets < 64)
+    return fail (e, "facts.machine_limits.fd_limit", "at least 64 sockets");
+  s->sockets = MIN (sockets, 1e6);
   if (s->cancel_s <= s->lease_s + 2)
     return fail (e, "facts.workers.cancel_s", "more than lease_s and two seconds");
   const json_t *teams = json_object_get (facts, "teams"),
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -26,6 +26,7 @@
   double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
   double state_rps, state_write_rps, value_kb;
   guint txn_ops;
+  guint sockets; /* of this process; a usual limit when the file has none */
   double cloud_rps, list_lag_s;
 } HrSettings;
 
--- /dev/null
+++ b/tests/bench_core.c
@@ -0,0 +1,274 @@
+/* Processor time of the owner of all state, by kind of command, at the size of a
+ * grown deployment: bench_core [MACHINES [JOBS]]. No test: it prints figures.
+ * The stand-ins answer at once, so only the owner's own work is measured. */
+#include "coordination/core.h"
+#include "protocol/jsonx.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+typedef struct {
+  HrCore *core;
+  double now;
+  guint64 epoch;
+  guint machines, tally;
+  GPtrArray *inbox; /* HrCommand: answers to calls */
+  GHashTable *on;   /* machine -> GHashTable of "piece try" */
+  GString *log;     /* changes since the last reading; watches stay open */
+  guint writes;
+} Bench;
+
+typedef struct {
+  const char *name;
+  double sum, most;
+  guint n;
+} Figure;
+
+static Figure figures[] = {{"report", 0, 0, 0},        {"poll", 0, 0, 0},
+                           {"submission", 0, 0, 0},    {"state service's answers", 0, 0, 0},
+                           {"planning pass", 0, 0, 0}, {"tick without a pass", 0, 0, 0}};
+enum { F_REPORT, F_POLL, F_SUBMIT, F_ANSWER, F_PASS, F_TICK };
+
+static double
+cpu (void)
+{
+  struct timespec t;
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
+  return t.tv_sec + t.tv_nsec / 1e9;
+}
+
+static void
+answer (Bench *b, guint64 id, int status, char *text)
+{
+  HrCommand *c = hr_command_new (HR_C_RESULT);
+  c->id = id;
+  c->status = status;
+  c->body = g_bytes_new_take (text, strlen (text));
+  g_ptr_array_add (b->inbox, c);
+}
+
+static void
+obey (Bench *b, const char *machine, const char *body)
+{
+  json_t *o = json_loads (body, 0, NULL), *e;
+  GHashTable *set = g_hash_table_lookup (b->on, machine);
+  size_t i;
+  json_array_foreach (json_object_get (o, "orders"), i, e)
+  {
+    const char *verb = json_string_value (json_object_get (e, "verb"));
+    g_autofree char *key = g_strdup_printf ("\"piece\":\"%s\",\"try\":%d",
+                                            json_string_value (json_object_get (e, "piece")),
+                                            (int)json_integer_value (json_object_get (e, "try")));
+    if (strcmp (verb, "launch") == 0)
+      g_hash_table_add (set, g_steal_pointer (&key));
+    else
+      g_hash_table_remove (set, key);
+  }
+  json_decref (o);
+}
+
+static char *
+report (Bench *b, const char *machine)
+{
+  GString *s = g_string_new (NULL);
+  GHashTableIter it;
+  gpointer k;
+  const char *sep = "";
+  g_string_printf (s,
+                   "{\"rockhand\":\"%s\",\"addr\":\"%s\",\"hull\":\"g2\",\"quarry\":"
+                   "\"z0\",\"loaners\":false,\"tenure\":1,\"tally\":%u,\"baton\":1,\"warning_s\":"
+                   "null,\"pieces\":[",
+                   machine, machine, ++b->tally);
+  g_hash_table_iter_init (&it, g_hash_table_lookup (b->on, machine));
+  while (g_hash_table_iter_next (&it, &k, NULL)) {
+    g_string_append_printf (s, "%s{%s,\"stance\":\"running\"}", sep, (char *)k);
+    sep = ",";
+  }
+  g_string_append (s, "]}");
+  return g_string_free (s, FALSE);
+}
+
+static void
+call (Bench *b, HrEffect *e)
+{
+  if (e->target == HR_TO_WORKER) {
+    obey (b, e->addr, e->body);
+    answer (b, e->id, 200, report (b, e->addr));
+    return;
+  }
+  if (strcmp (e->path, "/commit") == 0) {
+    json_t *o = json_loads (e->body, 0, NULL), *w;
+    size_t i;
+    b->epoch++;
+    json_array_foreach (json_object_get (o, "writes"), i, w)
+    {
+      g_autofree char *v =
+          json_dumps (json_object_get (w, "value"), JSON_COMPACT | JSON_ENCODE_ANY);
+      b->writes++;
+      g_string_append_printf (
+          b->log, "%s{\"set\":\"%s\",\"value\":%s,\"stamp\":%" G_GUINT64_FORMAT "}",
+          b->log->len ? "," : "", json_string_value (json_object_get (w, "set")), v, b->epoch);
+    }
+    json_decref (o);
+    answer (b, e->id, 200, g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT "}", b->epoch));
+  } else if (g_str_has_prefix (e->path, "/changes?")) {
+    if (strstr (e->path, "hold_ms=0")) {
+      answer (b, e->id, 200,
+              g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT ",\"log\":[%s]}", b->epoch,
+                               b->log->str));
+      g_string_truncate (b->log, 0);
+    }
+  } else if (strcmp (e->path, "/leases") == 0)
+    answer (b, e->id, 200, g_strdup ("{\"claim\":1}"));
+  else if (g_str_has_prefix (e->path, "/kv?"))
+    answer (
+        b, e->id, 200,
+        g_strdup_printf ("{\"rows\":[],\"more\":false,\"epoch\":%" G_GUINT64_FORMAT "}", b->epoch));
+  else if (strcmp (e->path, "/machine_types") == 0)
+    answer (b, e->id, 200,
+            g_strdup ("{\"hulls\":[{\"sku\":\"g2\",\"vcpus\":12,\"accelerators\":2,\"memory_gb\":"
+                      "96,\"cache_gb\":100,\"fetch_gb_per_s\":0.3,\"hourly\":5.0,\"low_price\":"
+                      "2.0,\"startup_s\":40,\"quarries\":[\"z0\"]}]}"));
+  else if (strcmp (e->path, "/rentals") == 0 || g_str_has_prefix (e->path, "/rentals?"))
+    answer (b, e->id, 503, g_strdup ("{\"error\":\"no capacity\"}"));
+  else
+    answer (b, e->id, 200, g_strdup ("{}"));
+}
+
+/* One step with these commands (taken), then the answers to what it asked for. */
+static void
+step (Bench *b, GPtrArray *commands, int figure, const char *machine)
+{
+  for (int first = 1; commands->len; first = 0) {
+    g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
+    double t = cpu ();
+    hr_core_step (b->core, b->now, 1e9 + b->now, commands, out);
+    t = cpu () - t;
+    Figure *f = &figures[first ? figure : F_ANSWER];
+    f->sum += t;
+    f->most = MAX (f->most, t);
+    f->n += first ? 1 : commands->len;
+    for (guint i = 0; i < out->len; i++) {
+      HrEffect *e = out->pdata[i];
+      if (e->kind == HR_E_CALL)
+        call (b, e);
+      else if (e->kind == HR_E_REPLY && machine && e->status == 200 && first)
+        obey (b, machine, e->body);
+    }
+    g_ptr_array_set_size (commands, 0);
+    for (guint i = 0; i < b->inbox->len; i++)
+      g_ptr_array_add (commands, b->inbox->pdata[i]);
+    g_ptr_array_set_free_func (b->inbox, NULL);
+    g_ptr_array_set_size (b->inbox, 0);
+  }
+}
+
+static void
+request (Bench *b, HrMethod m, const char *path, char *body, int figure, const char *machine)
+{
+  g_autoptr (GPtrArray) q = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  HrCommand *c = hr_command_new (HR_C_REQUEST);
+  static guint64 id;
+  c->id = ++id;
+  c->method = m;
+  c->path = g_strdup (path);
+  c->body = body ? g_bytes_new_take (body, strlen (body)) : NULL;
+  g_ptr_array_add (q, c);
+  step (b, q, figure, machine);
+}
+
+static void
+tick (Bench *b, double dt)
+{
+  g_autoptr (GPtrArray) q = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  b->now += dt;
+  g_ptr_array_add (q, hr_command_new (HR_C_TICK));
+  step (b, q, dt > 0.1 ? F_PASS : F_TICK, NULL);
+}
+
+static char *
+job (guint i, guint *tasks)
+{
+  const char *shape = i % 5 == 0 ? "daemon" : i % 5 < 3 ? "batch" : "ensemble";
+  const char *rank = i % 5 == 0 ? "production" : i % 5 < 3 ? "normal" : "urgent";
+  *tasks = i % 5 == 0 ? 1 + i % 6 : i % 5 < 3 ? 10 + i % 20 : 1u << i % 4;
+  gboolean gang = i % 5 >= 3;
+  return g_strdup_printf (
+      "{\"name_id\":\"job-%06u\",\"jobclass\":\"%s\",\"crew\":\"crew\",\"shape\":\"%s\",\"rank\":"
+      "\"%s\",\"pieces\":%u,\"vcpus\":%d,\"accelerators\":%d,\"memory_gb\":30,\"bundle\":"
+      "\"img-%u\",\"size_gb\":5,\"hulls\":null,\"quarry\":null,\"together\":%s,\"apart\":false,"
+      "\"loaners\":true,\"guess_s\":60,\"cairn_s\":0,\"stash_s\":0,\"due_s\":%s}",
+      i, shape, shape, rank, *tasks, gang ? 10 : 5, gang ? 2 : 1, i % 10, gang ? "true" : "false",
+      gang ? "null" : "150");
+}
+
+static GLogWriterOutput
+silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
+{
+  return G_LOG_WRITER_HANDLED;
+}
+
+int
+main (int argc, char **argv)
+{
+  guint machines = argc > 1 ? (guint)atoi (argv[1]) : 600,
+        jobs = argc > 2 ? (guint)atoi (argv[2]) : 300;
+  Bench b = {.now = 1, .machines = machines, .epoch = 1};
+  HrNames names;
+  HrPolicy pol;
+  g_autoptr (GError) e = NULL;
+  g_autoptr (GHashTable) vars = hr_policy_vars_new ();
+  g_log_set_writer_func (silent, NULL, NULL);
+  b.inbox = g_ptr_array_new ();
+  b.on =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_hash_table_unref);
+  b.log = g_string_new (NULL);
+  hr_names_init (&names);
+  json_t *root = json_loads (
+      "{\"label\":\"c0\",\"area\":\"z0\",\"front\":\"127.0.0.1:1\",\"back\":\"127.0.0.1:2\","
+      "\"outside\":{\"cloud\":\"127.0.0.1:3\",\"state\":\"127.0.0.1:4\"},\"members\":[],\"facts\":"
+      "{\"teams\":[{\"name\":\"crew\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,\"gpus_max\":0}],"
+      "\"objectives\":[],\"workers\":{\"report_s\":2.5,\"lease_s\":14,\"gang_wait_s\":30,"
+      "\"gang_peer_s\":4,\"cancel_s\":36},\"state\":{\"rps\":1e6,\"write_rps\":1e5,\"value_kb\":4,"
+      "\"txn_ops\":12},\"cloud\":{\"rps\":8,\"list_lag_s\":3}}}",
+      0, NULL);
+  HrSettings *set = hr_settings_parse (root, &names, &e);
+  json_decref (root);
+  if (set)
+    hr_core_policy_vars (set, vars);
+  if (!set || !hr_policy_load (SOURCE_ROOT "/deploy/policy.hop", vars, &pol, &e)) {
+    fprintf (stderr, "bench_core: %s\n", e->message);
+    return 1;
+  }
+  b.core = hr_core_new (set, &pol, &names, "bench", 1);
+  for (int i = 0; i < 100; i++)
+    tick (&b, 0.1);
+  guint tasks = 0, all = 0;
+  for (guint round = 0; round < 12; round++) {
+    for (guint i = 0; i < machines; i++) {
+      g_autofree char *name = g_strdup_printf ("m-%06u", i);
+      if (!g_hash_table_contains (b.on, name))
+        g_hash_table_insert (b.on, g_strdup (name),
+                             g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL));
+      request (&b, HR_POST, "/hello", report (&b, name), F_REPORT, name);
+    }
+    for (guint i = round * jobs / 12; i < (round + 1) * jobs / 12; i++) {
+      request (&b, HR_POST, "/v1/jobs", job (i, &tasks), F_SUBMIT, NULL);
+      all += tasks;
+    }
+    for (guint i = 0; i < (round + 1) * jobs / 12; i++) {
+      g_autofree char *path = g_strdup_printf ("/v1/jobs/job-%06u", i);
+      request (&b, HR_GET, path, NULL, F_POLL, NULL);
+    }
+    for (int i = 0; i < 5; i++) {
+      tick (&b, 0.2);
+      tick (&b, 0.01);
+    }
+  }
+  printf ("%u machines, %u jobs, %u tasks; %u changes written\n", machines, jobs, all, b.writes);
+  for (guint i = 0; i < G_N_ELEMENTS (figures); i++)
+    printf ("%-26s %7u times %10.1f us each %10.1f us at most\n", figures[i].name, figures[i].n,
+            1e6 * figures[i].sum / MAX (1, figures[i].n), 1e6 * figures[i].most);
+  return 0;
+}
