Planning pass: one order per job, a budget of trials, no walks over the whole fleet

Lists are sampled by a budget of trials per pass (pass_trials) instead of a count of queued tasks; a gang's sample is the same in each pass, so that its hold lasts. Passes are spaced by the fleet's size.

--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -18,6 +18,7 @@
 typedef struct {
   guint32 rmachine, rsession, rtry; /* as recorded */
   guint32 machine, session, try;    /* as meant: differs while a write is under way */
+  guint32 list;                     /* the machine in whose list it stands, if planned */
   guint8 state;                     /* HrTaskState */
   guint8 rdone;
   guint8 inflight;  /* part of the write that is under way */
@@ -108,6 +109,7 @@
   double alien_cpus, alien_gpus, alien_mem; /* taken by what should not be there */
   double cpus, gpus, mem;                   /* free, as meant */
   double claim_cpus, claim_gpus, claim_mem; /* of that, kept for services */
+  double fixed_cpus, fixed_gpus, fixed_mem; /* taken by services */
   guint32 images[16];                       /* most recent first */
   guint nimages;
   guint errors; /* failures in a row */
@@ -119,7 +121,7 @@
   double tardiness; /* expected, of the list */
   guint late;
   double ready;  /* when the first listed task can start */
-  double begins; /* scratch of one placement: ready, with the image fetch */
+  double begins; /* scratch of one job's placement: ready, with the image fetch */
 } HrMachine;
 
 /* Statistics per class, for estimates and spare room. */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -289,7 +289,8 @@
       break;
     }
   }
-  if (c->leads && c->plan_dirty && now - c->planned_at >= 0.15) {
+  double gap = c->pol.plan_gap_s * (1 + c->fleet->len / 200.0);
+  if (c->leads && c->plan_dirty && now - c->planned_at >= gap) {
     c->plan_dirty = FALSE;
     c->planned_at = now;
     hr_team_waits (c);
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -100,9 +100,9 @@
 static gboolean
 startable (HrCore *c, HrJob *j, HrMachine *m)
 {
-  return m->state == HR_M_UP && m->heard_at > 0 && c->now - m->heard_at < c->pol.silent_s &&
-         c->now >= m->full_until && c->now >= j->retry_at && hr_allowed (c, j, m) &&
-         hr_zone_ok (c, j, m) && hr_machine_fits (m, &j->spec) &&
+  return hr_machine_fits (m, &j->spec) && m->state == HR_M_UP && m->heard_at > 0 &&
+         c->now - m->heard_at < c->pol.silent_s && c->now >= m->full_until &&
+         c->now >= j->retry_at && hr_allowed (c, j, m) && hr_zone_ok (c, j, m) &&
          (j->spec.shape == HR_SERVICE || hr_machine_fits_beside_claims (m, &j->spec));
 }
 
@@ -111,8 +111,7 @@
 {
   if (j->tasks[task].planned) {
     hr_unplan (j, task);
-    for (guint i = 0; i < c->fleet->len; i++)
-      hr_list_remove (c->fleet->pdata[i], (HrRef){j->idx, task});
+    hr_list_remove (c->machines->pdata[j->tasks[task].list], (HrRef){j->idx, task});
   }
   hr_task_assign (c, j, task, m, attempt);
 }
@@ -132,17 +131,31 @@
          (m->gpus + m->cpus * 0.1);
 }
 
+/* Machines that something more may start on; the others need not be looked at. */
+static GPtrArray *
+roomy (HrCore *c)
+{
+  GPtrArray *a = g_ptr_array_sized_new (c->fleet->len);
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (m->state == HR_M_UP && !m->drain && m->cpus - m->alien_cpus > 0)
+      g_ptr_array_add (a, m);
+  }
+  return a;
+}
+
 static void
 start_services (HrCore *c, GPtrArray *services)
 {
+  g_autoptr (GPtrArray) rooms = roomy (c);
   for (guint i = 0; i < services->len; i++) {
     HrJob *j = services->pdata[i];
     for (guint32 k = 0; k < j->ntasks; k++) {
       HrMachine *best = NULL;
       if (j->tasks[k].state != HR_T_IDLE || !hr_team_allows (c, j, 1))
         continue;
-      for (guint n = 0; n < c->fleet->len; n++) {
-        HrMachine *m = c->fleet->pdata[n];
+      for (guint n = 0; n < rooms->len; n++) {
+        HrMachine *m = rooms->pdata[n];
         if (startable (c, j, m) && (!best || service_score (j, m) > service_score (j, best)))
           best = m;
       }
@@ -162,17 +175,13 @@
   g_autofree HrMachine **on = g_new0 (HrMachine *, j->ntasks);
   if (!hr_team_allows (c, j, j->ntasks))
     return FALSE;
-  for (guint i = 0; i < c->fleet->len; i++) {
-    HrMachine *m = c->fleet->pdata[i];
-    for (guint k = 0; k < m->list->len; k++) {
-      HrRef r = g_array_index (m->list, HrRef, k);
-      if (r.job == j->idx && startable (c, j, m))
-        on[r.task] = m;
-    }
-  }
-  for (guint32 i = 0; i < j->ntasks; i++)
-    if (!on[i] || j->tasks[i].state != HR_T_IDLE)
+  for (guint32 i = 0; i < j->ntasks; i++) {
+    if (!j->tasks[i].planned || j->tasks[i].state != HR_T_IDLE)
       return FALSE;
+    on[i] = c->machines->pdata[j->tasks[i].list];
+    if (!startable (c, j, on[i]))
+      return FALSE;
+  }
   guint32 attempt = hr_job_next_try (j);
   for (guint32 i = 0; i < j->ntasks; i++)
     start (c, j, i, on[i], attempt);
@@ -238,12 +247,14 @@
   return a->tasks->len > b->tasks->len;
 }
 
-/* A machine with room takes the earliest-deadline task that fits from any list. */
+/* A machine with room takes the earliest-deadline task that fits from any list.
+ * blocked: by index of the machine. */
 static void
-start_from_any (HrCore *c, const double *blocked)
+start_from_any (HrCore *c, GHashTable *blocked)
 {
+  g_autoptr (GPtrArray) rooms = roomy (c);
   g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (HrRef));
-  for (guint i = 0; i < c->fleet->len; i++) {
+  for (guint i = 0; i < c->fleet->len && rooms->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
     for (guint k = 0; k < m->list->len; k++) {
       HrRef r = g_array_index (m->list, HrRef, k);
@@ -252,21 +263,25 @@
     }
   }
   g_array_sort_with_data (all, by_deadline, c);
+  guint32 without = HR_NONE; /* the job whose last task found no room: nor will the next */
   for (guint i = 0; i < all->len; i++) {
     HrRef r = g_array_index (all, HrRef, i);
     HrJob *j = c->jobs->pdata[r.job];
     HrMachine *best = NULL;
-    if (!hr_team_allows (c, j, 1))
+    if (r.job == without || !hr_team_allows (c, j, 1))
       continue;
-    for (guint k = 0; k < c->fleet->len; k++) {
-      HrMachine *m = c->fleet->pdata[k];
-      if (!startable (c, j, m) || !may_pass (c, j, m, blocked[k]))
+    for (guint k = 0; k < rooms->len; k++) {
+      HrMachine *m = rooms->pdata[k];
+      double *until = g_hash_table_lookup (blocked, m);
+      if (!startable (c, j, m) || (until && !may_pass (c, j, m, *until)))
         continue;
       if (!best || batch_better (c, j, m, best))
         best = m;
     }
     if (best)
       start (c, j, r.task, best, next_try (&j->tasks[r.task]));
+    else
+      without = r.job;
   }
 }
 
@@ -400,25 +415,36 @@
   n->mem -= mem;
 }
 
+/* How far a search has come: rooms only shrink, so the next one for the same goes on
+ * from there. */
+typedef struct {
+  Room *last;
+  int pass;
+  guint i;
+} Cursor;
+
 /* Room that is free, or will be once a boot or a stop has ended. Busy machines
  * first, so that idle ones stay free to go; cheap ones before others. */
 static gboolean
-find_room (HrCore *c, Room *rooms, HrJob *j, double cpus, double gpus, double mem, gboolean spot,
-           guint64 types, gboolean booting_only)
+find_room (HrCore *c, Room *rooms, guint nrooms, Cursor *at, HrJob *j, double cpus, double gpus,
+           double mem, gboolean spot, guint64 types)
 {
-  for (int pass = 0; pass < 4; pass++)
-    for (guint i = 0; i < c->fleet->len; i++) {
-      Room *r = &rooms[i];
+  if (at->last && (!j || hr_zone_ok (c, j, at->last->m)) && room_take (at->last, cpus, gpus, mem))
+    return TRUE;
+  for (; at->pass < 4; at->pass++, at->i = 0)
+    for (; at->i < nrooms; at->i++) {
+      Room *r = &rooms[at->i];
       HrMachine *m = r->m;
-      if ((m->state != HR_M_UP && m->state != HR_M_BOOTING) || m->drain ||
-          (booting_only && m->state != HR_M_BOOTING) || (m->spot && !spot) ||
+      gboolean idle = m->tasks->len == 0 && !r->reserved;
+      if (idle != at->pass / 2 || m->spot != !(at->pass % 2) || (m->spot && !spot) ||
+          (m->state != HR_M_UP && m->state != HR_M_BOOTING) || m->drain ||
           (types && !(types >> m->type & 1)) ||
           (j && (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))))
         continue;
-      gboolean idle = m->tasks->len == 0 && !r->reserved;
-      if (idle != pass / 2 || m->spot != !(pass % 2) || !room_take (r, cpus, gpus, mem))
+      if (!room_take (r, cpus, gpus, mem))
         continue;
       r->reserved = TRUE;
+      at->last = r;
       return TRUE;
     }
   return FALSE;
@@ -456,18 +482,29 @@
 }
 
 static void
-keep_headroom (HrCore *c, Room *rooms, GArray *needs)
+keep_headroom (HrCore *c, Room *rooms, guint nrooms, GArray *needs)
 {
   for (guint k = 0; k < c->classes->len; k++) {
     HrClassStat *s = &g_array_index (c->classes, HrClassStat, k);
+    Cursor at = {0};
     for (guint n = hr_headroom (c, k); n > 0; n--)
-      if (!find_room (c, rooms, NULL, s->cpus, s->gpus, s->mem, s->spot, s->types, FALSE))
+      if (!find_room (c, rooms, nrooms, &at, NULL, s->cpus, s->gpus, s->mem, s->spot, s->types))
         need_one (c, needs, s->types, HR_NONE, s->spot, s->cpus, s->gpus, s->mem);
   }
 }
 
+/* What is short of room gets it on a machine that boots, or on one to be rented. */
+static void
+need_task (HrCore *c, Room *rooms, guint booting, Cursor *at, GArray *needs, HrJob *j)
+{
+  const HrJobSpec *s = &j->spec;
+  if (!find_room (c, rooms, booting, at, j, s->cpus, s->gpus, s->mem, s->spot, s->types))
+    need_one (c, needs, s->types, s->zone, s->spot, s->cpus, s->gpus, s->mem);
+}
+
+/* booting: how many rooms, the first ones, are on machines that boot. */
 static void
-rent_for_lists (HrCore *c, Room *rooms, GArray *needs)
+rent_for_lists (HrCore *c, Room *rooms, guint booting, GArray *needs)
 {
   double boot = boot_time (c) * c->pol.rent_slack;
   for (guint i = 0; i < c->fleet->len; i++) {
@@ -483,11 +520,12 @@
       /* A machine is rented where it would start the task sooner, and the plan is late. */
       if (starts[k] - c->now <= boot || (end <= j->deadline && j->spec.shape != HR_GANG))
         continue;
-      if (j->spec.shape != HR_GANG && find_room (c, rooms, j, j->spec.cpus, j->spec.gpus,
-                                                 j->spec.mem, j->spec.spot, j->spec.types, TRUE))
-        continue;
-      need_one (c, needs, j->spec.types, j->spec.zone, j->spec.spot, j->spec.cpus, j->spec.gpus,
-                j->spec.mem);
+      Cursor at = {0};
+      if (j->spec.shape != HR_GANG)
+        need_task (c, rooms, booting, &at, needs, j);
+      else
+        need_one (c, needs, j->spec.types, j->spec.zone, j->spec.spot, j->spec.cpus, j->spec.gpus,
+                  j->spec.mem);
     }
   }
   /* And for what found no list at all. */
@@ -497,20 +535,18 @@
     if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
         j->retry_at > c->now || !hr_team_allows (c, j, 1))
       continue;
+    Cursor at = {0};
     for (gint k = 0; k < MIN (left, 200); k++)
-      if (!find_room (c, rooms, j, j->spec.cpus, j->spec.gpus, j->spec.mem, j->spec.spot,
-                      j->spec.types, TRUE))
-        need_one (c, needs, j->spec.types, j->spec.zone, j->spec.spot, j->spec.cpus, j->spec.gpus,
-                  j->spec.mem);
+      need_task (c, rooms, booting, &at, needs, j);
   }
 }
 
 static void
-return_idle (HrCore *c, Room *rooms)
+return_idle (HrCore *c, Room *rooms, guint n)
 {
   g_autoptr (GPtrArray) away = g_ptr_array_new ();
-  for (guint i = 0; i < c->fleet->len; i++) {
-    HrMachine *m = c->fleet->pdata[i];
+  for (guint i = 0; i < n; i++) {
+    HrMachine *m = rooms[i].m;
     if (m->state != HR_M_UP || m->tasks->len || m->list->len)
       continue;
     if (m->drain || (!rooms[i].reserved && m->idle_at && c->now - m->idle_at > c->pol.idle_s))
@@ -546,46 +582,52 @@
   g_ptr_array_sort (services, by_rank);
   start_services (c, services);
   guint n = c->fleet->len;
-  g_autofree double *blocked = g_new (double, n + 1);
+  g_autoptr (GHashTable) blocked =
+      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   for (guint i = 0; i < n; i++) {
     HrMachine *m = c->fleet->pdata[i];
-    blocked[i] = m->state == HR_M_UP ? start_list (c, m) : INFINITY;
+    double until = m->state == HR_M_UP && m->list->len ? start_list (c, m) : INFINITY;
+    if (isfinite (until))
+      g_hash_table_insert (blocked, m, g_memdup2 (&until, sizeof until));
   }
   start_from_any (c, blocked);
 
+  /* Machines that boot come first. */
   g_autofree Room *rooms = g_new0 (Room, n + 1);
-  for (guint i = 0; i < n; i++) {
+  guint booting = 0;
+  for (guint i = 0, up = n; i < n; i++) {
     HrMachine *m = c->fleet->pdata[i];
-    rooms[i] = (Room){m, m->cpus, m->gpus, m->mem, FALSE};
+    Room *r = &rooms[m->state == HR_M_BOOTING ? booting++ : --up];
+    *r = (Room){m, m->cpus, m->gpus, m->mem, FALSE};
     for (guint k = 0; k < m->tasks->len; k++) {
-      HrRef r = g_array_index (m->tasks, HrRef, k);
-      HrJob *j = c->jobs->pdata[r.job];
-      if (j->tasks[r.task].kill) {
-        rooms[i].cpus += j->spec.cpus;
-        rooms[i].gpus += j->spec.gpus;
-        rooms[i].mem += j->spec.mem;
+      HrRef x = g_array_index (m->tasks, HrRef, k);
+      HrJob *j = c->jobs->pdata[x.job];
+      if (j->tasks[x.task].kill) {
+        r->cpus += j->spec.cpus;
+        r->gpus += j->spec.gpus;
+        r->mem += j->spec.mem;
       }
     }
   }
   g_autoptr (GArray) needs = g_array_new (FALSE, TRUE, sizeof (Need));
   for (guint i = 0; i < services->len; i++) {
     HrJob *j = services->pdata[i];
+    Cursor at = {0};
+    gboolean room = TRUE;
     for (guint32 k = 0; k < j->ntasks; k++) {
       if (j->tasks[k].state != HR_T_IDLE || j->retry_at > c->now || !hr_team_allows (c, j, 1))
         continue;
-      const HrJobSpec *s = &j->spec;
-      if (preempt (c, j, rooms))
-        continue;
-      if (!find_room (c, rooms, j, s->cpus, s->gpus, s->mem, s->spot, s->types, TRUE))
-        need_one (c, needs, s->types, s->zone, s->spot, s->cpus, s->gpus, s->mem);
+      room = room && preempt (c, j, rooms);
+      if (!room)
+        need_task (c, rooms, booting, &at, needs, j);
     }
   }
-  keep_headroom (c, rooms, needs);
-  rent_for_lists (c, rooms, needs);
+  keep_headroom (c, rooms, n, needs);
+  rent_for_lists (c, rooms, booting, needs);
   g_array_set_size (c->wants, 0);
   for (guint i = 0; i < needs->len; i++) {
     Need *x = &g_array_index (needs, Need, i);
     hr_fleet_want (c, x->type, x->zone, x->spot, x->machines);
   }
-  return_idle (c, rooms);
+  return_idle (c, rooms, n);
 }
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -158,6 +158,9 @@
   HrJob *j = job_of (c, r);
   guint at = slot_of (c, m, j);
   g_array_insert_val (m->list, at, r);
+  j->planned += !j->tasks[r.task].planned;
+  j->tasks[r.task].planned = 1;
+  j->tasks[r.task].list = m->idx;
 }
 
 void
@@ -169,6 +172,18 @@
   j->planned--;
 }
 
+/* For the projected starts of a list; the owner of all state is a single thread. */
+static double *
+scratch (guint n)
+{
+  static GArray *a;
+  if (!a)
+    a = g_array_new (FALSE, FALSE, sizeof (double));
+  if (a->len < n)
+    g_array_set_size (a, n);
+  return (double *)a->data;
+}
+
 void
 hr_list_remove (HrMachine *m, HrRef r)
 {
@@ -225,7 +240,7 @@
   double tard = m->tardiness, ready = m->ready;
   guint at = slot_of (c, m, job_of (c, r));
   g_array_insert_val (m->list, at, r);
-  g_autofree double *starts = g_new (double, m->list->len);
+  double *starts = scratch (m->list->len);
   hr_project (c, m, starts);
   *start = starts[at];
   Judge d = {m->late - late, m->tardiness - tard};
@@ -258,27 +273,56 @@
   return !j->spec.spread || here < (j->ntasks + 1) / 2;
 }
 
+/* The lists that may take the job's tasks, earliest-starting first. */
+static GPtrArray *
+order_for (HrCore *c, GPtrArray *lists, HrJob *j)
+{
+  GPtrArray *order = g_ptr_array_sized_new (lists->len);
+  for (guint k = 0; k < lists->len; k++) {
+    HrMachine *m = lists->pdata[k];
+    if (!hr_allowed (c, j, m))
+      continue;
+    m->begins = floor (m->ready + fetch_time (c, j, m));
+    g_ptr_array_add (order, m);
+  }
+  g_ptr_array_sort_with_data (order, by_ready, NULL);
+  return order;
+}
+
+/* One list of the order has got a task more: it moves to where it belongs now. */
+static void
+reorder (HrCore *c, GPtrArray *order, guint at, HrJob *j)
+{
+  HrMachine *m = order->pdata[at];
+  m->begins = floor (m->ready + fetch_time (c, j, m));
+  for (; at + 1 < order->len && by_ready (&order->pdata[at], &order->pdata[at + 1], NULL) > 0;
+       at++) {
+    order->pdata[at] = order->pdata[at + 1];
+    order->pdata[at + 1] = m;
+  }
+  for (; at > 0 && by_ready (&order->pdata[at], &order->pdata[at - 1], NULL) < 0; at--) {
+    order->pdata[at] = order->pdata[at - 1];
+    order->pdata[at - 1] = m;
+  }
+}
+
 static gboolean
 mtedf_task (HrCore *c, GPtrArray *order, HrJob *j, guint32 task, guint tries)
 {
   HrRef r = {j->idx, task};
-  HrMachine *best = NULL;
+  guint best = HR_NONE;
   Judge bj = {G_MAXUINT, INFINITY};
   double bs = INFINITY;
+  /* When far more is queued than runs, a sample of the lists must do: half of it the
+   * earliest ones, the other half drawn from the rest. */
+  guint sure = tries < order->len ? (tries + 1) / 2 : order->len;
+  double share = order->len > sure ? (double)(tries - sure) / (order->len - sure) : 1;
   for (guint k = 0; k < order->len; k++) {
     HrMachine *m = order->pdata[k];
-    m->begins = floor (m->ready + fetch_time (c, j, m));
-  }
-  g_ptr_array_sort_with_data (order, by_ready, NULL);
-  /* When far more is queued than runs, a sample of the lists must do: the
-   * earliest ones, and some drawn from the rest. */
-  for (guint k = 0; k < order->len && tries > 0; k++) {
-    HrMachine *m = order->pdata[k];
-    if (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))
+    if (k >= sure && g_rand_double (c->rand) >= share)
       continue;
-    if (k > tries && g_rand_int_range (c->rand, 0, order->len) > (gint)tries)
+    if (!hr_zone_ok (c, j, m))
       continue;
-    tries--;
     double start;
     Judge d = try_list (c, m, r, &start);
     if (start > c->now + 1e5)
@@ -287,24 +331,43 @@
     if (better (d, bj) || (!better (bj, d) && start < bs - 1e-6)) {
       bj = d;
       bs = start;
-      best = m;
+      best = k;
     }
     if (d.late == 0 && d.tard <= 0)
       break; /* no tardiness: the paper stops here */
   }
-  if (!best)
+  if (best == HR_NONE)
     return FALSE;
-  list_insert (c, best, r);
-  hr_project (c, best, NULL);
-  j->tasks[task].planned = 1;
-  j->planned++;
+  HrMachine *m = order->pdata[best];
+  list_insert (c, m, r);
+  hr_project (c, m, NULL);
+  reorder (c, order, best, j);
   return TRUE;
 }
 
+/* A gang's sample is the same in each pass: the hold on its machines has to last until
+ * the last of them is free. */
+static gboolean
+sampled (const HrJob *j, const HrMachine *m, guint tries, guint lists)
+{
+  guint32 h = (j->idx + 1) * 0x9e3779b9u ^ (m->idx + 1) * 0x85ebca6bu;
+  h = (h ^ h >> 15) * 0xc2b2ae35u;
+  return tries >= lists || (h ^ h >> 16) / 4294967296.0 * lists < tries;
+}
+
+/* Could it fit there once all but services is gone? */
+static gboolean
+may_free (HrCore *c, const HrMachine *m, const HrJobSpec *s)
+{
+  const HrType *t = hr_type (c, m);
+  return s->cpus <= t->cpus - m->fixed_cpus + 1e-6 && s->gpus <= t->gpus - m->fixed_gpus + 1e-6 &&
+         s->mem <= t->mem - m->fixed_mem + 1e-6;
+}
+
 /* A gang takes one slot in each chosen list, with a common start: the machines
  * that can have it soonest, within one zone where the job asks for that. */
 static void
-mtedf_gang (HrCore *c, GPtrArray *order, HrJob *j)
+mtedf_gang (HrCore *c, GPtrArray *order, HrJob *j, guint tries)
 {
   g_autoptr (GArray) pick = NULL;
   double common = INFINITY, soonest = INFINITY;
@@ -312,13 +375,20 @@
   j->gang_start = 0;
   g_autofree double *start = g_new (double, order->len + 1),
                     *fetch = g_new (double, order->len + 1);
+  g_autofree gboolean *used = g_new0 (gboolean, order->len + 1);
   for (guint k = 0; k < order->len; k++) {
     HrMachine *m = order->pdata[k];
     HrRef r = {j->idx, 0};
     start[k] = INFINITY;
+    if (!hr_allowed (c, j, m))
+      continue;
     fetch[k] = fetch_time (c, j, m);
-    if (hr_allowed (c, j, m))
+    if (!m->tasks->len && !m->list->len && hr_machine_fits_beside_claims (m, &j->spec))
+      start[k] = m->ready; /* nothing to project */
+    else if (sampled (j, m, tries, order->len) && may_free (c, m, &j->spec))
       try_list (c, m, r, &start[k]);
+    else
+      continue;
     /* Waiting for others to end is less sure than fetching: it counts double. */
     fetch[k] += MAX (0, start[k] - c->now);
   }
@@ -329,10 +399,7 @@
       guint best = HR_NONE;
       for (guint k = 0; k < order->len; k++) {
         HrMachine *m = order->pdata[k];
-        gboolean used = FALSE;
-        for (guint i = 0; i < got->len; i++)
-          used |= g_array_index (got, guint, i) == k;
-        if (used || start[k] > c->now + 1e5 || (j->spec.one_zone && m->zone != z))
+        if (used[k] || start[k] > c->now + 1e5 || (j->spec.one_zone && m->zone != z))
           continue;
         if (best == HR_NONE || start[k] + fetch[k] < start[best] + fetch[best])
           best = k;
@@ -340,6 +407,7 @@
       if (best == HR_NONE)
         break;
       last = MAX (last, start[best]);
+      used[best] = TRUE; /* each zone has machines of its own */
       g_array_append_val (got, best);
     }
     double begins = last;
@@ -362,8 +430,6 @@
     HrRef r = {j->idx, i};
     list_insert (c, m, r);
     hr_project (c, m, NULL);
-    j->tasks[i].planned = 1;
-    j->planned++;
   }
 }
 
@@ -403,7 +469,7 @@
       return;
     HrMachine *a = lists->pdata[hi];
     /* The most tardy job of the tardiest list. Gangs stay: their slots hang together. */
-    g_autofree double *starts = g_new (double, a->list->len);
+    double *starts = scratch (a->list->len);
     hr_project (c, a, starts);
     HrRef pick = {HR_NONE, 0};
     double worst = 0;
@@ -482,6 +548,15 @@
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
     m->claim_cpus = m->claim_gpus = m->claim_mem = 0;
+    m->fixed_cpus = m->fixed_gpus = m->fixed_mem = 0;
+    for (guint k = 0; k < m->tasks->len; k++) {
+      const HrJobSpec *s = &job_of (c, g_array_index (m->tasks, HrRef, k))->spec;
+      if (s->shape != HR_SERVICE)
+        continue;
+      m->fixed_cpus += s->cpus;
+      m->fixed_gpus += s->gpus;
+      m->fixed_mem += s->mem;
+    }
   }
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
@@ -553,7 +628,6 @@
       hr_project (c, m, NULL);
       g_ptr_array_add (lists, m);
     }
-    queued += m->list->len;
   }
   g_autoptr (GPtrArray) fresh = g_ptr_array_new ();
   for (guint i = 0; i < c->open->len;) {
@@ -569,24 +643,31 @@
     if (j->stance == HR_QUEUED && j->spec.shape != HR_SERVICE && !j->gang_over &&
         j->retry_at <= c->now && hr_team_allows (c, j, 1) && j->nlive + j->ndone < j->ntasks) {
       g_ptr_array_add (fresh, j);
-      queued += j->ntasks - j->nlive - j->ndone - j->planned;
+      guint left = j->ntasks - j->nlive - j->ndone - j->planned;
+      queued += j->spec.shape == HR_GANG ? 1 : MIN (left, WINDOW);
     }
   }
   g_ptr_array_sort (fresh, by_deadline);
-  guint tries = queued > c->pol.sample_above ? (guint)c->pol.sample_lists : G_MAXUINT;
+  /* Trials are what a pass costs: with more to place, each task gets fewer. */
+  guint tries = MAX (c->pol.sample_lists, c->pol.pass_trials / MAX (1, queued));
   for (guint i = 0; i < fresh->len; i++) {
     HrJob *j = fresh->pdata[i];
     if (j->spec.shape == HR_GANG) {
       if (j->nlive == 0)
-        mtedf_gang (c, lists, j);
+        mtedf_gang (c, lists, j, MAX (tries, 2 * j->ntasks));
       continue;
     }
-    for (guint32 k = 0; k < j->ntasks && j->planned < WINDOW; k++)
-      if (j->tasks[k].state == HR_T_IDLE && !j->tasks[k].planned &&
-          !mtedf_task (c, lists, j, k, tries)) {
+    g_autoptr (GPtrArray) order = NULL;
+    for (guint32 k = 0; k < j->ntasks && j->planned < WINDOW; k++) {
+      if (j->tasks[k].state != HR_T_IDLE || j->tasks[k].planned)
+        continue;
+      if (!order)
+        order = order_for (c, lists, j);
+      if (!mtedf_task (c, order, j, k, tries)) {
         j->part = HR_NONE; /* its part cannot hold it after all: any list may */
         break;
       }
+    }
   }
   tabu_search (c, lists);
 }
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -15,8 +15,9 @@
   X (tabu_rounds, 0, 100000, "rounds of tabu search in one pass")                                  \
   X (tabu_jobs, 0, 100000, "length of the list of tabu jobs")                                      \
   X (default_deadline, 0.1, 1000, "deadline of a job without one, in estimates after arrival")     \
-  X (sample_lists, 1, 100000, "machine lists tried for one task when overloaded")                  \
-  X (sample_above, 1, 1e6, "queued tasks above which machine lists are sampled")                   \
+  X (sample_lists, 1, 100000, "least number of lists tried for one task")                  \
+  X (pass_trials, 1, 1e9, "trial placements in one planning pass; above, lists are sampled")       \
+  X (plan_gap_s, 0.01, 60, "least time between planning passes; grows with the fleet")           \
   X (headroom_base, 0, 1000, "spare service tasks always kept room for")                           \
   X (headroom_boots, 0, 100, "boot times of service arrivals kept room for")                       \
   X (headroom_waits, 0, 100, "the same for other classes whose start is an aim")                   \
