--- a/src/bookkeeping/absence.c
+++ b/src/bookkeeping/absence.c
@@ -75,26 +75,40 @@
   return MAX (m->heard_at, c->led_at);
 }
 
+static gboolean
+deaf_now (const HrCore *c, const HrMachine *m)
+{
+  return m->deaf_at > 0 && c->now - m->deaf_at < c->set->lease_s;
+}
+
 void
 hr_absence_tick (HrCore *c)
 {
   if (!c->leads)
     return;
-  guint up = 0, silent = 0;
+  guint up = 0, silent = 0, deaf = 0;
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
     if (m->state != HR_M_UP)
       continue;
     up++;
     silent += c->now - last_heard (c, m) > c->pol.silent_s;
+    deaf += deaf_now (c, m);
+  }
+  if (deaf > 2 && deaf > c->pol.silent_share * up) {
+    hr_leader_abdicate (c, "what this node answers reaches few workers");
+    return;
   }
   /* When many fall silent at once it is more likely us than them. */
   gboolean us = silent > 2 && silent > c->pol.silent_share * up;
-  /* A new owner lets workers find it first. */
-  gboolean early = c->now - c->led_at < c->pol.silent_s + 6;
+  /* A new owner lets workers find it first; so does one that was cut off itself, or
+   * it would return every machine that the same cut kept from it. */
+  gboolean early = c->now - MAX (c->led_at, c->served_since) < c->pol.silent_s + 6;
   g_autoptr (GPtrArray) fleet = g_ptr_array_copy (c->fleet, NULL, NULL);
   for (guint i = 0; i < fleet->len; i++) {
     HrMachine *m = fleet->pdata[i];
+    if (m->state == HR_M_UP && deaf_now (c, m))
+      hr_fleet_delete (c, m, "it reports, but what it is told does not reach it");
     if (m->state != HR_M_UP || c->now - last_heard (c, m) <= c->pol.silent_s)
       continue;
     if (hr_absence_lease_over (c, m) && m->tasks->len)
--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -7,6 +7,8 @@
 
 #define PREFIX "h/"
 #define READ_TIMEOUT 2.0
+/* Readings come every second; after a longer gap this node was not served. */
+#define UNSERVED_S 4.0
 
 static void
 applied_map (HrCore *c, const json_t *v, guint64 stamp)
@@ -275,6 +277,8 @@
   /* 429 says that the service is there, only busy. */
   store_answered (c, ok || status == 429 || status == 410);
   if (ok) {
+    if (sent - c->confirmed_at > UNSERVED_S)
+      c->served_since = c->now;
     c->confirmed_at = MAX (c->confirmed_at, sent);
     c->synced_once = TRUE;
   }
@@ -318,8 +322,10 @@
   }
   if (c->sync != HR_SYNC_FOLLOWING)
     return;
-  /* Readings are spaced so that three members stay well within the service's limit. */
-  double gap = c->waiters->len ? 6.0 / c->set->state_rps : c->store_down ? 0.5 : 1.0;
+  /* All members together take half of the service's allowance for readings. */
+  double gap = c->waiters->len ? 2.0 * (c->set->members->len + 1) / c->set->state_rps
+               : c->store_down ? 0.5
+                               : 1.0;
   if (!c->reading && c->now - c->read_sent >= gap) {
     GArray *t = c->waiters_now;
     c->waiters_now = c->waiters;
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -91,11 +91,14 @@
   gboolean spot;
   guint32 session;
   guint64 seq, token;
-  double rented_at;   /* steady time, by our clock */
-  double heard_at;    /* last report; 0: none to this owner */
-  double answered_at; /* last 200 to a report; 0: none */
-  double idle_at;     /* without tasks since; 0: busy */
-  double notice_at;   /* when the cloud takes it; 0: no notice */
+  double seq_at;        /* when the message with that seq came */
+  double deaf_at;       /* when it showed that our answers do not reach it; 0: it did not */
+  gboolean rented_here; /* by this very process */
+  double rented_at;     /* steady time, by our clock */
+  double heard_at;      /* last report; 0: none to this owner */
+  double answered_at;   /* last 200 to a report; 0: none */
+  double idle_at;       /* without tasks since; 0: busy */
+  double notice_at;     /* when the cloud takes it; 0: no notice */
   gboolean drain;
   guint64 reply_launch; /* seq of the report whose answer held a launch; 0: none pending */
   guint do_out;         /* direct calls without an answer yet */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -197,6 +197,7 @@
         continue; /* it may have reported before this answer came */
       hr_machine_describe (m, hr_type_by_name (c, r->type), r->zone, r->spot);
       m->state = HR_M_BOOTING;
+      m->rented_here = TRUE;
       m->rented_at = sent;
       g_ptr_array_add (c->fleet, m);
     }
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -7,10 +7,39 @@
 
 #define CONTACT_WINDOW 6.0
 
+static gboolean
+peer_fresh (const HrCore *c, const HrPeerView *p)
+{
+  return c->now - p->at < 3.5;
+}
+
+/* A node that hears no other cannot tell an outage from a cut of its own. It takes it
+ * for a cut: not ready, so that users go elsewhere, and soon silent to workers. */
+gboolean
+hr_leader_outage_for_all (const HrCore *c)
+{
+  gboolean heard = c->set->members->len == 0;
+  for (guint i = 0; i < c->peers->len; i++) {
+    const HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
+    if (!peer_fresh (c, p))
+      continue;
+    heard = TRUE;
+    if (p->hint.store_served)
+      return FALSE;
+  }
+  return heard;
+}
+
+/* hold_s bounds how long an owner may answer without a reading. One that is cut off
+ * from members and state service alike stops sooner: another leads by then, and while
+ * its workers still hear us they do not look for that one. */
 gboolean
 hr_leader_may_answer (const HrCore *c)
 {
-  return c->leads && c->now - c->confirmed_at <= c->pol.hold_s;
+  double hold = c->pol.hold_s;
+  if (!hr_leader_outage_for_all (c))
+    hold = MIN (hold, c->pol.alone_s);
+  return c->leads && c->now - c->confirmed_at <= hold;
 }
 
 static void
@@ -95,12 +124,6 @@
     c->claim = 0; /* the key is gone with it; we may stand again */
 }
 
-static gboolean
-peer_fresh (const HrCore *c, const HrPeerView *p)
-{
-  return c->now - p->at < 3.5;
-}
-
 static void
 consider_standing (HrCore *c)
 {
@@ -160,6 +183,12 @@
   return MAX (c->contact_count, c->contact_last);
 }
 
+static gboolean
+could_lead (const HrCore *c, const HrPeerView *p)
+{
+  return peer_fresh (c, p) && p->hint.store_served;
+}
+
 /* A leader that hears no worker while others do stands back. */
 static void
 consider_abdicating (HrCore *c)
@@ -172,18 +201,28 @@
   }
   for (guint i = 0; i < c->peers->len; i++) {
     HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
-    if (peer_fresh (c, p) && p->hint.store_served)
+    if (could_lead (c, p))
       elsewhere = MAX (elsewhere, p->hint.contacts);
   }
-  if (up < 2 || heard || elsewhere < 2 || c->now - c->led_at < 2 * CONTACT_WINDOW)
-    return;
+  if (up >= 2 && !heard && elsewhere >= 2 && c->now - c->led_at >= 2 * CONTACT_WINDOW)
+    hr_leader_abdicate (c, "no worker reaches this node, others are reached");
+}
+
+void
+hr_leader_abdicate (HrCore *c, const char *why)
+{
+  gboolean other = FALSE;
+  for (guint i = 0; i < c->peers->len; i++)
+    other |= could_lead (c, &g_array_index (c->peers, HrPeerView, i));
+  if (!other)
+    return; /* better a poor leader than none */
   c->abstain_until = c->now + 15;
   c->fenced = c->baton;
   if (c->claim)
     hr_call (c, HR_TO_STORE, NULL, HR_DELETE,
              g_strdup_printf ("/leases/%" G_GUINT64_FORMAT, c->claim), NULL, 2, on_touch, NULL);
   c->claim = 0;
-  hr_leader_step_down (c, "no worker reaches this node, others are reached");
+  hr_leader_step_down (c, why);
 }
 
 static void
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -75,6 +75,7 @@
   double watch_not_before;
   GArray *waiters, *waiters_now;  /* HrWaiter */
   double read_sent, confirmed_at; /* confirmed_at: when the last good reading was sent */
+  double served_since;            /* the state service answers us without a gap */
   double sync_retry_at;
   gboolean store_down;
   guint store_fails;
@@ -174,8 +175,12 @@
 void hr_leader_tick (HrCore *c);
 void hr_leader_map_read (HrCore *c);
 void hr_leader_step_down (HrCore *c, const char *why);
+/* Gives the leader's key back and leaves it to others for a while. */
+void hr_leader_abdicate (HrCore *c, const char *why);
 void hr_leader_hint (HrCore *c, const HrHint *h);
 gboolean hr_leader_may_answer (const HrCore *c);
+/* As far as other members say, the state service answers none of us. */
+gboolean hr_leader_outage_for_all (const HrCore *c);
 void hr_leader_raise (HrCore *c, const char *why);
 
 /* users.c */
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -279,15 +279,10 @@
 static void
 ready (HrCore *c, HrCommand *cmd)
 {
-  gboolean others = FALSE;
-  for (guint i = 0; i < c->peers->len; i++) {
-    HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
-    others |= c->now - p->at < 3.5 && p->hint.store_served;
-  }
   if (!c->types || !c->synced_once)
     hr_refuse (c, cmd->id, 503, 1, "still reading the ledger and the machine types");
-  else if (c->now - c->confirmed_at > 4 && others)
-    hr_refuse (c, cmd->id, 503, 1, "the state service answers other nodes, but not this one");
+  else if (c->now - c->confirmed_at > 4 && !hr_leader_outage_for_all (c))
+    hr_refuse (c, cmd->id, 503, 1, "the state service does not answer this node");
   else
     hr_reply (c, cmd->id, 200, json_pack ("{sb}", "ready", 1), 0);
 }
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -237,13 +237,19 @@
   }
   json_t *orders = json_array ();
   if (r->session == m->session && r->seq <= m->seq) {
-    /* Overtaken by a newer list, of an answer to /do perhaps: nothing in it counts. */
-    m->answered_at = c->now;
+    /* Overtaken by a newer list, of an answer to /do perhaps, or a late copy: nothing in
+     * it counts. Should the worker still wait for this answer, its lease counts from when
+     * it sent the report, which was before the newer list came to us. */
+    m->answered_at = MAX (m->answered_at, m->seq_at);
     hr_reply (c, cmd->id, 200,
               json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders), 0);
     return;
   }
   if (r->session > m->session) {
+    /* A session that ends within a lease of our answer shows that the answer was not
+     * received: reports come from there, but nothing that we say arrives. */
+    if (m->answered_at && c->now - m->answered_at < c->set->lease_s - 1)
+      m->deaf_at = c->now;
     m->reply_launch = m->do_lost = 0; /* orders of the old session are void */
     m->session = r->session;
     g_array_set_size (m->direct, 0);
@@ -251,10 +257,20 @@
   /* Not only when the session moves on: a new owner may know the session from
    * before, and read older ones in the records. */
   hr_absence_sessions (c, m, m->session - 1, "its worker is in a later session");
+  m->seq = r->seq;
+  m->seq_at = c->now;
+  m->token = MAX (m->token, r->token);
+  if (r->token < c->led_baton && !(m->state == HR_M_BOOTING && m->rented_here)) {
+    /* Sent before the worker heard from this owner, how long ago nobody knows: it may be
+     * a late copy of a machine that is gone. Only its order counts. A worker that is
+     * there gets our token now, and reports again at once because of it. */
+    m->answered_at = c->now;
+    hr_reply (c, cmd->id, 200,
+              json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders), 0);
+    return;
+  }
   if (m->state != HR_M_UP || !m->heard_at)
     adopt (c, m);
-  m->seq = r->seq;
-  m->token = r->token;
   m->heard_at = c->now;
   if (r->seq > m->reply_launch)
     m->reply_launch = 0;
@@ -297,6 +313,7 @@
       r->seq <= m->seq)
     return;
   m->seq = r->seq;
+  m->seq_at = c->now;
   m->token = MAX (m->token, r->token);
   json_t *orders = json_array ();
   take_items (c, m, r, FALSE, orders); /* its orders go out with the next report's answer */
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -7,6 +7,7 @@
 #define HR_POLICY_TUNABLES(X)                                                                      \
   X (leader_lease_s, 1, 60, "life of the leader's key in the state service")                       \
   X (hold_s, 0.5, 3600, "how long an owner without a confirmed map reading keeps answering")       \
+  X (alone_s, 0.5, 3600, "the same for an owner that hears of no outage from any other member")    \
   X (lease_margin_s, 0.1, 60, "added to every worker lease before it counts as over")              \
   X (silent_s, 1, 3600, "silence after which a machine's tasks are moved")                         \
   X (silent_share, 0, 1, "more silent machines than this share: blame the network, delete none")   \
@@ -15,9 +16,9 @@
   X (tabu_rounds, 0, 100000, "rounds of tabu search in one pass")                                  \
   X (tabu_jobs, 0, 100000, "length of the list of tabu jobs")                                      \
   X (default_deadline, 0.1, 1000, "deadline of a job without one, in estimates after arrival")     \
-  X (sample_lists, 1, 100000, "least number of lists tried for one task")                  \
+  X (sample_lists, 1, 100000, "least number of lists tried for one task")                          \
   X (pass_trials, 1, 1e9, "trial placements in one planning pass; above, lists are sampled")       \
-  X (plan_gap_s, 0.01, 60, "least time between planning passes; grows with the fleet")           \
+  X (plan_gap_s, 0.01, 60, "least time between planning passes; grows with the fleet")             \
   X (headroom_base, 0, 1000, "spare service tasks always kept room for")                           \
   X (headroom_boots, 0, 100, "boot times of service arrivals kept room for")                       \
   X (headroom_waits, 0, 100, "the same for other classes whose start is an aim")                   \
