--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -36,8 +36,23 @@
   if (v) {
     c->leader_label = g_strdup (hr_json_str (v, "o"));
     c->leader_inc = g_strdup (hr_json_str (v, "i"));
-  } else /* jitter, so that the members do not all try in the same instant */
-    c->elect_at = c->now + g_rand_double_range (c->rand, 0, 0.4);
+  } else { /* jitter, so that the members do not all try in the same instant */
+    c->elect_at = c->leads ? c->now : c->now + g_rand_double_range (c->rand, 0, 0.4);
+    c->leaderless_at = c->now;
+  }
+}
+
+/* Where tasks of the job were placed its image is cached, soon: whoever leads next knows
+ * that only from here, since reports do not tell it. */
+static void
+note_images (HrCore *c, HrJob *j, guint32 from, guint32 n)
+{
+  for (guint32 i = from; i < MIN (from + n, j->ntasks); i++) {
+    guint32 m = j->tasks[i].rmachine;
+    if (m != HR_NONE && !j->tasks[i].rdone)
+      hr_machine_touch_image (hr_machine_get (c, hr_intern_name (&c->machine_ids, m)),
+                              j->spec.image);
+  }
 }
 
 gboolean
@@ -75,8 +90,11 @@
     j->submitted = r.submitted;
   }
   /* The owner alone changes tasks; what others write leaves them as they were. */
-  if (!r.per_page && r.tasks && (!c->leads || fresh))
-    hr_record_tasks (j, 0, r.tasks, &c->machine_ids);
+  if (!r.per_page && r.tasks && (!c->leads || fresh)) {
+    if (!hr_record_tasks (j, 0, r.tasks, &c->machine_ids))
+      g_warning ("%s: the tasks in its record make no sense", j->id);
+    note_images (c, j, 0, j->ntasks);
+  }
   if (!r.per_page)
     j->pages[0].stamp = stamp;
   HrStance before = j->stance;
@@ -106,8 +124,11 @@
     return;
   }
   p->stamp = stamp;
-  if (!c->leads)
-    hr_record_tasks (j, n * j->per_page, json_object_get (v, "x"), &c->machine_ids);
+  if (!c->leads) {
+    if (!hr_record_tasks (j, n * j->per_page, json_object_get (v, "x"), &c->machine_ids))
+      g_warning ("%s: page %u of its record makes no sense", j->id, (guint)n);
+    note_images (c, j, n * j->per_page, j->per_page);
+  }
 }
 
 static void
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -122,13 +122,12 @@
   return MAX (t->try, t->rtry) + 1;
 }
 
-/* Fuller machines first, so that others fall empty and can be returned; a cached
- * image before that. */
+/* The sooner its image is there the better; then fuller machines first, so that others
+ * fall empty and can be returned. */
 static double
-service_score (const HrJob *j, const HrMachine *m)
+service_score (const HrCore *c, const HrJob *j, const HrMachine *m)
 {
-  return (hr_machine_has_image (m, j->spec.image) ? 100 : 0) + m->tasks->len * 10 -
-         (m->gpus + m->cpus * 0.1);
+  return -10 * hr_fetch_time (c, j, m) + m->tasks->len * 10 - (m->gpus + m->cpus * 0.1);
 }
 
 /* Machines that something more may start on; the others need not be looked at. */
@@ -152,12 +151,18 @@
     HrJob *j = services->pdata[i];
     for (guint32 k = 0; k < j->ntasks; k++) {
       HrMachine *best = NULL;
+      double most = 0;
       if (j->tasks[k].state != HR_T_IDLE || !hr_team_allows (c, j, 1))
         continue;
       for (guint n = 0; n < rooms->len; n++) {
         HrMachine *m = rooms->pdata[n];
-        if (startable (c, j, m) && (!best || service_score (j, m) > service_score (j, best)))
+        if (!startable (c, j, m))
+          continue;
+        double score = service_score (c, j, m);
+        if (!best || score > most) {
+          most = score;
           best = m;
+        }
       }
       if (!best) {
         j->part = HR_NONE; /* not in its part: any machine may */
@@ -549,7 +554,9 @@
     HrMachine *m = rooms[i].m;
     if (m->state != HR_M_UP || m->tasks->len || m->list->len)
       continue;
-    if (m->drain || (!rooms[i].reserved && m->idle_at && c->now - m->idle_at > c->pol.idle_s))
+    /* After a cut of our own nothing was idle: nobody could give it work. */
+    double since = MAX (m->idle_at, c->served_since);
+    if (m->drain || (!rooms[i].reserved && m->idle_at && c->now - since > c->pol.idle_s))
       g_ptr_array_add (away, m);
   }
   for (guint i = 0; i < away->len; i++)
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -242,15 +242,16 @@
     g_array_append_val (c->wants, w);
 }
 
-/* The zone with capacity that holds the fewest of our machines. */
+/* The zone with capacity that holds the fewest of our machines, those asked for in this
+ * round (by zone) included. */
 static guint32
-best_zone (HrCore *c, const HrType *t, gboolean spot)
+best_zone (HrCore *c, const HrType *t, gboolean spot, const guint *asked)
 {
   guint32 best = HR_NONE;
   guint least = G_MAXUINT;
   for (guint i = 0; i < t->zones->len; i++) {
     guint32 z = g_array_index (t->zones, guint32, i);
-    guint n = 0;
+    guint n = asked[z];
     if (hr_fleet_refused (c, t->type, z, spot))
       continue;
     for (guint k = 0; k < c->fleet->len; k++) {
@@ -274,17 +275,20 @@
       c->led_baton == 1 || (c->list_complete && c->now - c->led_at > c->set->list_lag_s);
   if (!looked || c->asks_out || c->now < c->rent_at || c->now - c->confirmed_at > 4)
     return;
+  g_autofree guint *asked = g_new0 (guint, c->names->zones.names->len + 1);
   for (guint i = 0; i < c->wants->len; i++) {
     HrWant *w = &g_array_index (c->wants, HrWant, i);
     const HrType *t = hr_type_by_name (c, w->type);
+    guint share = t ? MAX (1, (w->count + t->zones->len - 1) / t->zones->len) : 0;
     while (t && w->count && hr_bucket_take (&c->cloud_bucket, c->now, 1, 0)) {
-      guint32 z = w->zone == HR_NONE ? best_zone (c, t, w->spot) : w->zone;
+      guint32 z = w->zone == HR_NONE ? best_zone (c, t, w->spot, asked) : w->zone;
       if (z == HR_NONE || hr_fleet_refused (c, w->type, z, w->spot))
         break;
       /* Spread over the zones: a zone may be short, or fall away. */
       guint n = MIN (w->count, 50);
       if (w->zone == HR_NONE && t->zones->len > 1)
-        n = MIN (n, MAX (1, (w->count + t->zones->len - 1) / t->zones->len));
+        n = MIN (n, share);
+      asked[z] += n;
       Rental *r = g_new0 (Rental, 1);
       r->led_at = c->led_at;
       r->name =
@@ -297,8 +301,6 @@
       w->count -= n;
       c->cloud_bucket.tokens += 1; /* taken again by the call */
       send_rental (c, r);
-      if (w->zone == HR_NONE && w->count && t->zones->len > 1)
-        break; /* the rest in the next round, when this answer is known */
     }
   }
   g_array_set_size (c->wants, 0);
@@ -387,7 +389,9 @@
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
     const HrType *t = hr_type (c, m);
-    if (m->state == HR_M_BOOTING && t && c->now - m->rented_at > t->boot_s * c->pol.boot_limit)
+    /* After a cut of our own: it may be up, and its worker has to find us first. */
+    if (m->state == HR_M_BOOTING && t && c->now - m->rented_at > t->boot_s * c->pol.boot_limit &&
+        c->now - c->served_since > c->pol.silent_s)
       hr_fleet_delete (c, m, "it does not come up");
   }
 }
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -124,6 +124,21 @@
     c->claim = 0; /* the key is gone with it; we may stand again */
 }
 
+/* The owner of the map is there and only lost its key, in a cut of us all perhaps. It
+ * takes the key again at once; to change owners would cost time and proofs. */
+static gboolean
+owner_comes_back (const HrCore *c)
+{
+  if (c->leads || c->now - c->leaderless_at > 2)
+    return FALSE;
+  for (guint i = 0; i < c->peers->len; i++) {
+    const HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
+    if (peer_fresh (c, p) && p->hint.leads && g_strcmp0 (p->hint.incarnation, c->map_inc) == 0)
+      return p->hint.store_served || c->now - c->served_since < 2;
+  }
+  return FALSE;
+}
+
 static void
 consider_standing (HrCore *c)
 {
@@ -131,7 +146,8 @@
   gboolean ours_of_old = c->leader_stamp && g_strcmp0 (c->leader_label, c->set->label) == 0 &&
                          g_strcmp0 (c->leader_inc, c->incarnation) != 0;
   if ((c->leader_stamp && !ours_of_old) || c->electing || c->now < c->elect_at ||
-      c->now < c->abstain_until || c->now - c->confirmed_at > 2 || !c->types)
+      c->now < c->abstain_until || c->now - c->confirmed_at > 2 || !c->types ||
+      owner_comes_back (c))
     return;
   if (!c->claim) {
     if (!c->claim_asked) {
@@ -204,7 +220,9 @@
     if (could_lead (c, p))
       elsewhere = MAX (elsewhere, p->hint.contacts);
   }
-  if (up >= 2 && !heard && elsewhere >= 2 && c->now - c->led_at >= 2 * CONTACT_WINDOW)
+  /* After a cut of us all, workers may try the others first. */
+  double since = MAX (c->led_at, c->served_since);
+  if (up >= 2 && !heard && elsewhere >= 2 && c->now - since >= 2 * CONTACT_WINDOW)
     hr_leader_abdicate (c, "no worker reaches this node, others are reached");
 }
 
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -38,16 +38,40 @@
          s->cpus <= t->cpus + 1e-6 && s->gpus <= t->gpus + 1e-6 && s->mem <= t->mem + 1e-6;
 }
 
+/* Images that a machine fetches at the same time share its rate; tasks of one image
+ * share the fetch. */
+double
+hr_fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m)
+{
+  const HrType *t = hr_type (c, m);
+  if (!t || hr_machine_has_image (m, j->spec.image))
+    return 0;
+  double own = j->spec.image_gb / t->fetch_rate, others = 0;
+  guint32 last = HR_NONE;
+  for (guint i = 0; i < m->tasks->len; i++) {
+    HrRef r = g_array_index (m->tasks, HrRef, i);
+    const HrJob *o = job_of ((HrCore *)c, r);
+    if (o->spec.image == last || hr_machine_has_image (m, o->spec.image))
+      continue;
+    last = o->spec.image;
+    /* A machine that boots has fetched nothing yet. */
+    double since = m->state == HR_M_UP ? c->now - o->tasks[r.task].placed_at : 0;
+    double left = MAX (0.5, o->spec.image_gb / t->fetch_rate - since);
+    if (o->spec.image == j->spec.image)
+      own = MIN (own, left);
+    else
+      others += left;
+  }
+  return own + MIN (own, others);
+}
+
 /* Expected run time with the image fetch. */
 double
 hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m)
 {
-  const HrType *t = hr_type (c, m);
   double run = j->spec.estimate > 0 ? j->spec.estimate : 60;
   run *= hr_class (c, j->spec.klass)->correction;
-  if (t && !hr_machine_has_image (m, j->spec.image))
-    run += j->spec.image_gb / t->fetch_rate;
-  return run;
+  return run + hr_fetch_time (c, j, m);
 }
 
 /* ---- projection of one list ---- */
@@ -72,7 +96,11 @@
 {
   if (j->spec.shape == HR_SERVICE)
     return INFINITY;
-  double est = hr_estimate (c, j, m);
+  const HrType *ty = hr_type (c, m);
+  double est = j->spec.estimate > 0 ? j->spec.estimate : 60;
+  est *= hr_class (c, j->spec.klass)->correction;
+  if (!t->ran_at && ty && !hr_machine_has_image (m, j->spec.image))
+    est += j->spec.image_gb / ty->fetch_rate;
   double end = (t->ran_at ? t->ran_at : t->placed_at) + est;
   /* Past its estimate: never in the past, and the longer over the longer to go. */
   return MAX (end, c->now + MAX (2, 0.2 * (c->now - t->placed_at)));
@@ -198,14 +226,6 @@
 
 /* ---- MT-EDF ---- */
 
-/* How long the image keeps a task from its work there. */
-static double
-fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m)
-{
-  const HrType *t = hr_type (c, m);
-  return hr_machine_has_image (m, j->spec.image) || !t ? 0 : j->spec.image_gb / t->fetch_rate;
-}
-
 /* Earliest-starting list first, the image fetch included. */
 static int
 by_ready (gconstpointer a, gconstpointer b, gpointer data)
@@ -282,7 +302,7 @@
     HrMachine *m = lists->pdata[k];
     if (!hr_allowed (c, j, m))
       continue;
-    m->begins = floor (m->ready + fetch_time (c, j, m));
+    m->begins = floor (m->ready + hr_fetch_time (c, j, m));
     g_ptr_array_add (order, m);
   }
   g_ptr_array_sort_with_data (order, by_ready, NULL);
@@ -294,7 +314,7 @@
 reorder (HrCore *c, GPtrArray *order, guint at, HrJob *j)
 {
   HrMachine *m = order->pdata[at];
-  m->begins = floor (m->ready + fetch_time (c, j, m));
+  m->begins = floor (m->ready + hr_fetch_time (c, j, m));
   for (; at + 1 < order->len && by_ready (&order->pdata[at], &order->pdata[at + 1], NULL) > 0;
        at++) {
     order->pdata[at] = order->pdata[at + 1];
@@ -327,7 +347,7 @@
     Judge d = try_list (c, m, r, &start);
     if (start > c->now + 1e5)
       continue;
-    start += fetch_time (c, j, m);
+    start += hr_fetch_time (c, j, m);
     if (better (d, bj) || (!better (bj, d) && start < bs - 1e-6)) {
       bj = d;
       bs = start;
@@ -382,7 +402,7 @@
     start[k] = INFINITY;
     if (!hr_allowed (c, j, m))
       continue;
-    fetch[k] = fetch_time (c, j, m);
+    fetch[k] = hr_fetch_time (c, j, m);
     if (!m->tasks->len && !m->list->len && hr_machine_fits_beside_claims (m, &j->spec))
       start[k] = m->ready; /* nothing to project */
     else if (sampled (j, m, tries, order->len) && may_free (c, m, &j->spec))
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -94,7 +94,7 @@
   double claim_touched, claim_tried, claim_asked;
   gboolean leads, electing, raising, touching;
   guint64 led_baton; /* of our first map as leader */
-  double led_at, elect_at, abstain_until, raised_at;
+  double led_at, elect_at, abstain_until, raised_at, leaderless_at;
   gboolean raise_wanted;
   GArray *peers; /* HrPeerView */
   double hint_at;
@@ -224,6 +224,8 @@
 /* planner.c */
 void hr_plan (HrCore *c);
 double hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m);
+/* How long the image keeps a task of the job from its work there. */
+double hr_fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m);
 gboolean hr_allowed (const HrCore *c, const HrJob *j, const HrMachine *m);
 
 /* Is the machine ruled out by where the job's other tasks are? */
--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -187,7 +187,7 @@
   g_autofree char *incarnation =
       g_strdup_printf ("%" G_GINT64_FORMAT "-%s", g_get_real_time (), uuid);
   d.core = hr_core_new (settings, &policy, &names, incarnation, g_random_int ());
-  d.client = hr_http_client_new (settings->state, settings->cloud, sink, &d);
+  d.client = hr_http_client_new (settings->state, settings->cloud, settings->sockets, sink, &d);
   d.peers = hr_peers_new (settings, sink, &d, &error);
   if (d.peers)
     d.server = hr_http_server_new (settings->front, settings->sockets, sink, &d, &error);
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -4,9 +4,16 @@
 
 /* An answer larger than this is not read: no peer of ours has cause to send it. */
 #define MAX_ANSWER (8 * 1024 * 1024)
+/* Calls that may wait longer are watches. */
+#define WATCH_S 10
+
+/* A session holds calls back while another of its calls waits for a connection, and
+ * ends a cancelled one only when that one ends. So what waits for long by design (the
+ * watches), the store, the cloud and the workers each have a session of their own. */
+typedef enum { S_WATCH, S_STORE, S_CLOUD, S_WORKERS, S_COUNT } SessionKind;
 
 struct HrHttpClient {
-  SoupSession *session;
+  SoupSession *sessions[S_COUNT];
   char *store, *cloud;
   HrCommandSink sink;
   gpointer data;
@@ -20,11 +27,24 @@
   guint timer;
 } Call;
 
+static void
+give_result (Call *call, guint status, GBytes *body)
+{
+  HrCommand *c = hr_command_new (HR_C_RESULT);
+  c->id = call->id;
+  c->status = status;
+  c->body = body;
+  call->client->sink (c, call->client->data);
+}
+
+/* The result is given here, not when libsoup has carried the cancellation out: that
+ * may take until other calls of the session have ended. */
 static gboolean
 on_deadline (gpointer p)
 {
   Call *call = p;
   call->timer = 0;
+  give_result (call, 0, NULL);
   g_cancellable_cancel (call->cancel);
   return G_SOURCE_REMOVE;
 }
@@ -35,32 +55,36 @@
   Call *call = p;
   g_autoptr (GError) error = NULL;
   GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (src), res, &error);
-  HrCommand *c = hr_command_new (HR_C_RESULT);
-  c->id = call->id;
-  if (body && g_bytes_get_size (body) <= MAX_ANSWER) {
-    c->status = soup_message_get_status (call->msg);
-    c->body = g_steal_pointer (&body);
+  if (call->timer) { /* else its deadline came first */
+    gboolean good = body && g_bytes_get_size (body) <= MAX_ANSWER;
+    g_source_remove (call->timer);
+    give_result (call, good ? soup_message_get_status (call->msg) : 0,
+                 good ? g_steal_pointer (&body) : NULL);
   }
   g_clear_pointer (&body, g_bytes_unref);
-  call->client->sink (c, call->client->data);
-  if (call->timer)
-    g_source_remove (call->timer);
   g_object_unref (call->cancel);
   g_object_unref (call->msg);
   g_free (call);
 }
 
 HrHttpClient *
-hr_http_client_new (const char *store, const char *cloud, HrCommandSink sink, gpointer data)
+hr_http_client_new (const char *store, const char *cloud, guint sockets, HrCommandSink sink,
+                    gpointer data)
 {
   HrHttpClient *c = g_new0 (HrHttpClient, 1);
   c->store = g_strdup (store);
   c->cloud = g_strdup (cloud);
   c->sink = sink;
   c->data = data;
-  c->session = soup_session_new_with_options ("max-conns", 600, "max-conns-per-host", 12, "timeout",
-                                              75, "idle-timeout", 20, NULL);
-  soup_session_set_proxy_resolver (c->session, NULL);
+  /* Connections to workers are seldom used twice soon, and each has its source in the
+   * main loop; the share of sockets that the server leaves is theirs. */
+  guint most[S_COUNT] = {4, 12, 8, MAX (16, sockets / 8)};
+  for (int i = 0; i < S_COUNT; i++) {
+    c->sessions[i] = soup_session_new_with_options ("max-conns", most[i], "max-conns-per-host",
+                                                    i == S_WORKERS ? 2 : most[i], "timeout", 75,
+                                                    "idle-timeout", i == S_WORKERS ? 2 : 20, NULL);
+    soup_session_set_proxy_resolver (c->sessions[i], NULL);
+  }
   return c;
 }
 
@@ -90,14 +114,19 @@
   }
   call->cancel = g_cancellable_new ();
   call->timer = g_timeout_add (MAX (1, (guint)(e->timeout_s * 1000)), on_deadline, call);
-  soup_session_send_and_read_async (c->session, call->msg, G_PRIORITY_DEFAULT, call->cancel,
+  SessionKind kind = e->target == HR_TO_WORKER  ? S_WORKERS
+                     : e->target == HR_TO_CLOUD ? S_CLOUD
+                     : e->timeout_s > WATCH_S   ? S_WATCH
+                                                : S_STORE;
+  soup_session_send_and_read_async (c->sessions[kind], call->msg, G_PRIORITY_DEFAULT, call->cancel,
                                     on_done, call);
 }
 
 void
 hr_http_client_free (HrHttpClient *c)
 {
-  g_clear_object (&c->session);
+  for (int i = 0; i < S_COUNT; i++)
+    g_clear_object (&c->sessions[i]);
   g_free (c->store);
   g_free (c->cloud);
   g_free (c);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -4,7 +4,8 @@
 
 typedef struct HrHttpClient HrHttpClient;
 
-HrHttpClient *hr_http_client_new (const char *store, const char *cloud, HrCommandSink sink,
-                                  gpointer data);
+/* sockets: how many the process may hold. */
+HrHttpClient *hr_http_client_new (const char *store, const char *cloud, guint sockets,
+                                  HrCommandSink sink, gpointer data);
 void hr_http_client_call (HrHttpClient *c, const HrEffect *e);
 void hr_http_client_free (HrHttpClient *c);
