--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -53,6 +53,30 @@
   return MAX (1, (gint)(room / 48));
 }
 
+void
+hr_class_use_image (HrClassStat *s, guint32 image, guint tasks)
+{
+  guint at = s->nimages;
+  for (guint i = 0; i < s->nimages; i++) {
+    s->images[i].weight *= 0.97;
+    if (s->images[i].image == image)
+      at = i;
+  }
+  if (at == s->nimages) {
+    if (s->nimages < G_N_ELEMENTS (s->images))
+      s->nimages++;
+    else
+      at--; /* the least used one gives way */
+    s->images[at] = (HrImageUse){image, 0};
+  }
+  s->images[at].weight += tasks;
+  for (; at > 0 && s->images[at - 1].weight < s->images[at].weight; at--) {
+    HrImageUse u = s->images[at];
+    s->images[at] = s->images[at - 1];
+    s->images[at - 1] = u;
+  }
+}
+
 gboolean
 hr_machine_has_image (const HrMachine *m, guint32 image)
 {
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -127,6 +127,12 @@
   double begins; /* scratch of one job's placement: ready, with the image fetch */
 } HrMachine;
 
+/* How much of a class's recent work uses an image. */
+typedef struct {
+  guint32 image;
+  double weight;
+} HrImageUse;
+
 /* Statistics per class, for estimates and spare room. */
 typedef struct {
   double correction; /* actual / estimated run time, smoothed */
@@ -134,7 +140,8 @@
   double sum, weight;                      /* tasks arriving a second, smoothed: sum / weight */
   double bucket, bucket_at;                /* arrivals of the last seconds, not in the sum yet */
   double tasks, cpus, gpus, mem, image_gb; /* of its recent jobs */
-  guint32 image;
+  HrImageUse images[12];                   /* the most used ones, most used first */
+  guint nimages;
   HrShape shape;
   HrRank rank;
   gboolean spot, seen;
@@ -149,6 +156,8 @@
 HrPage *hr_job_page (HrJob *j, guint32 task);
 /* How many tasks a record or page holds. per_page as stored in the record. */
 guint hr_tasks_per_page (double value_kb);
+/* Counts tasks that use the image; older ones count less and less. */
+void hr_class_use_image (HrClassStat *s, guint32 image, guint tasks);
 gboolean hr_machine_has_image (const HrMachine *m, guint32 image);
 void hr_machine_touch_image (HrMachine *m, guint32 image);
 /* What a machine is; its capacity counts from here on. Does nothing when that is known. */
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -4,6 +4,9 @@
 #include <math.h>
 #include <string.h>
 
+/* From a decision to a running task: a write, an order and a report. */
+#define STOP_AND_START_S 2.0
+
 typedef struct {
   HrMachine *m;
   double cpus, gpus, mem; /* free once stopped tasks are gone and claims are served */
@@ -97,11 +100,16 @@
 
 /* ---- starting ---- */
 
+static gboolean
+reachable (const HrCore *c, const HrMachine *m)
+{
+  return m->state == HR_M_UP && m->heard_at > 0 && c->now - m->heard_at < c->pol.silent_s;
+}
+
 static gboolean
 startable (HrCore *c, HrJob *j, HrMachine *m)
 {
-  return hr_machine_fits (m, &j->spec) && m->state == HR_M_UP && m->heard_at > 0 &&
-         c->now - m->heard_at < c->pol.silent_s && c->now >= m->full_until &&
+  return hr_machine_fits (m, &j->spec) && reachable (c, m) && c->now >= m->full_until &&
          c->now >= j->retry_at && hr_allowed (c, j, m) && hr_zone_ok (c, j, m) &&
          (j->spec.shape == HR_SERVICE || hr_machine_fits_beside_claims (m, &j->spec));
 }
@@ -122,12 +130,137 @@
   return MAX (t->try, t->rtry) + 1;
 }
 
+static gboolean
+may_stop (HrCore *c, const HrJob *victim, const HrJob *j)
+{
+  if (victim->spec.rank > j->spec.rank)
+    return TRUE;
+  return victim->spec.team != j->spec.team && team_beyond (c, victim, 0) && !team_beyond (c, j, 1);
+}
+
+static double
+loss (HrCore *c, const HrJob *v, const HrTask *t)
+{
+  double ran = t->ran_at ? c->now - t->ran_at : 0;
+  if (v->spec.checkpoint > 0)
+    ran = MIN (ran, v->spec.save + 5);
+  return ran + 1 + (v->spec.shape == HR_GANG ? 1000 : 0);
+}
+
+/* Time left until the next aim for the start of the class's tasks is missed. */
+static double
+start_left (const HrCore *c, const HrJob *j)
+{
+  double left = INFINITY, waited = c->wall - j->submitted;
+  for (guint i = 0; i < c->set->aims->len; i++) {
+    const HrAim *a = &g_array_index (c->set->aims, HrAim, i);
+    if (a->klass == j->spec.klass && (a->kind == HR_AIM_WAIT || a->kind == HR_AIM_UP) &&
+        a->within > waited + STOP_AND_START_S)
+      left = MIN (left, a->within - waited);
+  }
+  return left;
+}
+
+/* Batch tasks of the machine that would have to stop for the job, the sum of what is
+ * lost with them; INFINITY when that makes no room. stop: stop them. */
+static double
+room_by_stopping (HrCore *c, HrJob *j, HrMachine *m, gboolean stop)
+{
+  double cpus = m->cpus - m->alien_cpus, gpus = m->gpus - m->alien_gpus,
+         mem = m->mem - m->alien_mem, cost = 0;
+  for (guint k = 0; k < m->tasks->len; k++) {
+    if (cpus + 1e-6 >= j->spec.cpus && gpus + 1e-6 >= j->spec.gpus && mem + 1e-6 >= j->spec.mem)
+      break;
+    HrRef x = g_array_index (m->tasks, HrRef, k);
+    HrJob *v = c->jobs->pdata[x.job];
+    HrTask *t = &v->tasks[x.task];
+    if (t->state != HR_T_BOUND || t->kill || v->spec.shape != HR_BATCH || !may_stop (c, v, j))
+      continue;
+    cpus += v->spec.cpus;
+    gpus += v->spec.gpus;
+    mem += v->spec.mem;
+    cost += loss (c, v, t);
+    if (stop) {
+      g_info ("%s/%u on %s makes room for %s, whose image is there", v->id, x.task, m->name, j->id);
+      hr_task_stop (c, v, x.task, 0);
+    }
+  }
+  return cpus + 1e-6 >= j->spec.cpus && gpus + 1e-6 >= j->spec.gpus && mem + 1e-6 >= j->spec.mem
+             ? cost
+             : INFINITY;
+}
+
+/* A machine that has the image, where stopping the batch tasks that lose least makes
+ * room. Their stop goes out before the launch, so the launch finds the room. */
+static HrMachine *
+swap_for_image (HrCore *c, HrJob *j)
+{
+  HrMachine *best = NULL;
+  double least = INFINITY;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (!hr_machine_has_image (m, j->spec.image) || !reachable (c, m) || c->now < m->full_until ||
+        !hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))
+      continue;
+    double cost = room_by_stopping (c, j, m, FALSE);
+    if (cost < least) {
+      least = cost;
+      best = m;
+    }
+  }
+  if (best)
+    room_by_stopping (c, j, best, TRUE);
+  return best;
+}
+
+/* Would a replica more fit there, once batch work made room? */
+static gboolean
+stays_open (const HrCore *c, const HrJobSpec *s, const HrMachine *m, guint replicas)
+{
+  const HrType *t = hr_type (c, m);
+  return m->fixed_cpus + replicas * s->cpus <= t->cpus + 1e-6 &&
+         m->fixed_gpus + replicas * s->gpus <= t->gpus + 1e-6 &&
+         m->fixed_mem + replicas * s->mem <= t->mem + 1e-6;
+}
+
+/* The next arrivals need places where their image is. Are there too few for this one?
+ * Machines full of replicas are none, however well the image is cached there. */
+static gboolean
+short_of_places (HrCore *c, const HrJob *j)
+{
+  HrClassStat *s = hr_class (c, j->spec.klass);
+  double weight = 0, own = 0, open = 0, fetch = INFINITY, within = INFINITY;
+  for (guint i = 0; i < c->types->len; i++)
+    fetch = MIN (fetch, j->spec.image_gb / g_array_index (c->types, HrType, i).fetch_rate);
+  for (guint i = 0; i < c->set->aims->len; i++) {
+    HrAim *a = &g_array_index (c->set->aims, HrAim, i);
+    if (a->klass == j->spec.klass && a->kind == HR_AIM_WAIT)
+      within = MIN (within, a->within);
+  }
+  if (fetch + STOP_AND_START_S <= within)
+    return FALSE; /* a fetch in time is cheaper than places kept open */
+  for (guint i = 0; i < s->nimages; i++) {
+    weight += s->images[i].weight;
+    if (s->images[i].image == j->spec.image)
+      own = s->images[i].weight;
+  }
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (m->state == HR_M_UP && !m->drain && m->type != HR_NONE && (!m->spot || j->spec.spot) &&
+        hr_machine_has_image (m, j->spec.image) && stays_open (c, &j->spec, m, 1))
+      open++;
+  }
+  return weight > 0 && open < hr_headroom (c, j->spec.klass) * own / weight;
+}
+
 /* The sooner its image is there the better; then fuller machines first, so that others
  * fall empty and can be returned. */
 static double
-service_score (const HrCore *c, const HrJob *j, const HrMachine *m)
+service_score (const HrCore *c, const HrJob *j, const HrMachine *m, gboolean open)
 {
-  return -10 * hr_fetch_time (c, j, m) + m->tasks->len * 10 - (m->gpus + m->cpus * 0.1);
+  double fetch = hr_fetch_time (c, j, m);
+  double closes = open && fetch > 0 && !stays_open (c, &j->spec, m, 2) ? 1000 : 0;
+  return -10 * fetch - closes + m->tasks->len * 10 - (m->gpus + m->cpus * 0.1);
 }
 
 /* Machines that something more may start on; the others need not be looked at. */
@@ -149,6 +282,7 @@
   g_autoptr (GPtrArray) rooms = roomy (c);
   for (guint i = 0; i < services->len; i++) {
     HrJob *j = services->pdata[i];
+    gboolean open = short_of_places (c, j);
     for (guint32 k = 0; k < j->ntasks; k++) {
       HrMachine *best = NULL;
       double most = 0;
@@ -158,16 +292,26 @@
         HrMachine *m = rooms->pdata[n];
         if (!startable (c, j, m))
           continue;
-        double score = service_score (c, j, m);
+        double score = service_score (c, j, m, open);
         if (!best || score > most) {
           most = score;
           best = m;
         }
       }
+      double left = start_left (c, j);
+      if (isfinite (left) && c->now >= j->retry_at &&
+          (!best || hr_fetch_time (c, j, best) + STOP_AND_START_S > left)) {
+        HrMachine *other = swap_for_image (c, j);
+        if (other)
+          best = other;
+      }
       if (!best) {
         j->part = HR_NONE; /* not in its part: any machine may */
         break;
       }
+      best->fixed_cpus += j->spec.cpus;
+      best->fixed_gpus += j->spec.gpus;
+      best->fixed_mem += j->spec.mem;
       start (c, j, k, best, next_try (&j->tasks[k]));
     }
   }
@@ -292,23 +436,6 @@
 
 /* ---- making room ---- */
 
-static gboolean
-may_stop (HrCore *c, const HrJob *victim, const HrJob *j)
-{
-  if (victim->spec.rank > j->spec.rank)
-    return TRUE;
-  return victim->spec.team != j->spec.team && team_beyond (c, victim, 0) && !team_beyond (c, j, 1);
-}
-
-static double
-loss (HrCore *c, const HrJob *v, const HrTask *t)
-{
-  double ran = t->ran_at ? c->now - t->ran_at : 0;
-  if (v->spec.checkpoint > 0)
-    ran = MIN (ran, v->spec.save + 5);
-  return ran + 1 + (v->spec.shape == HR_GANG ? 1000 : 0);
-}
-
 /* Stops the tasks of one machine whose loss is least, so that the job fits there. */
 static gboolean
 preempt (HrCore *c, HrJob *j, Room *rooms)
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -559,6 +559,21 @@
   return n;
 }
 
+/* Keeps room for n tasks of a class on machines that are up, with this image if any is
+ * named, on busy ones only if asked for. Returns how many found none. */
+static guint
+claim_room (HrCore *c, const HrClassStat *s, guint32 image, gboolean busy, guint n)
+{
+  for (guint k = 0; k < c->fleet->len && n; k++) {
+    HrMachine *m = c->fleet->pdata[k];
+    if (m->state == HR_M_UP && usable (c, m) && (!m->spot || s->spot) &&
+        (!s->types || s->types >> m->type & 1) && (!busy || m->tasks->len) &&
+        (image == HR_NONE || hr_machine_has_image (m, image)))
+      n = claim_on (m, s->cpus, s->gpus, s->mem, n);
+  }
+  return n;
+}
+
 /* Services outrank the lists: what waits for a boot has its room on the machines
  * that come up next, and some room is kept for the next arrivals; the lists are
  * projected, and started, without that room. */
@@ -592,18 +607,18 @@
   }
   for (guint i = 0; i < c->classes->len; i++) {
     HrClassStat *s = &g_array_index (c->classes, HrClassStat, i);
-    guint left = s->seen && s->shape == HR_SERVICE ? hr_headroom (c, i) : 0;
-    /* Where others run already, and the image is, first: whole machines are for those
-     * who need whole machines. */
-    for (int pass = 0; pass < 4; pass++)
-      for (guint k = 0; k < c->fleet->len && left; k++) {
-        HrMachine *m = c->fleet->pdata[k];
-        if (m->state != HR_M_UP || !usable (c, m) || (m->spot && !s->spot) ||
-            (s->types && !(s->types >> m->type & 1)) || (pass < 2 && !m->tasks->len) ||
-            (pass % 2 == 0 && !hr_machine_has_image (m, s->image)))
-          continue;
-        left = claim_on (m, s->cpus, s->gpus, s->mem, left);
-      }
+    guint left = s->seen && s->shape == HR_SERVICE ? hr_headroom (c, i) : 0, all = left;
+    double weight = 0;
+    for (guint k = 0; k < s->nimages; k++)
+      weight += s->images[k].weight;
+    /* Where an image is that the next arrivals may need: a replica starts there at once. */
+    for (guint k = 0; k < s->nimages && left; k++) {
+      guint want = MIN (left, (guint)(all * s->images[k].weight / weight + 0.5));
+      left -= want - claim_room (c, s, s->images[k].image, FALSE, want);
+    }
+    /* Then where others run already: whole machines are for those who need them. */
+    left = claim_room (c, s, HR_NONE, TRUE, left);
+    claim_room (c, s, HR_NONE, FALSE, left);
   }
 }
 
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -292,7 +292,7 @@
   s->gpus += k * (j->spec.gpus - s->gpus);
   s->mem += k * (j->spec.mem - s->mem);
   s->image_gb += k * (j->spec.image_gb - s->image_gb);
-  s->image = j->spec.image;
+  hr_class_use_image (s, j->spec.image, j->ntasks);
   s->shape = j->spec.shape;
   s->rank = j->spec.rank;
   s->spot = j->spec.spot;
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -119,7 +119,9 @@
       a.kind = HR_AIM_DEADLINE;
     else if (g_str_equal (kind, "finished"))
       a.kind = HR_AIM_FINISHED;
-    hr_json_num (o, "within_s", &a.within);
+    else if (g_str_equal (kind, "up"))
+      a.kind = HR_AIM_UP;
+    hr_json_num (o, a.kind == HR_AIM_UP ? "after_s" : "within_s", &a.within);
     hr_json_num (o, "share", &a.share);
     g_array_append_val (s->aims, a);
   }
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -11,11 +11,11 @@
   double cpus, gpus, cpus_max, gpus_max; /* 0: none */
 } HrTeam;
 
-typedef enum { HR_AIM_WAIT, HR_AIM_DEADLINE, HR_AIM_FINISHED, HR_AIM_OTHER } HrAimKind;
+typedef enum { HR_AIM_WAIT, HR_AIM_UP, HR_AIM_DEADLINE, HR_AIM_FINISHED, HR_AIM_OTHER } HrAimKind;
 typedef struct {
   HrAimKind kind;
   guint32 klass;
-  double within, share;
+  double within, share; /* within: s; of an UP aim, the time after which it counts */
 } HrAim;
 
 typedef struct {
