--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -320,9 +320,11 @@
     m->urgent = m->drain = FALSE;
     m->idle_at = c->now;
     m->notice_at = 0;
-    if (m->state == HR_M_DELETING) /* asked for by an earlier term of ours; ask again */
-      m->state = HR_M_UP;
+    m->state = HR_M_GONE;
   }
+  /* The fleet of an earlier term of ours is long out of date: others have returned
+   * machines since. What records, reports and the cloud's list name is there. */
+  g_ptr_array_set_size (c->fleet, 0);
   g_array_set_size (c->dirty, 0);
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -104,11 +104,19 @@
 {
   json_t *o = json_loads (r->body, 0, NULL), *e;
   size_t i;
-  json_array_foreach (json_object_get (o, "rockhands"), i,
-                      e) for (guint k = 0; k < w->machines->len;
-                              k++) if (strcmp (((SMachine *)w->machines->pdata[k])->name,
-                                               json_string_value (e)) == 0)
-      gone (w, w->machines->pdata[k]);
+  json_array_foreach (json_object_get (o, "rockhands"), i, e)
+  {
+    for (guint k = 0; k < w->machines->len; k++) {
+      SMachine *m = w->machines->pdata[k];
+      if (strcmp (m->name, json_string_value (e)) != 0)
+        continue;
+      /* Longer than any outage, and no record names it: the owner's view is that of an
+       * earlier term of his. */
+      if (m->gone && w->now - m->gone_at > 90 && !store_names (w, m->name))
+        w_broken (w, "stale", "%s is returned %.0f s after it went", m->name, w->now - m->gone_at);
+      gone (w, m);
+    }
+  }
   json_decref (o);
   w_answer (w, r, 200, g_strdup ("{}"));
 }
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -225,6 +225,19 @@
   wake (w);
 }
 
+/* Does any record name this machine? */
+gboolean
+store_names (World *w, const char *machine)
+{
+  GHashTableIter it;
+  gpointer k;
+  g_hash_table_iter_init (&it, w->keys);
+  while (g_hash_table_iter_next (&it, NULL, &k))
+    if (strstr (((SKey *)k)->text, machine))
+      return TRUE;
+  return FALSE;
+}
+
 static char *
 query (const char *path, const char *name)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -150,6 +150,7 @@
 
 void store_request (World *w, Req *r);
 void store_init (World *w);
+gboolean store_names (World *w, const char *machine);
 void store_free (World *w);
 void cloud_request (World *w, Req *r);
 void cloud_init (World *w);
