--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -9,6 +9,8 @@
 #define READ_TIMEOUT 2.0
 /* Readings come every second; after a longer gap this node was not served. */
 #define UNSERVED_S 4.0
+/* Who asks waits so long while the service only says that it is busy. */
+#define BUSY_S 1.2
 
 static void
 applied_map (HrCore *c, const json_t *v, guint64 stamp)
@@ -305,6 +307,15 @@
   }
   if (status == 410)
     hr_leader_step_down (c, "the changes since the last reading are gone");
+  if (status == 429) { /* there are too many of us just now: the next reading serves them */
+    for (guint i = 0; i < c->waiters_now->len; i++) {
+      HrWaiter *w = &g_array_index (c->waiters_now, HrWaiter, i);
+      if (c->now - w->since < BUSY_S) {
+        g_array_append_val (c->waiters, *w);
+        g_array_remove_index (c->waiters_now, i--);
+      }
+    }
+  }
   release_waiters (c, c->waiters_now, ok);
 }
 
@@ -314,7 +325,9 @@
   if (GPOINTER_TO_UINT (data) != c->sync_gen)
     return;
   c->watching = FALSE;
-  c->watch_not_before = c->now + 0.05;
+  /* Each change ends the watches of all members: opened again at once, they alone would
+   * use up the service's requests. A quarter of those is theirs. */
+  c->watch_not_before = c->now + 4.0 * (c->set->members->len + 1) / c->set->state_rps;
   if (status == 200)
     apply_log (c, body);
   else
@@ -324,7 +337,7 @@
 void
 hr_follow_read (HrCore *c, HrReadFn fn, gpointer data)
 {
-  HrWaiter w = {fn, data};
+  HrWaiter w = {fn, data, c->now};
   if (c->sync != HR_SYNC_FOLLOWING || c->store_down) {
     fn (c, FALSE, data); /* no reading is to be had now: say so at once */
     return;
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -21,6 +21,7 @@
 typedef struct {
   HrReadFn fn;
   gpointer data;
+  double since;
 } HrWaiter;
 
 typedef struct {
