--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -7,8 +7,8 @@
 
 static const char *const zones[] = {"z0", "z1"};
 
-static void
-gone (World *w, SMachine *m)
+void
+machine_end (World *w, SMachine *m)
 {
   if (m->gone)
     return;
@@ -22,7 +22,7 @@
 static void
 taken (World *w, gpointer p)
 {
-  gone (w, p);
+  machine_end (w, p);
 }
 
 void
@@ -31,7 +31,7 @@
   if (m->gone || m->warned)
     return;
   if (w_rand (w, 0, 1) < 0.5) {
-    gone (w, m);
+    machine_end (w, m);
     return;
   }
   m->warned = w->now + w_rand (w, 6, 18);
@@ -114,7 +114,7 @@
        * earlier term of his. */
       if (!r->answered && m->gone && w->now - m->gone_at > 90 && !store_names (w, m->name))
         w_broken (w, "stale", "%s is returned %.0f s after it went", m->name, w->now - m->gone_at);
-      gone (w, m);
+      machine_end (w, m);
     }
   }
   json_decref (o);
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -63,6 +63,7 @@
     break;
   case 7:
     n->cut_workers = n->cut_store = n->cut_peers = n->cut_users = w->now + d;
+    n->alone_at = w->now;
     n->hold = hold;
     break;
   case 8:
@@ -98,6 +99,7 @@
     break;
   case 15: /* but not its workers and users */
     n->cut_store = n->cut_peers = w->now + d;
+    n->alone_at = w->now;
     n->hold = hold;
     break;
   case 16:
@@ -109,6 +111,59 @@
   }
 }
 
+/* The busiest machine hears nothing for long: it must be gone well before that is over,
+ * or whatever is placed on it never runs. */
+static void
+still_there (World *w, gpointer p)
+{
+  SMachine *m = p;
+  if (!m->gone)
+    w_broken (w, "deaf", "%s hears nothing and is kept", m->name);
+}
+
+static void
+deafen (World *w, gpointer p)
+{
+  SMachine *m = NULL;
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *x = w->machines->pdata[i];
+    if (x->up && !x->gone && !x->warned && (!m || x->tasks->len > m->tasks->len))
+      m = x;
+  }
+  if (!m)
+    return;
+  m->deaf = w->now + 200;
+  w_at (w, w->now + 60, still_there, m);
+}
+
+void
+faults_deaf (World *w, double at)
+{
+  w_at (w, at, deafen, NULL);
+}
+
+static void
+change_owner (World *w, gpointer p)
+{
+  /* Whoever leads: all but one go, one after the other, so that a node that knows
+   * nothing leads next. */
+  int i = g_rand_int_range (w->rand, 0, w->n);
+  for (int k = 0; k < w->n - 1; k++)
+    crash (w, (i + k) % w->n);
+  for (guint k = 0; k < w->machines->len; k++) {
+    SMachine *m = w->machines->pdata[k];
+    if (m->up && !m->gone && w_rand (w, 0, 1) < 0.2)
+      machine_end (w, m);
+  }
+}
+
+void
+faults_owners (World *w, double from, double to)
+{
+  for (double t = from; t < to; t += 35)
+    w_at (w, t, change_owner, NULL);
+}
+
 static void
 calm (World *w, gpointer p)
 {
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -124,6 +124,19 @@
   w_at (w, w->now + 0.05, leases_tick, NULL);
 }
 
+/* Nothing is placed on a machine that went long ago, whatever late copies of its reports
+ * say: longer than it may look alive, than an outage, and than a write may take. */
+static void
+check_place (World *w, const char *what, const char *machine)
+{
+  for (guint i = 0; machine && i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    if (m->gone && w->now - m->gone_at > 45 && strcmp (m->name, machine) == 0)
+      w_broken (w, "stale", "%s is placed on %s, %.0f s after that went", what, machine,
+                w->now - m->gone_at);
+  }
+}
+
 /* Notes which process recorded each assignment first: its tag begins with its incarnation. */
 static void
 note_assignments (World *w, json_t *put)
@@ -141,6 +154,8 @@
   {
     g_autofree char *key = g_strdup_printf ("%s/%u/%d", id, first + (guint)i,
                                             (int)json_integer_value (json_array_get (e, 2)));
+    if (json_is_array (e) && !g_hash_table_contains (w->assigned, key))
+      check_place (w, key, json_string_value (json_array_get (e, 0)));
     if (json_is_array (e) && !g_hash_table_contains (w->assigned, key))
       g_hash_table_insert (w->assigned, g_steal_pointer (&key),
                            g_strndup (tag, strcspn (tag, ".")));
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -161,6 +161,28 @@
   w_at (w, w->now + 7, stranger, NULL);
 }
 
+static void
+on_probe (World *w, int status, json_t *body, gpointer p)
+{
+  int i = GPOINTER_TO_INT (p);
+  if (status == 200 && node_alone (w, i))
+    w_broken (w, "alone", "c%d, cut off, calls itself ready", i);
+}
+
+static void
+probe (World *w, gpointer p)
+{
+  for (int i = 0; i < w->n; i++)
+    w_ask (w, i, -1, HR_GET, "/ready", NULL, 1, on_probe, GINT_TO_POINTER (i));
+  w_at (w, w->now + 1, probe, NULL);
+}
+
+void
+users_probe (World *w)
+{
+  w_at (w, 1, probe, NULL);
+}
+
 /* ---- the judge ---- */
 
 void
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -234,7 +234,7 @@
   c->body = g_strdup (r->body);
   c->answered = TRUE;
   c->refs = 1;
-  w_at (w, w->now + w_rand (w, 1, 40), arrive, c);
+  w_at (w, w->now + w_rand (w, 1, 90), arrive, c);
 }
 
 static void
@@ -289,6 +289,15 @@
   req_unref (r);
 }
 
+gboolean
+node_alone (World *w, int i)
+{
+  Node *n = &w->nodes[i];
+  double allowed = w->pol.alone_s + 4;
+  return w->n > 1 && n->cut_store > w->now && n->cut_peers > w->now &&
+         w->now - n->alone_at > allowed && w->now - n->store_at > allowed;
+}
+
 typedef struct {
   int to;
   HrHint hint;
@@ -345,6 +354,10 @@
         w_broken (w, "hold",
                   "c%d answers a worker %.1f s after its last word from the state service", i,
                   w->now - n->store_at);
+      /* Others lead by then; workers that still hear this one do not look for them. */
+      if (e->status == 200 && strcmp (r->path, "/hello") == 0 && node_alone (w, i))
+        w_broken (w, "alone", "c%d answers a worker %.1f s after it was cut off", i,
+                  w->now - n->alone_at);
       w_answer (w, r, e->status, g_strdup (e->body));
       g_hash_table_remove (n->open, &e->id);
     }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -37,7 +37,8 @@
   guint64 next;
   double store_at; /* when the state service last answered it */
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
-  gboolean hold;                                                /* cuts hold packets back */
+  double alone_at; /* cut off from state service and members since */
+  gboolean hold;   /* cuts hold packets back */
 } Node;
 
 #define MAX_NODES 5
@@ -136,6 +137,8 @@
 void world_run (World *w, double until);
 void world_free (World *w);
 void w_at (World *w, double t, WFn fn, gpointer data);
+/* Cut off from state service and members for longer than it may go on as if it were not. */
+gboolean node_alone (World *w, int i);
 void w_broken (World *w, const char *rule, const char *fmt, ...) G_GNUC_PRINTF (3, 4);
 double w_rand (World *w, double lo, double hi);
 /* A worker's or user's request to a controller. */
@@ -156,15 +159,22 @@
 void cloud_init (World *w);
 void cloud_free (World *w);
 void machine_take (World *w, SMachine *m);
+void machine_end (World *w, SMachine *m);
 void worker_request (World *w, Req *r);
 void worker_boot (World *w, SMachine *m);
 void machine_stop_all (World *w, SMachine *m, const char *why);
 void users_init (World *w, guint jobs, double span);
 /* A stream of small urgent gangs that alone would nearly fill the fleet, beside a few large jobs.
  */
+/* Probes every controller as a load balancer does. */
+void users_probe (World *w);
 void users_stream (World *w, HrShape large, double from, double to);
 void users_free (World *w);
 void judge_start (World *w, SMachine *m, STask *t);
 void judge_tick (World *w);
 SJob *job_by_id (World *w, const char *id, guint32 *index);
 void faults_init (World *w, guint n, double from, double to);
+/* Again and again the owner changes, and machines end without a word. */
+void faults_owners (World *w, double from, double to);
+/* At that time the busiest machine stops hearing what it is told. */
+void faults_deaf (World *w, double at);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -33,6 +33,7 @@
       node_start (w, i);
     }
   users_init (w, 40, 300);
+  users_probe (w);
   faults_init (w, faults, 30, 320);
   world_run (w, 1000);
   if (w->starts == 0)
@@ -105,6 +106,35 @@
   assert_int_equal (broken, 0);
 }
 
+/* Of the troubles that the users added, each alone and long. With a single controller a
+ * deaf machine never falls silent: it asks the same node again and again. */
+static void
+days_with_deaf_machines (void **state)
+{
+  guint broken = 0;
+  for (guint s = 800; s < 806; s++) {
+    World *w = world_new (s, s % 2 ? 3 : 1);
+    faults_deaf (w, 60);
+    faults_deaf (w, 150);
+    broken += play_on (w, s, 0, 0, 0);
+  }
+  assert_int_equal (broken, 0);
+}
+
+/* Machines go and owners change while copies of reports are still on their way. */
+static void
+days_with_copies_and_new_owners (void **state)
+{
+  guint broken = 0;
+  for (guint s = 900; s < 908; s++) {
+    World *w = world_new (s, 3);
+    w->copies = 0.5;
+    faults_owners (w, 40, 320);
+    broken += play_on (w, s, 0, 0, 0);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Small urgent gangs that alone would nearly fill the fleet must not keep a large job from
  * beginning, nor a large job them: each begins within four minutes. */
 static void
@@ -137,7 +167,7 @@
     World *w = world_new (s, 3);
     w->dup = 0.15;
     w->loss = 0.06;
-    w->copies = 0.2;
+    w->copies = 0.5;
     broken += play_on (w, s, 3, 0, 0);
   }
   assert_int_equal (broken, 0);
@@ -180,10 +210,12 @@
       cmocka_unit_test (days_with_late_copies),
       cmocka_unit_test (days_with_one_or_five_controllers),
       cmocka_unit_test (days_of_a_stream),
+      cmocka_unit_test (days_with_deaf_machines),
+      cmocka_unit_test (days_with_copies_and_new_owners),
   };
   if (argc == 2) { /* one part */
-    static const char *const parts[] = {"quiet", "one",    "many",  "limit",
-                                        "parts", "copies", "nodes", "stream"};
+    static const char *const parts[] = {"quiet",  "one",   "many",   "limit", "parts",
+                                        "copies", "nodes", "stream", "deaf",  "owners"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
