--- a/src/coordination/parts.c
+++ b/src/coordination/parts.c
@@ -31,24 +31,41 @@
   }
 }
 
-/* The roomiest part that holds the job; large jobs, and what no part holds, get any list. */
+/* How many tasks of the job have room on the machine now. */
+static guint
+slots (const HrMachine *m, const HrJobSpec *s)
+{
+  guint n = 0;
+  double cpus = s->cpus, gpus = s->gpus, mem = s->mem;
+  while (n < s->tasks && hr_machine_has_beside_claims (m, cpus, gpus, mem)) {
+    n++;
+    cpus += s->cpus;
+    gpus += s->gpus;
+    mem += s->mem;
+  }
+  return n;
+}
+
+/* The roomiest part that holds the job; large jobs, and what no part holds as a whole, get
+ * any list: the tasks of an array held to a full part wait beside room in others. */
 void
 hr_part_choose (HrCore *c, HrJob *j)
 {
   const HrTeam *t = hr_team (c, j->spec.team);
   gboolean limit = t && (t->cpus_max > 0 || t->gpus_max > 0);
-  g_autofree double *room = g_new0 (double, c->nparts);
+  g_autofree guint *room = g_new0 (guint, c->nparts);
   j->parted = TRUE;
   j->part = HR_NONE;
-  if (c->nparts == 1 || (j->spec.shape == HR_GANG && j->ntasks > 1) || j->spec.one_zone ||
-      j->spec.spread || limit)
+  /* Services stand in no list; held to a part, they would keep a machine open in each. */
+  if (c->nparts == 1 || j->spec.shape == HR_SERVICE ||
+      (j->spec.shape == HR_GANG && j->ntasks > 1) || j->spec.one_zone || j->spec.spread || limit)
     return;
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
-    if (hr_allowed (c, j, m) && hr_machine_fits_beside_claims (m, &j->spec))
-      room[m->part] += m->gpus + m->cpus / 16;
+    if (hr_allowed (c, j, m))
+      room[m->part] += slots (m, &j->spec);
   }
   for (guint i = 0; i < c->nparts; i++)
-    if (room[i] > 0 && (j->part == HR_NONE || room[i] > room[j->part]))
+    if (room[i] >= j->ntasks && (j->part == HR_NONE || room[i] > room[j->part]))
       j->part = i;
 }
