--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -137,10 +137,10 @@
 typedef struct {
   double correction; /* actual / estimated run time, smoothed */
   guint samples;
-  double sum, weight;                      /* tasks arriving a second, smoothed: sum / weight */
-  double bucket, bucket_at;                /* arrivals of the last seconds, not in the sum yet */
-  double tasks, cpus, gpus, mem, image_gb; /* of its recent jobs */
-  HrImageUse images[12];                   /* the most used ones, most used first */
+  double sum, weight;       /* tasks arriving a second, smoothed: sum / weight */
+  double bucket, bucket_at; /* arrivals of the last seconds, not in the sum yet */
+  double cpus, gpus, mem;   /* of its recent jobs' tasks */
+  HrImageUse images[12];    /* the most used ones, most used first */
   guint nimages;
   HrShape shape;
   HrRank rank;
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -287,11 +287,9 @@
   hr_class_arrivals (c, s, j->ntasks);
   double k = s->seen ? 0.2 : 1;
   s->seen = TRUE;
-  s->tasks += k * (j->ntasks - s->tasks);
   s->cpus += k * (j->spec.cpus - s->cpus);
   s->gpus += k * (j->spec.gpus - s->gpus);
   s->mem += k * (j->spec.mem - s->mem);
-  s->image_gb += k * (j->spec.image_gb - s->image_gb);
   hr_class_use_image (s, j->spec.image, j->ntasks);
   s->shape = j->spec.shape;
   s->rank = j->spec.rank;
