--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -336,6 +336,32 @@
   json_decref (o);
 }
 
+/* Reports are ordered by session and number, not by arrival: one of an earlier session
+ * gets no answer that counts, an overtaken one no orders. */
+static void
+check_order (World *w, int i, const char *report, const char *answer)
+{
+  json_t *r = json_loads (report, 0, NULL), *a = json_loads (answer, 0, NULL);
+  guint64 session = json_integer_value (json_object_get (r, "tenure")),
+          n = json_integer_value (json_object_get (r, "tally"));
+  const char *name = json_string_value (json_object_get (r, "rockhand"));
+  guint64 *seen = g_hash_table_lookup (w->nodes[i].heard, name);
+  if (!seen) {
+    seen = g_new0 (guint64, 2);
+    g_hash_table_insert (w->nodes[i].heard, g_strdup (name), seen);
+  }
+  if (session < seen[0])
+    w_broken (w, "order", "c%d answers %s in a session that is over", i, name);
+  else if (session == seen[0] && n < seen[1] && json_array_size (json_object_get (a, "orders")))
+    w_broken (w, "order", "c%d gives orders on an overtaken report of %s", i, name);
+  if (session > seen[0] || (session == seen[0] && n > seen[1])) {
+    seen[0] = session;
+    seen[1] = n;
+  }
+  json_decref (r);
+  json_decref (a);
+}
+
 static void
 perform (World *w, int i, HrEffect *e)
 {
@@ -345,8 +371,10 @@
     if (r) {
       if (e->status >= 500 && e->status != 503)
         w_broken (w, "status", "%s answered %d", r->path, e->status);
-      if (e->status == 200 && strcmp (r->path, "/hello") == 0)
+      if (e->status == 200 && strcmp (r->path, "/hello") == 0) {
         check_launches (w, i, e->body);
+        check_order (w, i, r->body, e->body);
+      }
       /* An owner that has read nothing for so long may have been replaced, and knows
        * of no cancellation since: answering would keep tasks alive for ever. */
       if (e->status == 200 && strcmp (r->path, "/hello") == 0 &&
@@ -457,6 +485,7 @@
   n->gen++;
   n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
   n->open = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)req_unref);
+  n->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   n->stepping = FALSE;
   n->store_at = w->now;
   g_autofree char *inc = g_strdup_printf ("%d-%u", i, n->gen);
@@ -478,6 +507,7 @@
   while (g_hash_table_iter_next (&it, NULL, &v))
     w_answer (w, v, 0, NULL);
   g_hash_table_unref (n->open);
+  g_hash_table_unref (n->heard);
   g_ptr_array_unref (n->queue);
   hr_core_free (n->core);
   hr_settings_free (n->set);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -33,7 +33,8 @@
   guint gen; /* counts processes */
   GPtrArray *queue;
   gboolean stepping;
-  GHashTable *open; /* request id -> Req */
+  GHashTable *open;  /* request id -> Req */
+  GHashTable *heard; /* machine -> guint64[2]: newest session and number answered */
   guint64 next;
   double store_at; /* when the state service last answered it */
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
