A machine counts as deaf only when two sessions in a row end unheard

Read again: reports that a cut held back come at its end, are answered, and are followed by the worker's new session; that looked like an answer not received, and a held cut of the controllers' zone would have cost the machines or the leadership.

--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -92,6 +92,7 @@
   guint32 session;
   guint64 seq, token;
   double seq_at;        /* when the message with that seq came */
+  double unheard_at;    /* when a session first showed that; 0: the last one did not */
   double deaf_at;       /* when it showed that our answers do not reach it; 0: it did not */
   gboolean rented_here; /* by this very process */
   double rented_at;     /* steady time, by our clock */
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -311,7 +311,7 @@
     m->cpus = ty ? ty->cpus : 0;
     m->gpus = ty ? ty->gpus : 0;
     m->mem = ty ? ty->mem : 0;
-    m->heard_at = m->answered_at = m->deaf_at = 0;
+    m->heard_at = m->answered_at = m->unheard_at = m->deaf_at = 0;
     m->rented_here = FALSE;
     m->token = 0;
     m->reply_launch = m->do_out = m->do_lost = 0;
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -247,9 +247,13 @@
   }
   if (r->session > m->session) {
     /* A session that ends within a lease of our answer shows that the answer was not
-     * received: reports come from there, but nothing that we say arrives. */
-    if (m->answered_at && c->now - m->answered_at < c->set->lease_s - 1)
+     * received: reports come from there, but nothing that we say arrives. Once may also be
+     * a report that a cut held back; such ones come in a bunch, not a lease apart. */
+    gboolean unheard = m->answered_at && c->now - m->answered_at < c->set->lease_s - 1;
+    if (unheard && m->unheard_at && c->now - m->unheard_at > c->set->lease_s / 2)
       m->deaf_at = c->now;
+    if (!unheard || !m->unheard_at || c->now - m->unheard_at > c->set->lease_s / 2)
+      m->unheard_at = unheard ? c->now : 0;
     m->reply_launch = m->do_lost = 0; /* orders of the old session are void */
     m->session = r->session;
     g_array_set_size (m->direct, 0);
