--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -142,6 +142,48 @@
   w_at (w, at, deafen, NULL);
 }
 
+/* All controllers behind one cut, which holds back what is sent to them; they hear one
+ * another. Nothing that was up before may be given away because of it. */
+static void
+kept (World *w, gpointer p)
+{
+  guint up = 0, lost = 0;
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    up += m->through_cut;
+    lost += m->through_cut && m->gone;
+  }
+  if (!up || lost * 3 > up)
+    w_broken (w, "kept", "%u of %u machines are given away after a cut", lost, up);
+}
+
+static void
+cut_ends (World *w, gpointer p)
+{
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    m->through_cut = m->up && !m->gone && m->tasks->len == 0 && m->tenure > 1;
+  }
+}
+
+static void
+cut_all (World *w, gpointer p)
+{
+  for (int k = 0; k < w->n; k++) {
+    Node *n = &w->nodes[k];
+    n->cut_workers = n->cut_store = n->cut_users = w->now + 30;
+    n->hold = TRUE;
+  }
+  w_at (w, w->now + 29.5, cut_ends, NULL);
+  w_at (w, w->now + 42, kept, NULL);
+}
+
+void
+faults_held_cut (World *w, double at)
+{
+  w_at (w, at, cut_all, NULL);
+}
+
 static void
 change_owner (World *w, gpointer p)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -73,7 +73,7 @@
   double deaf;      /* until when answers and commands do not reach it; reports leave */
   gboolean hold;
   double warned; /* taken at; 0: no notice */
-  gboolean faulty;
+  gboolean faulty, through_cut;
   GArray *tasks; /* STask */
   GHashTable *images;
 } SMachine;
@@ -175,6 +175,8 @@
 void judge_tick (World *w);
 SJob *job_by_id (World *w, const char *id, guint32 *index);
 void faults_init (World *w, guint n, double from, double to);
+/* All controllers are behind a cut for 30 s that holds packets back. */
+void faults_held_cut (World *w, double at);
 /* Again and again the owner changes, and machines end without a word. */
 void faults_owners (World *w, double from, double to);
 /* At that time the busiest machine stops hearing what it is told. */
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -121,6 +121,18 @@
   assert_int_equal (broken, 0);
 }
 
+static void
+days_with_a_held_cut (void **state)
+{
+  guint broken = 0;
+  for (guint s = 850; s < 856; s++) {
+    World *w = world_new (s, 3);
+    faults_held_cut (w, 150);
+    broken += play_on (w, s, 0, 0, 0);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Machines go and owners change while copies of reports are still on their way. */
 static void
 days_with_copies_and_new_owners (void **state)
@@ -212,10 +224,11 @@
       cmocka_unit_test (days_of_a_stream),
       cmocka_unit_test (days_with_deaf_machines),
       cmocka_unit_test (days_with_copies_and_new_owners),
+      cmocka_unit_test (days_with_a_held_cut),
   };
   if (argc == 2) { /* one part */
-    static const char *const parts[] = {"quiet",  "one",   "many",   "limit", "parts",
-                                        "copies", "nodes", "stream", "deaf",  "owners"};
+    static const char *const parts[] = {"quiet", "one",    "many", "limit",  "parts", "copies",
+                                        "nodes", "stream", "deaf", "owners", "cut"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
