--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -639,6 +639,17 @@
 rent_for_lists (HrCore *c, Room *rooms, guint booting, GArray *needs)
 {
   double boot = boot_time (c) * c->pol.rent_slack;
+  /* What a booting machine's own list fills is no room for others: counted twice, it
+   * would keep the fleet short, and not counted at all, machines would be rented again
+   * in each pass for a gang that waits for those on their way. */
+  for (guint i = 0; i < booting; i++) {
+    HrMachine *m = rooms[i].m;
+    for (guint k = 0; k < m->list->len; k++) {
+      const HrJobSpec *s = &((HrJob *)c->jobs->pdata[g_array_index (m->list, HrRef, k).job])->spec;
+      if (!room_take (&rooms[i], s->cpus, s->gpus, s->mem))
+        break;
+    }
+  }
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
     if (!m->list->len)
@@ -653,11 +664,7 @@
       if (starts[k] - c->now <= boot || (end <= j->deadline && j->spec.shape != HR_GANG))
         continue;
       Cursor at = {0};
-      if (j->spec.shape != HR_GANG)
-        need_task (c, rooms, booting, &at, needs, j);
-      else
-        need_one (c, needs, j->spec.types, j->spec.zone, j->spec.spot, j->spec.cpus, j->spec.gpus,
-                  j->spec.mem);
+      need_task (c, rooms, booting, &at, needs, j);
     }
   }
   /* And for what found no list at all. */
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -357,6 +357,29 @@
   send_in (w, j);
 }
 
+/* A gang of two, for which two machines are enough. */
+static void
+small_gang (World *w, gpointer p)
+{
+  SJob *j = job_new (w);
+  j->shape = HR_GANG;
+  j->tasks = 2;
+  j->cpus = 10;
+  j->gpus = 2;
+  j->mem = 30;
+  j->image_gb = 1;
+  j->run = 40;
+  send_in (w, j);
+}
+
+void
+users_gangs (World *w, guint n, double from, double gap)
+{
+  users_init (w, 0, 0);
+  for (guint i = 0; i < n; i++)
+    w_at (w, from + i * gap, small_gang, NULL);
+}
+
 void
 users_stream (World *w, HrShape large, double from, double to)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -165,10 +165,12 @@
 void worker_boot (World *w, SMachine *m);
 void machine_stop_all (World *w, SMachine *m, const char *why);
 void users_init (World *w, guint jobs, double span);
-/* A stream of small urgent gangs that alone would nearly fill the fleet, beside a few large jobs.
- */
 /* Probes every controller as a load balancer does. */
 void users_probe (World *w);
+/* Gangs of two tasks, one after the other. */
+void users_gangs (World *w, guint n, double from, double gap);
+/* A stream of small urgent gangs that alone would nearly fill the fleet, beside a few large jobs.
+ */
 void users_stream (World *w, HrShape large, double from, double to);
 void users_free (World *w);
 void judge_start (World *w, SMachine *m, STask *t);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -170,6 +170,27 @@
   assert_int_equal (broken, 0);
 }
 
+/* A gang that waits for machines that boot is no reason to rent more in every pass. */
+static void
+days_of_few_gangs (void **state)
+{
+  guint broken = 0;
+  for (guint s = 950; s < 954; s++) {
+    World *w = world_new (s, 3);
+    const guint gangs = 8;
+    w->capacity = 200;
+    users_gangs (w, gangs, 5, 25);
+    world_run (w, 400);
+    for (guint i = 0; i < w->jobs->len; i++)
+      if (!((SJob *)w->jobs->pdata[i])->told_done)
+        w_broken (w, "liveness", "%s is not done", ((SJob *)w->jobs->pdata[i])->id);
+    if (w->machines->len > 4 * gangs)
+      w_broken (w, "rented", "%u machines for %u gangs of two", w->machines->len, gangs);
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Messages lost and carried out again, far more often than anywhere. */
 static void
 days_with_late_copies (void **state)
@@ -225,10 +246,12 @@
       cmocka_unit_test (days_with_deaf_machines),
       cmocka_unit_test (days_with_copies_and_new_owners),
       cmocka_unit_test (days_with_a_held_cut),
+      cmocka_unit_test (days_of_few_gangs),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {"quiet", "one",    "many", "limit",  "parts", "copies",
-                                        "nodes", "stream", "deaf", "owners", "cut"};
+                                        "nodes", "stream", "deaf", "owners", "cut",
+                                        "gangs"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
