--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -35,9 +35,22 @@
   g_free (k);
 }
 
+/* Machines that went, named by a record until now. */
+static void
+note_named (World *w, const char *path)
+{
+  SKey *old = g_hash_table_lookup (w->keys, path);
+  for (guint i = 0; old && i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    if (m->gone && strstr (old->text, m->name))
+      m->named_at = w->now;
+  }
+}
+
 static void
 change (World *w, const char *path, char *text, guint64 claim)
 {
+  note_named (w, path);
   SChange c = {g_strdup (path), g_strdup (text), w->epoch};
   g_array_append_val (w->log, c);
   if (!text) {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -62,6 +62,7 @@
   guint zone;
   gboolean spot, up, gone, failed, listed_gone;
   double rented, boots, gone_at;
+  double named_at; /* when a record last ceased to name it, after it went */
   guint tenure, tally;
   guint64 baton;
   double lease_at; /* sent time of the last report that got an answer */
