--- a/src/bookkeeping/absence.c
+++ b/src/bookkeeping/absence.c
@@ -114,7 +114,7 @@
     if (hr_absence_lease_over (c, m) && m->tasks->len)
       hr_absence_sessions (c, m, G_MAXUINT32, "its lease is surely over");
     /* Past its lease a machine holds nothing that deleting it could cost. */
-    if ((!us || hr_absence_lease_over (c, m)) && !early && c->now - c->confirmed_at < 4)
+    if ((!us || hr_absence_lease_over (c, m)) && !early && hr_follow_served (c))
       hr_fleet_delete (c, m, "its worker is silent");
   }
 }
--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -76,6 +76,8 @@
   gboolean fresh = !j->known;
   j->known = TRUE;
   j->stamp = stamp;
+  if (r.stance == HR_WITHDRAWN)
+    c->withdrawn = MAX (c->withdrawn, stamp);
   g_free (j->tag);
   j->tag = g_steal_pointer (&r.tag);
   if (r.tombstone) {
@@ -152,6 +154,12 @@
     applied_page (c, key + 4, v, stamp);
 }
 
+gboolean
+hr_follow_served (const HrCore *c)
+{
+  return c->now - c->confirmed_at <= UNSERVED_S;
+}
+
 static void
 store_answered (HrCore *c, gboolean ok)
 {
--- a/src/coordination/command.h
+++ b/src/coordination/command.h
@@ -5,12 +5,27 @@
 typedef enum { HR_GET, HR_POST, HR_DELETE, HR_OTHER_METHOD } HrMethod;
 typedef enum { HR_TO_STORE, HR_TO_CLOUD, HR_TO_WORKER } HrTarget;
 
-/* What members tell one another about once a second; hints only. */
+#define HR_MAX_ECHOES 16
+
+/* The clock of a member, as its last hint told it: for that member alone to read. */
+typedef struct {
+  char label[64], incarnation[40];
+  double clock;
+} HrEcho;
+
+/* What members tell one another about once a second. Hints, on which no rule rests, but
+ * for one statement: by the time it was made, its sender and the processes before it had
+ * confirmed no withdrawal after `withdrawn`. It is at least as new as the echoed clocks. */
 typedef struct {
   char label[64], incarnation[40];
   guint64 baton, map_stamp;
   gboolean store_served, leads;
   guint32 contacts;
+  double clock;
+  gboolean synced; /* has read the whole ledger once; without that, `withdrawn` says nothing */
+  guint64 withdrawn;
+  HrEcho echoes[HR_MAX_ECHOES];
+  guint nechoes;
 } HrHint;
 
 typedef enum { HR_C_REQUEST, HR_C_RESULT, HR_C_HINT, HR_C_TICK } HrCommandKind;
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -6,6 +6,8 @@
 
 /* From a decision to a running task: a write, an order and a report. */
 #define STOP_AND_START_S 2.0
+/* What a replica's place in the controllers' zone is worth, as time to its start. */
+#define HOME_S 2.0
 
 typedef struct {
   HrMachine *m;
@@ -260,7 +262,9 @@
 {
   double fetch = hr_fetch_time (c, j, m);
   double closes = open && fetch > 0 && !stays_open (c, &j->spec, m, 2) ? 1000 : 0;
-  return -10 * fetch - closes + m->tasks->len * 10 - (m->gpus + m->cpus * 0.1);
+  /* Behind a cut of the controllers' own zone its workers still hear the owner. */
+  double home = m->zone == c->set->home ? HOME_S * 10 : 0;
+  return home - 10 * fetch - closes + m->tasks->len * 10 - (m->gpus + m->cpus * 0.1);
 }
 
 /* Machines that something more may start on; the others need not be looked at. */
@@ -712,7 +716,9 @@
 void
 hr_dispatch (HrCore *c)
 {
-  if (!c->types || !hr_leader_may_answer (c))
+  /* While nothing can be recorded nothing can start, so nothing is stopped to make room
+   * and no machine is idle for want of work. */
+  if (!c->types || !hr_leader_may_answer (c) || !hr_follow_served (c))
     return;
   g_autoptr (GPtrArray) services = g_ptr_array_new ();
   for (guint i = 0; i < c->open->len; i++) {
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -243,7 +243,8 @@
 }
 
 /* The zone with capacity that holds the fewest of our machines, those asked for in this
- * round (by zone) included. */
+ * round (by zone) included. The controllers' own zone takes twice its share: behind a cut
+ * of it, its workers still hear the owner (hr_leader_may_answer). */
 static guint32
 best_zone (HrCore *c, const HrType *t, gboolean spot, const guint *asked)
 {
@@ -258,6 +259,8 @@
       HrMachine *m = c->fleet->pdata[k];
       n += m->type == t->type && m->zone == z;
     }
+    if (z == c->set->home)
+      n /= 2;
     if (n < least) {
       least = n;
       best = z;
@@ -273,7 +276,7 @@
    * very first owner has nothing to look for. */
   gboolean looked =
       c->led_baton == 1 || (c->list_complete && c->now - c->led_at > c->set->list_lag_s);
-  if (!looked || c->asks_out || c->now < c->rent_at || c->now - c->confirmed_at > 4)
+  if (!looked || c->asks_out || c->now < c->rent_at || !hr_follow_served (c))
     return;
   g_autofree guint *asked = g_new0 (guint, c->names->zones.names->len + 1);
   for (guint i = 0; i < c->wants->len; i++) {
@@ -390,7 +393,8 @@
     HrMachine *m = c->fleet->pdata[i];
     const HrType *t = hr_type (c, m);
     /* After a cut of our own: it may be up, and its worker has to find us first. */
-    if (m->state == HR_M_BOOTING && t && c->now - m->rented_at > t->boot_s * c->pol.boot_limit &&
+    if (m->state == HR_M_BOOTING && t && hr_follow_served (c) &&
+        c->now - m->rented_at > t->boot_s * c->pol.boot_limit &&
         c->now - c->served_since > c->pol.silent_s)
       hr_fleet_delete (c, m, "it does not come up");
   }
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -30,16 +30,40 @@
   return heard;
 }
 
-/* hold_s bounds how long an owner may answer without a reading. One that is cut off
- * from members and state service alike stops sooner: another leads by then, and while
- * its workers still hear us they do not look for that one. */
+/* Up to when nobody else can have confirmed a withdrawal that we have not read, or become
+ * the owner: each of the other members said so, after it had heard our clock. With none,
+ * there is nobody who could. */
+static double
+vouched_at (const HrCore *c)
+{
+  double t = c->now;
+  if (!c->synced_once)
+    return 0;
+  for (guint i = 0; i < c->set->members->len; i++) {
+    const char *label = g_array_index (c->set->members, HrMember, i).label;
+    double said = 0;
+    for (guint k = 0; k < c->peers->len; k++) {
+      const HrPeerView *p = &g_array_index (c->peers, HrPeerView, k);
+      if (g_str_equal (p->hint.label, label))
+        said = p->vouched;
+    }
+    t = MIN (t, said);
+  }
+  return t;
+}
+
+/* hold_s bounds how long an owner may answer without a reading, or the word of all other
+ * members that they have none to go by either: a cut of them all, behind which workers
+ * would lose their tasks for nothing. One that is cut off from members and state service
+ * alike stops sooner: another leads by then, and while its workers still hear us they do
+ * not look for that one. */
 gboolean
 hr_leader_may_answer (const HrCore *c)
 {
   double hold = c->pol.hold_s;
   if (!hr_leader_outage_for_all (c))
     hold = MIN (hold, c->pol.alone_s);
-  return c->leads && c->now - c->confirmed_at <= hold;
+  return c->leads && c->now - MAX (c->confirmed_at, vouched_at (c)) <= hold;
 }
 
 static void
@@ -256,9 +280,35 @@
   e->hint.store_served = c->synced_once && c->now - c->confirmed_at < 2.5;
   e->hint.leads = c->leads;
   e->hint.contacts = contacts (c);
+  e->hint.clock = c->now;
+  e->hint.synced = c->synced_once;
+  e->hint.withdrawn = c->withdrawn;
+  for (guint i = 0; i < MIN (c->peers->len, HR_MAX_ECHOES); i++) {
+    const HrHint *h = &g_array_index (c->peers, HrPeerView, i).hint;
+    HrEcho *o = &e->hint.echoes[e->hint.nechoes++];
+    g_strlcpy (o->label, h->label, sizeof o->label);
+    g_strlcpy (o->incarnation, h->incarnation, sizeof o->incarnation);
+    o->clock = h->clock;
+  }
   g_ptr_array_add (c->out, e);
 }
 
+/* Takes note of what a member states, and of when by our clock it was still so. A member
+ * that the state service serves may confirm and lead from now on: no word of it counts. */
+static void
+note_statement (HrCore *c, HrPeerView *p)
+{
+  const HrHint *h = &p->hint;
+  if (h->store_served || h->leads || !h->synced || h->baton > c->baton || h->withdrawn > c->applied)
+    return;
+  for (guint i = 0; i < h->nechoes; i++) {
+    const HrEcho *e = &h->echoes[i];
+    if (g_str_equal (e->label, c->set->label) && g_str_equal (e->incarnation, c->incarnation) &&
+        e->clock <= c->now)
+      p->vouched = MAX (p->vouched, e->clock);
+  }
+}
+
 void
 hr_leader_hint (HrCore *c, const HrHint *h)
 {
@@ -279,6 +329,7 @@
   }
   p->hint = *h;
   p->at = c->now;
+  note_statement (c, p);
   /* A member that the state service serves has read a newer map, and we, who
    * think we own it, have not: whoever is refused steps down at once. */
   if (c->leads && h->store_served && h->baton > c->baton && c->now - c->confirmed_at > 1.5) {
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -5,7 +5,8 @@
 #include <math.h>
 #include <string.h>
 
-#define WINDOW 64 /* tasks of one job that stand in lists at a time */
+#define WINDOW 64  /* tasks of one job that stand in lists at a time */
+#define HOME_S 2.0 /* how much later a gang may begin to do so in the controllers' zone */
 
 static HrJob *
 job_of (HrCore *c, HrRef r)
@@ -435,6 +436,8 @@
       guint k = g_array_index (got, guint, i);
       begins = MAX (begins, start[k] + fetch[k]);
     }
+    if (j->spec.one_zone && z == c->set->home)
+      begins -= HOME_S;
     if (got->len == j->ntasks && begins < soonest) {
       soonest = begins;
       common = last;
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -54,6 +54,7 @@
 typedef struct {
   HrHint hint;
   double at;
+  double vouched; /* by our clock: what it stated was so then; see hr_leader_vouched */
 } HrPeerView;
 
 struct HrCore {
@@ -80,6 +81,7 @@
   double sync_retry_at;
   gboolean store_down;
   guint store_fails;
+  guint64 withdrawn; /* stamp of the latest withdrawal that we have read or confirmed */
 
   /* Writing to it. */
   GQueue txns[HR_TXN_KINDS];
@@ -149,6 +151,8 @@
 void hr_follow_tick (HrCore *c);
 void hr_follow_reset (HrCore *c);
 void hr_follow_read (HrCore *c, HrReadFn fn, gpointer data);
+/* The state service has answered this node of late. */
+gboolean hr_follow_served (const HrCore *c);
 gboolean hr_follow_job (HrCore *c, HrJob *j, const json_t *value, guint64 stamp);
 
 /* bookkeeping/ledger.c: the ledger, as written */
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -245,6 +245,7 @@
   HrJob *j = hr_job_find (c, a->id);
   guint64 epoch;
   if (status == 200 && j && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
+    c->withdrawn = MAX (c->withdrawn, epoch);
     if (j->stance == HR_QUEUED && epoch > j->stamp) {
       j->stance = HR_WITHDRAWN;
       j->stamp = epoch;
@@ -281,7 +282,7 @@
 {
   if (!c->types || !c->synced_once)
     hr_refuse (c, cmd->id, 503, 1, "still reading the ledger and the machine types");
-  else if (c->now - c->confirmed_at > 4 && !hr_leader_outage_for_all (c))
+  else if (!hr_follow_served (c) && !hr_leader_outage_for_all (c))
     hr_refuse (c, cmd->id, 503, 1, "the state service does not answer this node");
   else
     hr_reply (c, cmd->id, 200, json_pack ("{sb}", "ready", 1), 0);
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -166,6 +166,10 @@
     }
     g_array_append_val (s->members, m);
   }
+  s->home = hr_intern (&names->zones, s->zone);
+  for (guint k = 0; k < s->members->len; k++)
+    if (g_strcmp0 (g_array_index (s->members, HrMember, k).zone, s->zone) != 0)
+      s->home = HR_NONE;
   if (!read_facts (s, json_object_get (root, "facts"), names, e))
     return NULL;
   return g_steal_pointer (&s);
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -23,6 +23,7 @@
   GArray *members; /* HrMember */
   GArray *teams;   /* HrTeam */
   GArray *aims;    /* HrAim */
+  guint32 home;    /* the zone that all controllers are in; HR_NONE: they are in several */
   double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
   double state_rps, state_write_rps, value_kb;
   guint txn_ops;
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -54,6 +54,15 @@
   c->hint.store_served = m->store_served;
   c->hint.leads = m->leads;
   c->hint.contacts = m->worker_contacts;
+  c->hint.clock = m->clock;
+  c->hint.synced = m->synced;
+  c->hint.withdrawn = m->withdrawn;
+  for (gsize i = 0; i < m->n_echoes && c->hint.nechoes < HR_MAX_ECHOES; i++) {
+    HrEcho *e = &c->hint.echoes[c->hint.nechoes++];
+    g_strlcpy (e->label, m->echoes[i]->label, sizeof e->label);
+    g_strlcpy (e->incarnation, m->echoes[i]->incarnation, sizeof e->incarnation);
+    e->clock = m->echoes[i]->clock;
+  }
   hr__hint__free_unpacked (m, NULL);
   r->owner->sink (c, r->owner->data);
 }
@@ -149,6 +158,19 @@
   m.store_served = h->store_served;
   m.leads = h->leads;
   m.worker_contacts = h->contacts;
+  m.clock = h->clock;
+  m.synced = h->synced;
+  m.withdrawn = h->withdrawn;
+  Hr__Echo echoes[HR_MAX_ECHOES], *list[HR_MAX_ECHOES];
+  for (guint i = 0; i < h->nechoes; i++) {
+    hr__echo__init (&echoes[i]);
+    echoes[i].label = (char *)h->echoes[i].label;
+    echoes[i].incarnation = (char *)h->echoes[i].incarnation;
+    echoes[i].clock = h->echoes[i].clock;
+    list[i] = &echoes[i];
+  }
+  m.n_echoes = h->nechoes;
+  m.echoes = list;
   gsize len = hr__hint__get_packed_size (&m);
   if (len > MAX_FRAME)
     return;
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -184,6 +184,82 @@
   w_at (w, at, cut_all, NULL);
 }
 
+/* ---- what members tell the owner in a cut of them all ---- */
+
+#define CUT_ALL_S 50.0
+
+static void
+still_held (World *w, gpointer p)
+{
+  guint up = 0, lost = 0;
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    up += m->through_cut && !m->gone;
+    lost += m->through_cut && !m->gone && m->tenure > 1;
+  }
+  if (!up || lost)
+    w_broken (w, "word", "%u of %u machines lost their lease, though no member was served", lost,
+              up);
+}
+
+static void
+store_away (World *w, int node)
+{
+  w->nodes[node].cut_store = w->now + CUT_ALL_S;
+  w->nodes[node].hold = FALSE;
+}
+
+static void
+all_away (World *w, gpointer p)
+{
+  for (int k = 0; k < w->n; k++)
+    store_away (w, k);
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    m->through_cut = m->up && !m->gone && !m->spot && m->tenure == 1;
+  }
+  w_at (w, w->now + CUT_ALL_S - 2, still_held, NULL);
+}
+
+void
+faults_cut_from_store (World *w, double at)
+{
+  w_at (w, at, all_away, NULL);
+}
+
+/* All but one node miss a withdrawal that this one confirms just before it is cut off too,
+ * and perhaps restarts: its word must not keep the job's tasks alive. */
+static void
+others_away (World *w, gpointer p)
+{
+  int other = GPOINTER_TO_INT (p) % MAX_NODES;
+  for (int k = 0; k < w->n; k++)
+    if (w->nodes[k].cut_store < w->now)
+      store_away (w, k);
+  if (GPOINTER_TO_INT (p) >= MAX_NODES)
+    stumble (w, GINT_TO_POINTER (other));
+}
+
+static void
+missed_withdrawal (World *w, gpointer p)
+{
+  int owner = store_owner (w);
+  if (owner < 0)
+    return;
+  int other = (owner + 1) % w->n;
+  for (int k = 0; k < w->n; k++)
+    if (k != other)
+      store_away (w, k);
+  users_withdraw_at (w, other);
+  w_at (w, w->now + 0.8, others_away, GINT_TO_POINTER (other + (p ? MAX_NODES : 0)));
+}
+
+void
+faults_missed_withdrawal (World *w, double at, gboolean restart)
+{
+  w_at (w, at, missed_withdrawal, GINT_TO_POINTER (restart));
+}
+
 static void
 change_owner (World *w, gpointer p)
 {
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -194,6 +194,23 @@
     w_broken (w, "fence", "%s is written without a hold on the map", path);
 }
 
+/* The map's change, and a withdrawal, are what an owner must not miss for long. */
+static void
+note_decision (World *w, const Req *r, json_t *put)
+{
+  const char *path = json_string_value (json_object_get (put, "set"));
+  json_t *s = json_object_get (json_object_get (put, "value"), "s");
+  if (g_strcmp0 (path, "h/map") != 0 && json_integer_value (s) != 2)
+    return;
+  for (int k = 0; k < w->n; k++)
+    if (k != r->node) {
+      Node *n = &w->nodes[k];
+      if (!n->behind_at)
+        n->behind_at = w->now;
+      n->behind_epoch = w->epoch;
+    }
+}
+
 static void
 commit (World *w, Req *r)
 {
@@ -242,6 +259,7 @@
   {
     const char *set = json_string_value (json_object_get (e, "set"));
     note_assignments (w, e);
+    note_decision (w, r, e);
     if (set)
       change (w, set, hr_json_take_text (json_incref (json_object_get (e, "value"))),
               json_integer_value (json_object_get (e, "claim")));
@@ -266,6 +284,17 @@
   return FALSE;
 }
 
+int
+store_owner (World *w)
+{
+  SKey *k = g_hash_table_lookup (w->keys, "h/map");
+  json_t *o = k ? json_loads (k->text, 0, NULL) : NULL;
+  const char *label = json_string_value (json_object_get (o, "o"));
+  int node = label ? label[1] - '0' : -1;
+  json_decref (o);
+  return node;
+}
+
 static char *
 query (const char *path, const char *name)
 {
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -146,6 +146,20 @@
   w_ask (w, any_node (w), -1, HR_POST, path, NULL, 5, on_cancel, ask (w, j));
 }
 
+void
+users_withdraw_at (World *w, int node)
+{
+  for (guint i = 0; i < w->jobs->len; i++) {
+    SJob *j = w->jobs->pdata[i];
+    if (j->shape != HR_SERVICE || !j->started || j->cancel)
+      continue;
+    j->cancel = j->asked_cancel = TRUE;
+    g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, "/abort", NULL);
+    w_ask (w, node, -1, HR_POST, path, NULL, 5, on_cancel, ask (w, j));
+    return;
+  }
+}
+
 static void
 on_stranger (World *w, int status, json_t *body, gpointer p)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -36,7 +36,9 @@
   GHashTable *open;  /* request id -> Req */
   GHashTable *heard; /* machine -> guint64[2]: newest session and number answered */
   guint64 next;
-  double store_at; /* when the state service last answered it */
+  double store_at;  /* when the state service last answered it */
+  double behind_at; /* when another changed the map or withdrew a job, not read yet; 0: never */
+  guint64 behind_epoch;
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
   double alone_at; /* cut off from state service and members since */
   gboolean hold;   /* cuts hold packets back */
@@ -156,6 +158,7 @@
 void store_request (World *w, Req *r);
 void store_init (World *w);
 gboolean store_names (World *w, const char *machine);
+int store_owner (World *w); /* the node that the map names; -1: none */
 void store_free (World *w);
 void cloud_request (World *w, Req *r);
 void cloud_init (World *w);
@@ -168,6 +171,8 @@
 void users_init (World *w, guint jobs, double span);
 /* Probes every controller as a load balancer does. */
 void users_probe (World *w);
+/* The user of a running service withdraws it, at this node. */
+void users_withdraw_at (World *w, int node);
 /* Gangs of two tasks, one after the other. */
 void users_gangs (World *w, guint n, double from, double gap);
 /* A stream of small urgent gangs that alone would nearly fill the fleet, beside a few large jobs.
@@ -180,6 +185,10 @@
 void faults_init (World *w, guint n, double from, double to);
 /* All controllers are behind a cut for 30 s that holds packets back. */
 void faults_held_cut (World *w, double at);
+/* The state service answers no controller for 50 s; they hear one another, and workers. */
+void faults_cut_from_store (World *w, double at);
+/* The same, after one of them confirmed a withdrawal that the owner did not read. */
+void faults_missed_withdrawal (World *w, double at, gboolean restart);
 /* Again and again the owner changes, and machines end without a word. */
 void faults_owners (World *w, double from, double to);
 /* At that time the busiest machine stops hearing what it is told. */
