--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -58,6 +58,7 @@
   gboolean listed;    /* in the owner's list of open jobs */
   guint32 nlive;      /* tasks assigning or bound */
   gboolean gang_over; /* this attempt is to end; all tasks must go first */
+  double short_since; /* a gang lost a task before its start, which is to be replaced; 0: no */
   double retry_at, pause;
   guint errors;
   HrExit last_error;
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -341,6 +341,40 @@
   return TRUE;
 }
 
+/* A gang that lost a task before its start gets that task anew, with the same attempt
+ * number, where the image is soonest. The others wait for gang_wait_s only, and occupy
+ * their machines meanwhile: where no place is found in half of that, it begins anew. */
+static void
+complete_gang (HrCore *c, HrJob *j)
+{
+  guint32 attempt = 0;
+  gboolean whole = TRUE;
+  for (guint32 k = 0; k < j->ntasks; k++)
+    if (j->tasks[k].state != HR_T_IDLE)
+      attempt = j->tasks[k].try;
+  for (guint32 k = 0; k < j->ntasks; k++) {
+    HrMachine *best = NULL;
+    if (j->tasks[k].state != HR_T_IDLE)
+      continue;
+    for (guint i = 0; i < c->fleet->len; i++) {
+      HrMachine *m = c->fleet->pdata[i];
+      /* Where it was refused, the same attempt would be taken for the refused one. */
+      if (m->idx != j->tasks[k].machine && startable (c, j, m) && hr_team_allows (c, j, 1) &&
+          (!best || hr_fetch_time (c, j, m) < hr_fetch_time (c, j, best)))
+        best = m;
+    }
+    if (best) {
+      g_info ("%s/%u was lost before the gang's start; %s takes its place", j->id, k, best->name);
+      start (c, j, k, best, attempt);
+    } else
+      whole = FALSE;
+  }
+  if (whole)
+    j->short_since = 0;
+  else if (c->now - j->short_since > c->set->gang_wait_s / 2)
+    hr_gang_end (c, j, 0);
+}
+
 /* May this task start on the machine now without holding up an earlier one of its list? */
 static gboolean
 may_pass (HrCore *c, HrJob *j, HrMachine *m, double blocked_until)
@@ -723,8 +757,12 @@
   g_autoptr (GPtrArray) services = g_ptr_array_new ();
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
-    if (j->stance == HR_QUEUED && j->tasks && j->spec.shape == HR_SERVICE && j->nlive < j->ntasks)
+    if (j->stance != HR_QUEUED || !j->tasks)
+      continue;
+    if (j->spec.shape == HR_SERVICE && j->nlive < j->ntasks)
       g_ptr_array_add (services, j);
+    else if (j->short_since)
+      complete_gang (c, j);
   }
   g_ptr_array_sort (services, by_rank);
   start_services (c, services);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -59,6 +59,7 @@
   if (j->nlive)
     return;
   j->gang_over = FALSE;
+  j->short_since = 0;
   if (j->stance != HR_QUEUED)
     hr_ledger_mark (c, j, 0); /* all are gone: the record can shrink */
 }
@@ -90,6 +91,11 @@
     hr_task_gone (c, j, task, HR_X_NONE, "its machine changed before the launch");
     return;
   }
+  if (j->spec.shape == HR_GANG && j->ndone) {
+    /* A replacement for a gang that turned out to be done while we wrote; nothing was sent. */
+    hr_task_done (c, j, task);
+    return;
+  }
   m->urgent = TRUE;
   if (j->spec.shape == HR_GANG && hr_gang_ready (j))
     for (guint32 i = 0; i < j->ntasks; i++)
@@ -100,6 +106,7 @@
 hr_gang_end (HrCore *c, HrJob *j, double grace)
 {
   j->gang_over = TRUE;
+  j->short_since = 0;
   for (guint32 i = 0; i < j->ntasks; i++) {
     HrTask *t = &j->tasks[i];
     if (t->state == HR_T_ASSIGNING && !t->inflight)
@@ -134,6 +141,17 @@
   }
 }
 
+/* Has the attempt begun, as far as its workers have said? */
+static gboolean
+gang_began (const HrJob *j)
+{
+  for (guint32 i = 0; i < j->ntasks; i++)
+    if (j->tasks[i].state == HR_T_BOUND &&
+        (j->tasks[i].ran_at || j->tasks[i].inherited || j->tasks[i].kill))
+      return TRUE;
+  return FALSE;
+}
+
 void
 hr_task_gone (HrCore *c, HrJob *j, guint32 task, HrExit why, const char *proof)
 {
@@ -141,6 +159,9 @@
   HrMachine *m = machine_of (c, t);
   if (t->state != HR_T_BOUND)
     return;
+  /* The others of a gang that has not begun keep waiting; a replacement with the same
+   * attempt number completes it. A task that failed would most likely fail again. */
+  gboolean replace = (why == HR_X_NONE || why == HR_X_FULL) && !gang_began (j);
   g_debug ("%s/%u try %u is off %s: %s", j->id, task, t->try, m->name, proof);
   t->state = HR_T_IDLE;
   if (why == HR_X_ERROR || why == HR_X_UNKNOWN)
@@ -153,8 +174,12 @@
   if (j->spec.shape == HR_SERVICE)
     c->planned_at = 0; /* a replica is down: plan at once */
   release (c, j, task);
-  if (gang && !j->gang_over && j->stance == HR_QUEUED)
+  if (!gang || j->gang_over || j->stance != HR_QUEUED)
+    return;
+  if (!replace)
     hr_gang_end (c, j, 0);
+  else if (!j->short_since)
+    j->short_since = c->now;
 }
 
 static void
@@ -179,6 +204,8 @@
     HrTask *t = &j->tasks[i];
     if (t->try != attempt && !any)
       continue;
+    if (t->state == HR_T_ASSIGNING && !t->inflight)
+      hr_task_unassign (c, j, i);
     if (t->state == HR_T_BOUND)
       hr_task_done (c, j, i);
     else if (t->state == HR_T_IDLE) {
@@ -330,6 +357,7 @@
       continue;
     j->nlive = j->ndone = 0;
     j->gang_over = FALSE;
+    j->short_since = 0;
     j->planned = 0;
     j->errors = 0;
     j->retry_at = 0;
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -260,6 +260,41 @@
   w_at (w, at, missed_withdrawal, GINT_TO_POINTER (restart));
 }
 
+static void
+lose_places (World *w, gpointer p)
+{
+  double *to = p;
+  for (guint i = 0; w->jobs && i < w->jobs->len; i++) {
+    SJob *j = w->jobs->pdata[i];
+    SMachine *last = NULL;
+    guint here = 0;
+    for (guint k = 0; k < w->machines->len; k++) {
+      SMachine *m = w->machines->pdata[k];
+      for (guint n = 0; !m->gone && n < m->tasks->len; n++) {
+        STask *t = &g_array_index (m->tasks, STask, n);
+        if (t->job == i && t->state == S_FETCH) {
+          here++;
+          last = m;
+        }
+      }
+    }
+    if (here == j->tasks && !j->lost_place) {
+      j->lost_place = TRUE;
+      machine_end (w, last);
+    }
+  }
+  if (w->now < *to)
+    w_at (w, w->now + 0.5, lose_places, p);
+  else
+    g_free (p);
+}
+
+void
+faults_lost_places (World *w, double from, double to)
+{
+  w_at (w, from, lose_places, g_memdup2 (&to, sizeof to));
+}
+
 static void
 change_owner (World *w, gpointer p)
 {
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -381,7 +381,8 @@
   j->cpus = 10;
   j->gpus = 2;
   j->mem = 30;
-  j->image_gb = 1;
+  j->image_gb = w->gang_image > 0 ? w->gang_image : 1;
+  j->image = w->jobs->len; /* its own, to be fetched */
   j->run = 40;
   send_in (w, j);
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -92,7 +92,7 @@
   double due_cancel, told_withdrawn, told_done, started, first, done_at;
   double poll_at, ok_at;
   double accepted_at;
-  gboolean large, forgotten;
+  gboolean large, forgotten, lost_place;
   guint *done; /* per task */
   double *progress;
 } SJob;
@@ -123,6 +123,7 @@
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
   guint streamed;
+  double gang_image; /* GB, of the gangs of two */
   /* judge */
   GPtrArray *broken; /* texts */
   guint starts;
@@ -191,5 +192,7 @@
 void faults_missed_withdrawal (World *w, double at, gboolean restart);
 /* Again and again the owner changes, and machines end without a word. */
 void faults_owners (World *w, double from, double to);
+/* Each gang loses one task's machine once, while it fetches its image. */
+void faults_lost_places (World *w, double from, double to);
 /* At that time the busiest machine stops hearing what it is told. */
 void faults_deaf (World *w, double at);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -150,6 +150,33 @@
   assert_int_equal (broken, 0);
 }
 
+/* A gang that loses a task before its start is completed, not begun anew; that may come too
+ * late where a machine must boot for it first. */
+static void
+days_of_lost_places (void **state)
+{
+  guint broken = 0, lost = 0, anew = 0;
+  for (guint s = 960; s < 964; s++) {
+    World *w = world_new (s, 3);
+    w->gang_image = 8;
+    faults_lost_places (w, 5, 250);
+    users_gangs (w, 6, 5, 30);
+    world_run (w, 450);
+    for (guint i = 0; i < w->jobs->len; i++) {
+      SJob *j = w->jobs->pdata[i];
+      g_autofree char *again = g_strdup_printf ("%s/0/2", j->id);
+      lost += j->lost_place;
+      if (!j->told_done)
+        w_broken (w, "liveness", "%s is not done", j->id);
+      anew += g_hash_table_contains (w->assigned, again);
+    }
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+  assert_true (lost >= 16);
+  assert_true (anew * 2 < lost);
+}
+
 /* Machines go and owners change while copies of reports are still on their way. */
 static void
 days_with_copies_and_new_owners (void **state)
@@ -265,11 +292,12 @@
       cmocka_unit_test (days_with_a_held_cut),
       cmocka_unit_test (days_of_few_gangs),
       cmocka_unit_test (days_of_members_word),
+      cmocka_unit_test (days_of_lost_places),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {"quiet",  "one",   "many",   "limit", "parts",
                                         "copies", "nodes", "stream", "deaf",  "owners",
-                                        "cut",    "gangs", "word"};
+                                        "cut",    "gangs", "word", "places"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
