--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -85,6 +85,7 @@
     j->ntasks = r.ntasks;
     j->nrdone = r.ndone;
     j->shrunk = TRUE;
+    hr_litter_job (c, j);
     if (!c->leads || !j->nlive)
       hr_job_shrink (j);
     return TRUE;
@@ -114,13 +115,19 @@
 applied_page (HrCore *c, const char *rest, const json_t *v, guint64 stamp)
 {
   const char *slash = strrchr (rest, '/');
-  if (!slash || !v)
+  if (!slash)
     return;
   g_autofree char *id = g_strndup (rest, slash - rest);
   HrJob *j = hr_job_find (c, id);
   guint64 n = g_ascii_strtoull (slash + 1, NULL, 10);
+  if (j && j->shrunk) {
+    hr_litter_gone (c, j, n);
+    if (v)
+      hr_litter_note (c, j, n);
+    return;
+  }
   const char *tag = hr_json_str (v, "w");
-  if (!j || !j->tasks || !j->per_page || n >= j->npages || stamp <= j->pages[n].stamp)
+  if (!v || !j || !j->tasks || !j->per_page || n >= j->npages || stamp <= j->pages[n].stamp)
     return;
   HrPage *p = &j->pages[n];
   if (p->tag && tag && g_str_equal (p->tag, tag)) {
--- /dev/null
+++ b/src/bookkeeping/litter.c
@@ -0,0 +1,67 @@
+/* Pages of jobs that are final: their record is a tombstone, and nobody reads them again.
+ * Every follower notes them, so that whoever leads tidies up after a predecessor; they go
+ * a few at a time, when the store's allowance has nothing more urgent. */
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+
+#define AT_A_TIME 4 /* of the changes that a transaction may hold */
+
+void
+hr_litter_note (HrCore *c, const HrJob *j, guint page)
+{
+  HrDirty d = {j->idx, page};
+  g_array_append_val (c->litter, d);
+}
+
+/* The job has become final: so far as we know, these of its pages are in the ledger. */
+void
+hr_litter_job (HrCore *c, const HrJob *j)
+{
+  for (guint i = 0; j->per_page && i < j->npages; i++)
+    if (j->pages[i].stamp)
+      hr_litter_note (c, j, i);
+}
+
+/* The page is gone from the ledger. */
+void
+hr_litter_gone (HrCore *c, const HrJob *j, guint page)
+{
+  for (guint i = 0; i < c->litter->len; i++) {
+    HrDirty *d = &g_array_index (c->litter, HrDirty, i);
+    if (d->job == j->idx && d->page == page)
+      g_array_remove_index_fast (c->litter, i--);
+  }
+}
+
+static void
+on_tidied (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  g_autoptr (GArray) batch = data;
+  c->tidying = FALSE;
+  c->tidy_at = c->now + 1;
+  for (guint i = 0; i < batch->len && status == 200; i++) {
+    const HrDirty *d = &g_array_index (batch, HrDirty, i);
+    hr_litter_gone (c, c->jobs->pdata[d->job], d->page);
+  } /* otherwise it is tried again */
+}
+
+void
+hr_litter_tick (HrCore *c)
+{
+  guint n = MIN (MIN (c->litter->len, AT_A_TIME), c->set->txn_ops);
+  /* At most a tenth of the allowance, and only what is left over of it. */
+  if (!c->leads || !n || c->tidying || c->now < c->tidy_at || c->dirty->len ||
+      !hr_follow_served (c) || c->write_bucket.tokens < c->write_bucket.burst * 0.8)
+    return;
+  json_t *writes = json_array ();
+  GArray *batch = g_array_new (FALSE, FALSE, sizeof (HrDirty));
+  g_array_append_vals (batch, c->litter->data, n);
+  for (guint i = 0; i < n; i++) {
+    const HrDirty *d = &g_array_index (batch, HrDirty, i);
+    g_autofree char *key = hr_page_key (c->jobs->pdata[d->job], d->page);
+    json_array_append_new (writes, json_pack ("{ss}", "delete", key));
+  }
+  c->tidying = TRUE;
+  hr_commit (c, HR_TXN_BOOKS, hr_cond (json_array (), "h/map", c->map_stamp), writes, n, 2,
+             on_tidied, batch);
+}
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -85,7 +85,10 @@
 
   /* Writing to it. */
   GQueue txns[HR_TXN_KINDS];
-  GArray *dirty; /* HrDirty: pages with something to record */
+  GArray *dirty;  /* HrDirty: pages with something to record */
+  GArray *litter; /* HrDirty: pages of final jobs, still in the ledger */
+  gboolean tidying;
+  double tidy_at;
   HrBucket write_bucket, cloud_bucket;
   guint txns_out;
   double write_pause;
@@ -166,6 +169,12 @@
 char *hr_job_key (const HrJob *j);
 char *hr_page_key (const HrJob *j, guint page);
 
+/* bookkeeping/litter.c: pages of final jobs */
+void hr_litter_note (HrCore *c, const HrJob *j, guint page);
+void hr_litter_job (HrCore *c, const HrJob *j);
+void hr_litter_gone (HrCore *c, const HrJob *j, guint page);
+void hr_litter_tick (HrCore *c);
+
 /* bookkeeping/absence.c: proofs that a task is on no machine */
 gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
 gboolean hr_absence_orders_settled (const HrMachine *m);
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -284,6 +284,25 @@
   return FALSE;
 }
 
+/* Pages in the ledger whose job is final. */
+guint
+store_litter (World *w)
+{
+  GHashTableIter it;
+  gpointer path;
+  guint n = 0;
+  g_hash_table_iter_init (&it, w->keys);
+  while (g_hash_table_iter_next (&it, &path, NULL)) {
+    if (!g_str_has_prefix (path, "h/t/"))
+      continue;
+    g_autofree char *id = g_strndup ((char *)path + 4, strrchr (path, '/') - (char *)path - 4);
+    g_autofree char *main = g_strconcat ("h/j/", id, NULL);
+    SKey *k = g_hash_table_lookup (w->keys, main);
+    n += k && !strstr (k->text, "\"j\":"); /* a tombstone has no description */
+  }
+  return n;
+}
+
 int
 store_owner (World *w)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -159,6 +159,7 @@
 void store_request (World *w, Req *r);
 void store_init (World *w);
 gboolean store_names (World *w, const char *machine);
+guint store_litter (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
 void store_free (World *w);
 void cloud_request (World *w, Req *r);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -36,6 +36,8 @@
   users_probe (w);
   faults_init (w, faults, 30, 320);
   world_run (w, 1000);
+  if (store_litter (w))
+    w_broken (w, "litter", "%u pages of final jobs are kept", store_litter (w));
   if (w->starts == 0)
     w_broken (w, "nothing_ran", "no task was started");
   for (guint i = 0; i < w->jobs->len; i++) {
@@ -297,7 +299,7 @@
   if (argc == 2) { /* one part */
     static const char *const parts[] = {"quiet",  "one",   "many",   "limit", "parts",
                                         "copies", "nodes", "stream", "deaf",  "owners",
-                                        "cut",    "gangs", "word", "places"};
+                                        "cut",    "gangs", "word",   "places"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
