--- /dev/null
+++ b/src/coordination/claims.c
@@ -0,0 +1,78 @@
+/* Room kept for services, which stand in no list. */
+#include "coordination/plan.h"
+
+/* Takes the room of up to n tasks off a machine for services. */
+static guint
+claim_on (HrMachine *m, double cpus, double gpus, double mem, guint n)
+{
+  while (n && hr_machine_has_beside_claims (m, cpus, gpus, mem)) {
+    m->claim_cpus += cpus;
+    m->claim_gpus += gpus;
+    m->claim_mem += mem;
+    n--;
+  }
+  return n;
+}
+
+/* Keeps room for n tasks of a class on machines that are up, with this image if any is
+ * named, on busy ones only if asked for. Returns how many found none. */
+static guint
+claim_room (HrCore *c, const HrClassStat *s, guint32 image, gboolean busy, guint n)
+{
+  for (guint k = 0; k < c->fleet->len && n; k++) {
+    HrMachine *m = c->fleet->pdata[k];
+    if (m->state == HR_M_UP && hr_usable (c, m) && (!m->spot || s->spot) &&
+        (!s->types || s->types >> m->type & 1) && (!busy || m->tasks->len) &&
+        (image == HR_NONE || hr_machine_has_image (m, image)))
+      n = claim_on (m, s->cpus, s->gpus, s->mem, n);
+  }
+  return n;
+}
+
+/* Services outrank the lists: what waits for a boot has its room on the machines
+ * that come up next, and some room is kept for the next arrivals; the lists are
+ * projected, and started, without that room. */
+void
+hr_claim_for_services (HrCore *c)
+{
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    m->claim_cpus = m->claim_gpus = m->claim_mem = 0;
+    m->fixed_cpus = m->fixed_gpus = m->fixed_mem = 0;
+    for (guint k = 0; k < m->tasks->len; k++) {
+      const HrJobSpec *s = &hr_job_of (c, g_array_index (m->tasks, HrRef, k))->spec;
+      if (s->shape != HR_SERVICE)
+        continue;
+      m->fixed_cpus += s->cpus;
+      m->fixed_gpus += s->gpus;
+      m->fixed_mem += s->mem;
+    }
+  }
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    const HrJobSpec *s = &j->spec;
+    if (j->stance != HR_QUEUED || s->shape != HR_SERVICE || !j->tasks)
+      continue;
+    guint left = j->ntasks - j->nlive;
+    for (guint k = 0; k < c->fleet->len && left; k++) {
+      HrMachine *m = c->fleet->pdata[k];
+      if (m->state == HR_M_BOOTING && hr_allowed (c, j, m))
+        left = claim_on (m, s->cpus, s->gpus, s->mem, left);
+    }
+  }
+  for (guint i = 0; i < c->classes->len; i++) {
+    HrClassStat *s = &g_array_index (c->classes, HrClassStat, i);
+    guint left = s->seen && s->shape == HR_SERVICE ? hr_headroom (c, i) : 0, all = left;
+    double weight = 0;
+    for (guint k = 0; k < s->nimages; k++)
+      weight += s->images[k].weight;
+    /* Where an image is that the next arrivals may need: a replica starts there at once. */
+    for (guint k = 0; k < s->nimages && left; k++) {
+      guint want = MIN (left, (guint)(all * s->images[k].weight / weight + 0.5));
+      left -= want - claim_room (c, s, s->images[k].image, FALSE, want);
+    }
+    /* Then where others run already: whole machines are for those who need them. */
+    left = claim_room (c, s, HR_NONE, TRUE, left);
+    claim_room (c, s, HR_NONE, FALSE, left);
+  }
+}
--- /dev/null
+++ b/src/coordination/mtedf.c
@@ -0,0 +1,205 @@
+/* MT-EDF: a new task is tried at its deadline slot in the lists (the paper's figure 1). */
+#include "coordination/plan.h"
+#include <math.h>
+
+/* Earliest-starting list first, the image fetch included. */
+static int
+by_ready (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const HrMachine *x = *(HrMachine *const *)a, *y = *(HrMachine *const *)b;
+  if (x->begins != y->begins)
+    return x->begins < y->begins ? -1 : 1;
+  if (x->spot != y->spot)
+    return x->spot ? -1 : 1;                                        /* cheaper */
+  if (x->tasks->len + x->list->len != y->tasks->len + y->list->len) /* so that others fall empty */
+    return x->tasks->len + x->list->len > y->tasks->len + y->list->len ? -1 : 1;
+  return x->idx < y->idx ? -1 : x->idx > y->idx;
+}
+
+gboolean
+hr_better (HrJudge a, HrJudge b)
+{
+  return a.late < b.late || (a.late == b.late && a.tard < b.tard - 1e-9);
+}
+
+/* How the whole plan changes when the task joins this list: the others stay as
+ * they are, so the difference on this list decides. */
+static HrJudge
+try_list (HrCore *c, HrMachine *m, HrRef r, double *start)
+{
+  guint late = m->late;
+  double tard = m->tardiness, ready = m->ready;
+  guint at = hr_slot_of (c, m, hr_job_of (c, r));
+  g_array_insert_val (m->list, at, r);
+  double *starts = hr_scratch (m->list->len);
+  hr_project (c, m, starts);
+  *start = starts[at];
+  HrJudge d = {m->late - late, m->tardiness - tard};
+  g_array_remove_index (m->list, at);
+  m->late = late;
+  m->tardiness = tard;
+  m->ready = ready;
+  return d;
+}
+
+/* The lists that may take the job's tasks, earliest-starting first. */
+GPtrArray *
+hr_mtedf_order (HrCore *c, GPtrArray *lists, HrJob *j)
+{
+  GPtrArray *order = g_ptr_array_sized_new (lists->len);
+  for (guint k = 0; k < lists->len; k++) {
+    HrMachine *m = lists->pdata[k];
+    if (!hr_allowed (c, j, m))
+      continue;
+    m->begins = floor (m->ready + hr_fetch_time (c, j, m));
+    g_ptr_array_add (order, m);
+  }
+  g_ptr_array_sort_with_data (order, by_ready, NULL);
+  return order;
+}
+
+/* One list of the order has got a task more: it moves to where it belongs now. */
+static void
+reorder (HrCore *c, GPtrArray *order, guint at, HrJob *j)
+{
+  HrMachine *m = order->pdata[at];
+  m->begins = floor (m->ready + hr_fetch_time (c, j, m));
+  for (; at + 1 < order->len && by_ready (&order->pdata[at], &order->pdata[at + 1], NULL) > 0;
+       at++) {
+    order->pdata[at] = order->pdata[at + 1];
+    order->pdata[at + 1] = m;
+  }
+  for (; at > 0 && by_ready (&order->pdata[at], &order->pdata[at - 1], NULL) < 0; at--) {
+    order->pdata[at] = order->pdata[at - 1];
+    order->pdata[at - 1] = m;
+  }
+}
+
+gboolean
+hr_mtedf_task (HrCore *c, GPtrArray *order, HrJob *j, guint32 task, guint tries)
+{
+  HrRef r = {j->idx, task};
+  guint best = HR_NONE;
+  HrJudge bj = {G_MAXUINT, INFINITY};
+  double bs = INFINITY;
+  /* When far more is queued than runs, a sample of the lists must do: half of it the
+   * earliest ones, the other half drawn from the rest. */
+  guint sure = tries < order->len ? (tries + 1) / 2 : order->len;
+  double share = order->len > sure ? (double)(tries - sure) / (order->len - sure) : 1;
+  for (guint k = 0; k < order->len; k++) {
+    HrMachine *m = order->pdata[k];
+    if (k >= sure && g_rand_double (c->rand) >= share)
+      continue;
+    if (!hr_zone_ok (c, j, m))
+      continue;
+    double start;
+    HrJudge d = try_list (c, m, r, &start);
+    if (start > c->now + 1e5)
+      continue;
+    start += hr_fetch_time (c, j, m);
+    if (hr_better (d, bj) || (!hr_better (bj, d) && start < bs - 1e-6)) {
+      bj = d;
+      bs = start;
+      best = k;
+    }
+    if (d.late == 0 && d.tard <= 0)
+      break; /* no tardiness: the paper stops here */
+  }
+  if (best == HR_NONE)
+    return FALSE;
+  HrMachine *m = order->pdata[best];
+  hr_list_insert (c, m, r);
+  hr_project (c, m, NULL);
+  reorder (c, order, best, j);
+  return TRUE;
+}
+
+/* A gang's sample is the same in each pass: the hold on its machines has to last until
+ * the last of them is free. */
+static gboolean
+sampled (const HrJob *j, const HrMachine *m, guint tries, guint lists)
+{
+  guint32 h = (j->idx + 1) * 0x9e3779b9u ^ (m->idx + 1) * 0x85ebca6bu;
+  h = (h ^ h >> 15) * 0xc2b2ae35u;
+  return tries >= lists || (h ^ h >> 16) / 4294967296.0 * lists < tries;
+}
+
+/* Could it fit there once all but services is gone? */
+static gboolean
+may_free (HrCore *c, const HrMachine *m, const HrJobSpec *s)
+{
+  const HrType *t = hr_type (c, m);
+  return s->cpus <= t->cpus - m->fixed_cpus + 1e-6 && s->gpus <= t->gpus - m->fixed_gpus + 1e-6 &&
+         s->mem <= t->mem - m->fixed_mem + 1e-6;
+}
+
+/* A gang takes one slot in each chosen list, with a common start: the machines
+ * that can have it soonest, within one zone where the job asks for that. */
+void
+hr_mtedf_gang (HrCore *c, GPtrArray *order, HrJob *j, guint tries)
+{
+  g_autoptr (GArray) pick = NULL;
+  double common = INFINITY, soonest = INFINITY;
+  guint zones = j->spec.one_zone ? c->names->zones.names->len : 1;
+  j->gang_start = 0;
+  g_autofree double *start = g_new (double, order->len + 1),
+                    *fetch = g_new (double, order->len + 1);
+  g_autofree gboolean *used = g_new0 (gboolean, order->len + 1);
+  for (guint k = 0; k < order->len; k++) {
+    HrMachine *m = order->pdata[k];
+    HrRef r = {j->idx, 0};
+    start[k] = INFINITY;
+    if (!hr_allowed (c, j, m))
+      continue;
+    fetch[k] = hr_fetch_time (c, j, m);
+    if (!m->tasks->len && !m->list->len && hr_machine_fits_beside_claims (m, &j->spec))
+      start[k] = m->ready; /* nothing to project */
+    else if (sampled (j, m, tries, order->len) && may_free (c, m, &j->spec))
+      try_list (c, m, r, &start[k]);
+    else
+      continue;
+    /* Waiting for others to end is less sure than fetching: it counts double. */
+    fetch[k] += MAX (0, start[k] - c->now);
+  }
+  for (guint z = 0; z < zones; z++) {
+    g_autoptr (GArray) got = g_array_new (FALSE, FALSE, sizeof (guint));
+    double last = 0;
+    while (got->len < j->ntasks) {
+      guint best = HR_NONE;
+      for (guint k = 0; k < order->len; k++) {
+        HrMachine *m = order->pdata[k];
+        if (used[k] || start[k] > c->now + 1e5 || (j->spec.one_zone && m->zone != z))
+          continue;
+        if (best == HR_NONE || start[k] + fetch[k] < start[best] + fetch[best])
+          best = k;
+      }
+      if (best == HR_NONE)
+        break;
+      last = MAX (last, start[best]);
+      used[best] = TRUE; /* each zone has machines of its own */
+      g_array_append_val (got, best);
+    }
+    double begins = last;
+    for (guint i = 0; i < got->len; i++) {
+      guint k = g_array_index (got, guint, i);
+      begins = MAX (begins, start[k] + fetch[k]);
+    }
+    if (j->spec.one_zone && z == c->set->home)
+      begins -= HR_HOME_S;
+    if (got->len == j->ntasks && begins < soonest) {
+      soonest = begins;
+      common = last;
+      g_clear_pointer (&pick, g_array_unref);
+      pick = g_steal_pointer (&got);
+    }
+  }
+  if (!pick)
+    return;
+  j->gang_start = common;
+  for (guint32 i = 0; i < j->ntasks; i++) {
+    HrMachine *m = order->pdata[g_array_index (pick, guint, i)];
+    HrRef r = {j->idx, i};
+    hr_list_insert (c, m, r);
+    hr_project (c, m, NULL);
+  }
+}
--- /dev/null
+++ b/src/coordination/preempt.c
@@ -0,0 +1,139 @@
+/* Making room for a task by stopping others. */
+#include "coordination/room.h"
+#include <math.h>
+
+gboolean
+hr_room_take (HrRoom *r, double cpus, double gpus, double mem)
+{
+  if (cpus > r->cpus + 1e-6 || gpus > r->gpus + 1e-6 || mem > r->mem + 1e-6)
+    return FALSE;
+  r->cpus -= cpus;
+  r->gpus -= gpus;
+  r->mem -= mem;
+  return TRUE;
+}
+
+static gboolean
+may_stop (HrCore *c, const HrJob *victim, const HrJob *j)
+{
+  if (victim->spec.rank > j->spec.rank)
+    return TRUE;
+  return victim->spec.team != j->spec.team && hr_team_beyond (c, victim, 0) &&
+         !hr_team_beyond (c, j, 1);
+}
+
+static double
+loss (HrCore *c, const HrJob *v, const HrTask *t)
+{
+  double ran = t->ran_at ? c->now - t->ran_at : 0;
+  if (v->spec.checkpoint > 0)
+    ran = MIN (ran, v->spec.save + 5);
+  return ran + 1 + (v->spec.shape == HR_GANG ? 1000 : 0);
+}
+
+/* Batch tasks of the machine that would have to stop for the job, the sum of what is
+ * lost with them; INFINITY when that makes no room. stop: stop them. */
+static double
+room_by_stopping (HrCore *c, HrJob *j, HrMachine *m, gboolean stop)
+{
+  double cpus = m->cpus - m->alien_cpus, gpus = m->gpus - m->alien_gpus,
+         mem = m->mem - m->alien_mem, cost = 0;
+  for (guint k = 0; k < m->tasks->len; k++) {
+    if (cpus + 1e-6 >= j->spec.cpus && gpus + 1e-6 >= j->spec.gpus && mem + 1e-6 >= j->spec.mem)
+      break;
+    HrRef x = g_array_index (m->tasks, HrRef, k);
+    HrJob *v = c->jobs->pdata[x.job];
+    HrTask *t = &v->tasks[x.task];
+    if (t->state != HR_T_BOUND || t->kill || v->spec.shape != HR_BATCH || !may_stop (c, v, j))
+      continue;
+    cpus += v->spec.cpus;
+    gpus += v->spec.gpus;
+    mem += v->spec.mem;
+    cost += loss (c, v, t);
+    if (stop) {
+      g_info ("%s/%u on %s makes room for %s, whose image is there", v->id, x.task, m->name, j->id);
+      hr_task_stop (c, v, x.task, 0);
+    }
+  }
+  return cpus + 1e-6 >= j->spec.cpus && gpus + 1e-6 >= j->spec.gpus && mem + 1e-6 >= j->spec.mem
+             ? cost
+             : INFINITY;
+}
+
+/* A machine that has the image, where stopping the batch tasks that lose least makes
+ * room. Their stop goes out before the launch, so the launch finds the room. */
+HrMachine *
+hr_swap_for_image (HrCore *c, HrJob *j)
+{
+  HrMachine *best = NULL;
+  double least = INFINITY;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (!hr_machine_has_image (m, j->spec.image) || !hr_reachable (c, m) ||
+        c->now < m->full_until || !hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))
+      continue;
+    double cost = room_by_stopping (c, j, m, FALSE);
+    if (cost < least) {
+      least = cost;
+      best = m;
+    }
+  }
+  if (best)
+    room_by_stopping (c, j, best, TRUE);
+  return best;
+}
+
+/* Stops the tasks of one machine whose loss is least, so that the job fits there. */
+gboolean
+hr_preempt (HrCore *c, HrJob *j, HrRoom *rooms)
+{
+  HrRoom *best = NULL;
+  double least = INFINITY;
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrRoom *r = &rooms[i];
+    HrMachine *m = r->m;
+    if (m->state != HR_M_UP || !hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))
+      continue;
+    double cpus = r->cpus, gpus = r->gpus, mem = r->mem, cost = 0;
+    for (guint k = 0; k < m->tasks->len; k++) {
+      HrRef x = g_array_index (m->tasks, HrRef, k);
+      HrJob *v = c->jobs->pdata[x.job];
+      HrTask *t = &v->tasks[x.task];
+      if (cpus >= j->spec.cpus && gpus >= j->spec.gpus && mem >= j->spec.mem)
+        break;
+      if (t->state != HR_T_BOUND || t->kill || !may_stop (c, v, j))
+        continue;
+      cpus += v->spec.cpus;
+      gpus += v->spec.gpus;
+      mem += v->spec.mem;
+      cost += loss (c, v, t);
+    }
+    if (cpus + 1e-6 >= j->spec.cpus && gpus + 1e-6 >= j->spec.gpus && mem + 1e-6 >= j->spec.mem &&
+        cost < least) {
+      least = cost;
+      best = r;
+    }
+  }
+  if (!best)
+    return FALSE;
+  for (guint k = 0; k < best->m->tasks->len; k++) {
+    HrRef x = g_array_index (best->m->tasks, HrRef, k);
+    HrJob *v = c->jobs->pdata[x.job];
+    HrTask *t = &v->tasks[x.task];
+    if (best->cpus + 1e-6 >= j->spec.cpus && best->gpus + 1e-6 >= j->spec.gpus &&
+        best->mem + 1e-6 >= j->spec.mem)
+      break;
+    if (t->state != HR_T_BOUND || t->kill || !may_stop (c, v, j))
+      continue;
+    g_info ("%s/%u on %s makes room for %s", v->id, x.task, best->m->name, j->id);
+    best->cpus += v->spec.cpus;
+    best->gpus += v->spec.gpus;
+    best->mem += v->spec.mem;
+    double grace = v->spec.checkpoint > 0 && t->shown == HR_W_RUNNING ? v->spec.save + 1 : 0;
+    if (v->spec.shape == HR_GANG)
+      hr_gang_end (c, v, v->spec.save + 1);
+    else
+      hr_task_stop (c, v, x.task, grace);
+  }
+  return hr_room_take (best, j->spec.cpus, j->spec.gpus, j->spec.mem);
+}
--- /dev/null
+++ b/src/coordination/project.c
@@ -0,0 +1,241 @@
+/* Where a task may go, how long it takes there, and what a list comes to. */
+#include "coordination/plan.h"
+#include <math.h>
+
+HrJob *
+hr_job_of (HrCore *c, HrRef r)
+{
+  return c->jobs->pdata[r.job];
+}
+
+gboolean
+hr_usable (const HrCore *c, const HrMachine *m)
+{
+  if (m->drain || m->type == HR_NONE)
+    return FALSE;
+  return m->state == HR_M_BOOTING ||
+         (m->state == HR_M_UP && c->now - MAX (m->heard_at, c->led_at) < 2 * c->pol.silent_s);
+}
+
+/* Type, zone and kind, apart from where the job's other tasks are. */
+gboolean
+hr_allowed (const HrCore *c, const HrJob *j, const HrMachine *m)
+{
+  const HrJobSpec *s = &j->spec;
+  const HrType *t = hr_usable (c, m) ? hr_type (c, m) : NULL;
+  /* Where it failed last it is not tried again at once, if there is any other place. */
+  if (m->idx == j->bad_machine && c->now < j->bad_until)
+    return FALSE;
+  if (j->part != HR_NONE && j->part < c->nparts && m->part != j->part)
+    return FALSE;
+  return t && (!s->types || (s->types >> m->type & 1)) &&
+         (s->zone == HR_NONE || s->zone == m->zone) && (s->spot || !m->spot) &&
+         s->cpus <= t->cpus + 1e-6 && s->gpus <= t->gpus + 1e-6 && s->mem <= t->mem + 1e-6;
+}
+
+/* Images that a machine fetches at the same time share its rate; tasks of one image
+ * share the fetch. */
+double
+hr_fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m)
+{
+  const HrType *t = hr_type (c, m);
+  if (!t || hr_machine_has_image (m, j->spec.image))
+    return 0;
+  double own = j->spec.image_gb / t->fetch_rate, others = 0;
+  guint32 last = HR_NONE;
+  for (guint i = 0; i < m->tasks->len; i++) {
+    HrRef r = g_array_index (m->tasks, HrRef, i);
+    const HrJob *o = hr_job_of ((HrCore *)c, r);
+    if (o->spec.image == last || hr_machine_has_image (m, o->spec.image))
+      continue;
+    last = o->spec.image;
+    /* A machine that boots has fetched nothing yet. */
+    double since = m->state == HR_M_UP ? c->now - o->tasks[r.task].placed_at : 0;
+    double left = MAX (0.5, o->spec.image_gb / t->fetch_rate - since);
+    if (o->spec.image == j->spec.image)
+      own = MIN (own, left);
+    else
+      others += left;
+  }
+  return own + MIN (own, others);
+}
+
+/* Expected run time with the image fetch. */
+double
+hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m)
+{
+  double run = j->spec.estimate > 0 ? j->spec.estimate : 60;
+  run *= hr_class (c, j->spec.klass)->correction;
+  return run + hr_fetch_time (c, j, m);
+}
+
+typedef struct {
+  double end, cpus, gpus, mem;
+} Busy;
+
+static void
+add_busy (GArray *busy, double end, const HrJobSpec *s)
+{
+  Busy b = {end, s->cpus, s->gpus, s->mem};
+  guint i = busy->len;
+  g_array_append_val (busy, b);
+  for (; i > 0 && g_array_index (busy, Busy, i - 1).end > end; i--)
+    g_array_index (busy, Busy, i) = g_array_index (busy, Busy, i - 1);
+  g_array_index (busy, Busy, i) = b;
+}
+
+static double
+running_end (HrCore *c, HrJob *j, const HrTask *t, HrMachine *m)
+{
+  if (j->spec.shape == HR_SERVICE)
+    return INFINITY;
+  const HrType *ty = hr_type (c, m);
+  double est = j->spec.estimate > 0 ? j->spec.estimate : 60;
+  est *= hr_class (c, j->spec.klass)->correction;
+  if (!t->ran_at && ty && !hr_machine_has_image (m, j->spec.image))
+    est += j->spec.image_gb / ty->fetch_rate;
+  double end = (t->ran_at ? t->ran_at : t->placed_at) + est;
+  /* Past its estimate: never in the past, and the longer over the longer to go. */
+  return MAX (end, c->now + MAX (2, 0.2 * (c->now - t->placed_at)));
+}
+
+/* When a task of `s` can start on an idle-from-then machine; fills starts when given. */
+void
+hr_project (HrCore *c, HrMachine *m, double *starts)
+{
+  static GArray *busy;
+  if (!busy)
+    busy = g_array_new (FALSE, FALSE, sizeof (Busy));
+  g_array_set_size (busy, 0);
+  const HrType *ty = hr_type (c, m);
+  double cpus = m->cpus - m->alien_cpus - m->claim_cpus,
+         gpus = m->gpus - m->alien_gpus - m->claim_gpus, mem = m->mem - m->alien_mem - m->claim_mem;
+  double at = c->now;
+  if (m->state == HR_M_BOOTING)
+    at = MAX (c->now + 2, m->rented_at + ty->boot_s);
+  for (guint i = 0; i < m->tasks->len; i++) {
+    HrRef r = g_array_index (m->tasks, HrRef, i);
+    HrJob *j = hr_job_of (c, r);
+    add_busy (busy, running_end (c, j, &j->tasks[r.task], m), &j->spec);
+  }
+  m->late = 0;
+  m->tardiness = 0;
+  m->ready = at;
+  double from = at;
+  for (guint i = 0; i < m->list->len; i++) {
+    HrRef r = g_array_index (m->list, HrRef, i);
+    HrJob *j = hr_job_of (c, r);
+    const HrJobSpec *s = &j->spec;
+    double start = from;
+    if (s->shape == HR_GANG)
+      start = MAX (start, j->gang_start);
+    start = MAX (start, j->retry_at);
+    while (busy->len) {
+      Busy b = g_array_index (busy, Busy, 0);
+      gboolean fits = s->cpus <= cpus + 1e-6 && s->gpus <= gpus + 1e-6 && s->mem <= mem + 1e-6;
+      if (b.end > start && (fits || !isfinite (b.end)))
+        break;
+      cpus += b.cpus;
+      gpus += b.gpus;
+      mem += b.mem;
+      start = MAX (start, b.end);
+      g_array_remove_index (busy, 0);
+    }
+    if (!(s->cpus <= cpus + 1e-6 && s->gpus <= gpus + 1e-6 && s->mem <= mem + 1e-6))
+      start = c->now + 1e6; /* behind services for good: as good as never */
+    else {
+      cpus -= s->cpus;
+      gpus -= s->gpus;
+      mem -= s->mem;
+      add_busy (busy, start + hr_estimate (c, j, m), s);
+      from = start; /* deadline order: nobody starts before the one ahead of him */
+    }
+    if (starts)
+      starts[i] = start;
+    if (i == 0)
+      m->ready = start;
+    double over = start + hr_estimate (c, j, m) - (j->deadline - c->wall + c->now);
+    if (over > 0) {
+      m->late++;
+      m->tardiness += over;
+    }
+  }
+  if (!m->list->len && busy->len && m->cpus < 1)
+    m->ready = MAX (m->ready, MIN (g_array_index (busy, Busy, 0).end, c->now + 1e6));
+}
+
+guint
+hr_slot_of (HrCore *c, HrMachine *m, const HrJob *j)
+{
+  guint i = 0;
+  while (i < m->list->len &&
+         hr_job_of (c, g_array_index (m->list, HrRef, i))->deadline <= j->deadline)
+    i++;
+  return i;
+}
+
+void
+hr_list_insert (HrCore *c, HrMachine *m, HrRef r)
+{
+  HrJob *j = hr_job_of (c, r);
+  guint at = hr_slot_of (c, m, j);
+  g_array_insert_val (m->list, at, r);
+  j->planned += !j->tasks[r.task].planned;
+  j->tasks[r.task].planned = 1;
+  j->tasks[r.task].list = m->idx;
+}
+
+void
+hr_unplan (HrJob *j, guint32 task)
+{
+  if (!j->tasks || !j->tasks[task].planned)
+    return;
+  j->tasks[task].planned = 0;
+  j->planned--;
+}
+
+/* For the projected starts of a list; the owner of all state is a single thread. */
+double *
+hr_scratch (guint n)
+{
+  static GArray *a;
+  if (!a)
+    a = g_array_new (FALSE, FALSE, sizeof (double));
+  if (a->len < n)
+    g_array_set_size (a, n);
+  return (double *)a->data;
+}
+
+void
+hr_list_remove (HrMachine *m, HrRef r)
+{
+  for (guint i = 0; i < m->list->len; i++) {
+    HrRef *x = &g_array_index (m->list, HrRef, i);
+    if (x->job == r.job && x->task == r.task) {
+      g_array_remove_index (m->list, i);
+      return;
+    }
+  }
+}
+
+/* Is the machine ruled out by where the job's other tasks are, or stand? */
+gboolean
+hr_zone_ok (HrCore *c, HrJob *j, HrMachine *m)
+{
+  if (!j->spec.one_zone && !j->spec.spread)
+    return TRUE;
+  guint here = 0;
+  for (guint32 i = 0; i < j->ntasks; i++) {
+    HrTask *t = &j->tasks[i];
+    if (t->state != HR_T_ASSIGNING && t->state != HR_T_BOUND)
+      continue;
+    guint32 zone = ((HrMachine *)c->machines->pdata[t->machine])->zone;
+    if (zone == HR_NONE)
+      return FALSE; /* known from a record alone: nothing is placed beside it blindly */
+    gboolean same = zone == m->zone;
+    if (j->spec.one_zone && !same)
+      return FALSE;
+    here += same;
+  }
+  return !j->spec.spread || here < (j->ntasks + 1) / 2;
+}
--- /dev/null
+++ b/src/coordination/rent.c
@@ -0,0 +1,217 @@
+/* What is to be rented for what waits and for what is expected, and what can go back. */
+#include "coordination/room.h"
+#include <math.h>
+
+/* Tasks of one kind that machines must be rented for. */
+typedef struct {
+  guint32 type, zone;
+  gboolean spot;
+  double cpus, gpus, mem; /* left on the last machine counted */
+  guint machines;
+} Need;
+
+static void
+need_one (HrCore *c, GArray *needs, guint64 types, guint32 zone, gboolean spot_ok, double cpus,
+          double gpus, double mem)
+{
+  /* The cheapest type that fits and that the cloud has not just refused. */
+  const HrType *best = NULL;
+  gboolean best_spot = FALSE;
+  double least = INFINITY;
+  for (guint i = 0; i < c->types->len; i++) {
+    const HrType *t = &g_array_index (c->types, HrType, i);
+    if ((types && !(types >> t->type & 1)) || cpus > t->cpus || gpus > t->gpus || mem > t->mem)
+      continue;
+    for (int spot = 0; spot <= (spot_ok && c->pol.spot_use > 0); spot++) {
+      double share = MAX (MAX (cpus / t->cpus, gpus > 0 ? gpus / t->gpus : 0), mem / t->mem);
+      double price = (spot ? t->spot_price : t->price) * share;
+      if (price < least && !hr_fleet_refused (c, t->type, zone, spot)) {
+        least = price;
+        best = t;
+        best_spot = spot;
+      }
+    }
+  }
+  if (!best)
+    return;
+  Need *n = NULL;
+  for (guint i = 0; i < needs->len && !n; i++) {
+    Need *x = &g_array_index (needs, Need, i);
+    if (x->type == best->type && x->zone == zone && x->spot == best_spot)
+      n = x;
+  }
+  if (!n) {
+    g_array_set_size (needs, needs->len + 1);
+    n = &g_array_index (needs, Need, needs->len - 1);
+    *n = (Need){best->type, zone, best_spot, 0, 0, 0, 0};
+  }
+  if (cpus > n->cpus + 1e-6 || gpus > n->gpus + 1e-6 || mem > n->mem + 1e-6) {
+    n->machines++;
+    n->cpus = best->cpus;
+    n->gpus = best->gpus;
+    n->mem = best->mem;
+  }
+  n->cpus -= cpus;
+  n->gpus -= gpus;
+  n->mem -= mem;
+}
+
+/* HrRoom that is free, or will be once a boot or a stop has ended. Busy machines
+ * first, so that idle ones stay free to go; cheap ones before others. */
+static gboolean
+find_room (HrCore *c, HrRoom *rooms, guint nrooms, HrCursor *at, HrJob *j, double cpus, double gpus,
+           double mem, gboolean spot, guint64 types)
+{
+  if (at->last && (!j || hr_zone_ok (c, j, at->last->m)) &&
+      hr_room_take (at->last, cpus, gpus, mem))
+    return TRUE;
+  for (; at->pass < 4; at->pass++, at->i = 0)
+    for (; at->i < nrooms; at->i++) {
+      HrRoom *r = &rooms[at->i];
+      HrMachine *m = r->m;
+      gboolean idle = m->tasks->len == 0 && !r->reserved;
+      if (idle != at->pass / 2 || m->spot != !(at->pass % 2) || (m->spot && !spot) ||
+          (m->state != HR_M_UP && m->state != HR_M_BOOTING) || m->drain ||
+          (types && !(types >> m->type & 1)) ||
+          (j && (!hr_allowed (c, j, m) || !hr_zone_ok (c, j, m))))
+        continue;
+      if (!hr_room_take (r, cpus, gpus, mem))
+        continue;
+      r->reserved = TRUE;
+      at->last = r;
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static double
+boot_time (HrCore *c)
+{
+  double s = 0;
+  for (guint i = 0; i < c->types->len; i++)
+    s = MAX (s, g_array_index (c->types, HrType, i).boot_s);
+  return s;
+}
+
+/* How many tasks of a class cannot wait for a boot: replicas of services, and
+ * classes for whose start or end there is an aim. */
+guint
+hr_headroom (HrCore *c, guint32 klass)
+{
+  HrClassStat *s = hr_class (c, klass); /* a class known from old records alone has no row yet */
+  double boots = 0;
+  if (!s->seen)
+    return 0;
+  if (s->shape == HR_SERVICE)
+    boots = c->pol.headroom_boots;
+  for (guint i = 0; i < c->set->aims->len && s->shape != HR_SERVICE; i++) {
+    HrAim *a = &g_array_index (c->set->aims, HrAim, i);
+    if (a->klass == klass && a->kind == HR_AIM_WAIT)
+      boots = MAX (boots, c->pol.headroom_waits);
+    else if (a->klass == klass && a->kind == HR_AIM_DEADLINE)
+      boots = MAX (boots, c->pol.headroom_deadlines);
+  }
+  return (s->shape == HR_SERVICE ? c->pol.headroom_base : 0) +
+         hr_class_arrivals (c, s, 0) * boot_time (c) * boots + 0.5;
+}
+
+void
+hr_rent_headroom (HrCore *c, HrRoom *rooms, guint nrooms, GArray *needs)
+{
+  for (guint k = 0; k < c->classes->len; k++) {
+    HrClassStat *s = &g_array_index (c->classes, HrClassStat, k);
+    HrCursor at = {0};
+    for (guint n = hr_headroom (c, k); n > 0; n--)
+      if (!find_room (c, rooms, nrooms, &at, NULL, s->cpus, s->gpus, s->mem, s->spot, s->types))
+        need_one (c, needs, s->types, HR_NONE, s->spot, s->cpus, s->gpus, s->mem);
+  }
+}
+
+/* What is short of room gets it on a machine that boots, or on one to be rented. */
+void
+hr_rent_need (HrCore *c, HrRoom *rooms, guint booting, HrCursor *at, GArray *needs, HrJob *j)
+{
+  const HrJobSpec *s = &j->spec;
+  if (!find_room (c, rooms, booting, at, j, s->cpus, s->gpus, s->mem, s->spot, s->types))
+    need_one (c, needs, s->types, s->zone, s->spot, s->cpus, s->gpus, s->mem);
+}
+
+/* booting: how many rooms, the first ones, are on machines that boot. */
+void
+hr_rent_for_lists (HrCore *c, HrRoom *rooms, guint booting, GArray *needs)
+{
+  double boot = boot_time (c) * c->pol.rent_slack;
+  /* What a booting machine's own list fills is no room for others: counted twice, it
+   * would keep the fleet short, and not counted at all, machines would be rented again
+   * in each pass for a gang that waits for those on their way. */
+  for (guint i = 0; i < booting; i++) {
+    HrMachine *m = rooms[i].m;
+    for (guint k = 0; k < m->list->len; k++) {
+      const HrJobSpec *s = &((HrJob *)c->jobs->pdata[g_array_index (m->list, HrRef, k).job])->spec;
+      if (!hr_room_take (&rooms[i], s->cpus, s->gpus, s->mem))
+        break;
+    }
+  }
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (!m->list->len)
+      continue;
+    g_autofree double *starts = g_new (double, m->list->len);
+    hr_project (c, m, starts);
+    for (guint k = 0; k < m->list->len; k++) {
+      HrRef r = g_array_index (m->list, HrRef, k);
+      HrJob *j = c->jobs->pdata[r.job];
+      double end = starts[k] + hr_estimate (c, j, m) - c->now + c->wall;
+      /* A machine is rented where it would start the task sooner, and the plan is late. */
+      if (starts[k] - c->now <= boot || (end <= j->deadline && j->spec.shape != HR_GANG))
+        continue;
+      HrCursor at = {0};
+      hr_rent_need (c, rooms, booting, &at, needs, j);
+    }
+  }
+  /* And for what found no list at all. */
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    gint left = (gint)j->ntasks - (gint)(j->nlive + j->ndone + j->planned);
+    if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
+        j->retry_at > c->now || !hr_team_allows (c, j, 1))
+      continue;
+    HrCursor at = {0};
+    for (gint k = 0; k < MIN (left, 200); k++)
+      hr_rent_need (c, rooms, booting, &at, needs, j);
+  }
+}
+
+void
+hr_return_idle (HrCore *c, HrRoom *rooms, guint n)
+{
+  g_autoptr (GPtrArray) away = g_ptr_array_new ();
+  for (guint i = 0; i < n; i++) {
+    HrMachine *m = rooms[i].m;
+    if (m->state != HR_M_UP || m->tasks->len || m->list->len)
+      continue;
+    /* After a cut of our own nothing was idle: nobody could give it work. */
+    double since = MAX (m->idle_at, c->served_since);
+    if (m->drain || (!rooms[i].reserved && m->idle_at && c->now - since > c->pol.idle_s))
+      g_ptr_array_add (away, m);
+  }
+  for (guint i = 0; i < away->len; i++)
+    hr_fleet_delete (c, away->pdata[i],
+                     ((HrMachine *)away->pdata[i])->drain ? "it is drained" : "nothing needs it");
+}
+
+GArray *
+hr_rent_begin (void)
+{
+  return g_array_new (FALSE, TRUE, sizeof (Need));
+}
+
+void
+hr_rent_end (HrCore *c, GArray *needs)
+{
+  g_array_set_size (c->wants, 0);
+  for (guint i = 0; i < needs->len; i++) {
+    Need *x = &g_array_index (needs, Need, i);
+    hr_fleet_want (c, x->type, x->zone, x->spot, x->machines);
+  }
+}
--- /dev/null
+++ b/src/coordination/room.h
@@ -0,0 +1,40 @@
+/* Free room on machines as a pass of dispatch.c sees it, and the parts of that pass that
+ * share it (teams.c, preempt.c, rent.c). */
+#pragma once
+#include "coordination/state.h"
+
+/* From a decision to a running task: a write, an order and a report. */
+#define STOP_AND_START_S 2.0
+
+typedef struct {
+  HrMachine *m;
+  double cpus, gpus, mem; /* free once stopped tasks are gone and claims are served */
+  gboolean reserved;      /* spare room is counted on it */
+} HrRoom;
+
+/* How far a search has come: rooms only shrink, so the next one for the same goes on
+ * from there. */
+typedef struct {
+  HrRoom *last;
+  int pass;
+  guint i;
+} HrCursor;
+
+/* Takes the amounts off the room, if it has them. */
+gboolean hr_room_take (HrRoom *r, double cpus, double gpus, double mem);
+/* Up, and heard of late. */
+gboolean hr_reachable (const HrCore *c, const HrMachine *m);
+/* Does the team run more than it is guaranteed, or would n more tasks stay within? */
+gboolean hr_team_beyond (HrCore *c, const HrJob *j, guint n);
+HrMachine *hr_swap_for_image (HrCore *c, HrJob *j);
+gboolean hr_preempt (HrCore *c, HrJob *j, HrRoom *rooms);
+
+/* Room for a task of the job on a machine that boots, or on one to be rented. booting:
+ * how many rooms, the first ones, are on machines that boot. needs: what hr_rent_begin gave. */
+void hr_rent_need (HrCore *c, HrRoom *rooms, guint booting, HrCursor *at, GArray *needs, HrJob *j);
+void hr_rent_headroom (HrCore *c, HrRoom *rooms, guint nrooms, GArray *needs);
+void hr_rent_for_lists (HrCore *c, HrRoom *rooms, guint booting, GArray *needs);
+void hr_return_idle (HrCore *c, HrRoom *rooms, guint n);
+GArray *hr_rent_begin (void);
+/* What is needed goes out with the next tick. */
+void hr_rent_end (HrCore *c, GArray *needs);
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -237,6 +237,12 @@
 
 /* planner.c */
 void hr_plan (HrCore *c);
+
+/* What a place in the controllers' zone is worth, as time to the start: behind a cut of it,
+ * its workers still hear the owner. */
+#define HR_HOME_S 2.0
+
+/* project.c */
 double hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m);
 /* How long the image keeps a task of the job from its work there. */
 double hr_fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m);
@@ -249,9 +255,13 @@
 void hr_list_remove (HrMachine *m, HrRef r);
 void hr_unplan (HrJob *j, guint32 task);
 
-/* dispatch.c */
+/* teams.c */
 gboolean hr_team_allows (HrCore *c, const HrJob *j, guint n);
 void hr_team_waits (HrCore *c);
+
+/* rent.c */
 /* Tasks of the class that spare room is kept for. */
 guint hr_headroom (HrCore *c, guint32 klass);
+
+/* dispatch.c */
 void hr_dispatch (HrCore *c);
--- /dev/null
+++ b/src/coordination/tabu.c
@@ -0,0 +1,92 @@
+/* Bounded tabu search over the lists (the paper's figures 2 and 3). */
+#include "coordination/plan.h"
+#include <string.h>
+
+static gboolean
+is_tabu (GArray *tabu, HrRef r)
+{
+  for (guint i = 0; i < tabu->len; i++) {
+    HrRef *x = &g_array_index (tabu, HrRef, i);
+    if (x->job == r.job && x->task == r.task)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+void
+hr_tabu_search (HrCore *c, GPtrArray *lists)
+{
+  guint n = lists->len;
+  g_autofree gboolean *avail = g_new (gboolean, n), *cand = g_new (gboolean, n);
+  g_autoptr (GArray) tabu = g_array_new (FALSE, FALSE, sizeof (HrRef));
+  double total = 0;
+  for (guint i = 0; i < n; i++) {
+    avail[i] = cand[i] = TRUE;
+    total += ((HrMachine *)lists->pdata[i])->tardiness;
+  }
+  for (guint round = 0; round < c->pol.tabu_rounds && total > 1e-6; round++) {
+    guint hi = HR_NONE, lo = HR_NONE;
+    for (guint i = 0; i < n; i++) {
+      HrMachine *m = lists->pdata[i];
+      if (avail[i] && m->list->len &&
+          (hi == HR_NONE || m->tardiness > ((HrMachine *)lists->pdata[hi])->tardiness))
+        hi = i;
+    }
+    if (hi == HR_NONE)
+      return;
+    HrMachine *a = lists->pdata[hi];
+    /* The most tardy job of the tardiest list. Gangs stay: their slots hang together. */
+    double *starts = hr_scratch (a->list->len);
+    hr_project (c, a, starts);
+    HrRef pick = {HR_NONE, 0};
+    double worst = 0;
+    for (guint i = 0; i < a->list->len; i++) {
+      HrRef r = g_array_index (a->list, HrRef, i);
+      HrJob *j = hr_job_of (c, r);
+      double over = starts[i] + hr_estimate (c, j, a) - (j->deadline - c->wall + c->now);
+      if (over > worst && j->spec.shape != HR_GANG && !is_tabu (tabu, r)) {
+        worst = over;
+        pick = r;
+      }
+    }
+    if (pick.job == HR_NONE) {
+      avail[hi] = FALSE;
+      memset (cand, 0xff, n * sizeof *cand);
+      continue;
+    }
+    HrJob *j = hr_job_of (c, pick);
+    for (guint i = 0; i < n; i++) {
+      HrMachine *m = lists->pdata[i];
+      if (i != hi && cand[i] && hr_allowed (c, j, m) && hr_zone_ok (c, j, m) &&
+          (lo == HR_NONE || m->tardiness < ((HrMachine *)lists->pdata[lo])->tardiness ||
+           (m->tardiness == ((HrMachine *)lists->pdata[lo])->tardiness &&
+            m->ready < ((HrMachine *)lists->pdata[lo])->ready)))
+        lo = i;
+    }
+    if (lo == HR_NONE) {
+      if (tabu->len >= c->pol.tabu_jobs && tabu->len)
+        g_array_remove_index (tabu, 0); /* oldest out first */
+      g_array_append_val (tabu, pick);
+      memset (cand, 0xff, n * sizeof *cand);
+      continue;
+    }
+    HrMachine *b = lists->pdata[lo];
+    HrJudge before = {a->late + b->late, a->tardiness + b->tardiness};
+    hr_list_remove (a, pick);
+    hr_list_insert (c, b, pick);
+    hr_project (c, a, NULL);
+    hr_project (c, b, NULL);
+    HrJudge after = {a->late + b->late, a->tardiness + b->tardiness};
+    if (hr_better (after, before)) {
+      total += after.tard - before.tard;
+      memset (avail, 0xff, n * sizeof *avail);
+      memset (cand, 0xff, n * sizeof *cand);
+    } else {
+      hr_list_remove (b, pick);
+      hr_list_insert (c, a, pick);
+      hr_project (c, a, NULL);
+      hr_project (c, b, NULL);
+      cand[lo] = FALSE;
+    }
+  }
+}
