--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -60,6 +60,7 @@
   gboolean gang_over; /* this attempt is to end; all tasks must go first */
   double short_since; /* a gang lost a task before its start, which is to be replaced; 0: no */
   double retry_at, pause;
+  double rent_at, rent_pause; /* a gang larger than any fleet so far: no machine before then */
   guint errors;
   HrExit last_error;
   guint32 bad_machine; /* where it failed last, avoided until */
--- a/src/coordination/mtedf.c
+++ b/src/coordination/mtedf.c
@@ -142,6 +142,8 @@
   double common = INFINITY, soonest = INFINITY;
   guint zones = j->spec.one_zone ? c->names->zones.names->len : 1;
   j->gang_start = 0;
+  if (order->len < j->ntasks)
+    return; /* one slot in each list: there are too few */
   g_autofree double *start = g_new (double, order->len + 1),
                     *fetch = g_new (double, order->len + 1);
   g_autofree gboolean *used = g_new0 (gboolean, order->len + 1);
--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -136,6 +136,34 @@
     need_one (c, needs, s->types, s->zone, s->spot, s->cpus, s->gpus, s->mem);
 }
 
+/* The whole fleet is too small for the gang, and the cloud gives no more. Machines rented
+ * for it would stand idle, go back, and be rented again, for ever: it pauses. */
+static gboolean
+beyond_fleet (HrCore *c, HrJob *j)
+{
+  guint fleet = 0;
+  if (c->now < j->rent_at)
+    return TRUE;
+  if (j->spec.shape != HR_GANG || j->planned)
+    return FALSE;
+  for (guint i = 0; i < c->types->len; i++) {
+    guint32 t = g_array_index (c->types, HrType, i).type;
+    if ((!j->spec.types || j->spec.types >> t & 1) &&
+        (!hr_fleet_refused (c, t, j->spec.zone, FALSE) ||
+         (j->spec.spot && c->pol.spot_use > 0 && !hr_fleet_refused (c, t, j->spec.zone, TRUE))))
+      return FALSE;
+  }
+  for (guint i = 0; i < c->fleet->len; i++)
+    fleet += hr_allowed (c, j, c->fleet->pdata[i]);
+  if (fleet >= j->ntasks)
+    return FALSE;
+  j->rent_pause = CLAMP (2 * j->rent_pause, 30, 480);
+  j->rent_at = c->now + j->rent_pause;
+  g_message ("%s needs %u machines at once, the cloud gave %u; none is rented for it for %.0f s",
+             j->id, j->ntasks, fleet, j->rent_pause);
+  return TRUE;
+}
+
 /* booting: how many rooms, the first ones, are on machines that boot. */
 void
 hr_rent_for_lists (HrCore *c, HrRoom *rooms, guint booting, GArray *needs)
@@ -174,7 +202,7 @@
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
     gint left = (gint)j->ntasks - (gint)(j->nlive + j->ndone + j->planned);
     if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
-        j->retry_at > c->now || !hr_team_allows (c, j, 1))
+        j->retry_at > c->now || !hr_team_allows (c, j, 1) || beyond_fleet (c, j))
       continue;
     HrCursor at = {0};
     for (gint k = 0; k < MIN (left, 200); k++)
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -51,6 +51,10 @@
     return g_strdup ("an attempt of the gang has ended; waiting for its last tasks to exit");
   if (j->nlive + j->ndone == j->ntasks)
     return g_strdup ("every task has a machine");
+  if (j->rent_at > c->now)
+    return g_strdup_printf ("needs %u machines at once, more than the cloud has given; more are "
+                            "asked for in %.0f s",
+                            j->ntasks, j->rent_at - c->now);
   guint booting = 0;
   for (guint i = 0; i < c->fleet->len; i++)
     booting += ((HrMachine *)c->fleet->pdata[i])->state == HR_M_BOOTING;
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -391,6 +391,26 @@
   send_in (w, j);
 }
 
+static void
+giant_gang (World *w, gpointer p)
+{
+  SJob *j = job_new (w);
+  j->shape = HR_GANG;
+  j->tasks = 500;
+  j->cpus = 10;
+  j->gpus = 2;
+  j->mem = 30;
+  j->image_gb = 1;
+  j->run = 20;
+  send_in (w, j);
+}
+
+void
+users_giant (World *w, double at)
+{
+  w_at (w, at, giant_gang, NULL);
+}
+
 void
 users_gangs (World *w, guint n, double from, double gap)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -177,6 +177,8 @@
 void users_probe (World *w);
 /* The user of a running service withdraws it, at this node. */
 void users_withdraw_at (World *w, int node);
+/* A gang that no fleet of this cloud can hold. */
+void users_giant (World *w, double at);
 /* Gangs of two tasks, one after the other. */
 void users_gangs (World *w, guint n, double from, double gap);
 /* A stream of small urgent gangs that alone would nearly fill the fleet, beside a few large jobs.
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -152,6 +152,31 @@
   assert_int_equal (broken, 0);
 }
 
+/* A gang that no fleet can hold stays known, and neither keeps others from their machines nor
+ * has the whole cloud rented and returned again and again. */
+static void
+days_of_a_giant (void **state)
+{
+  guint broken = 0;
+  for (guint s = 985; s < 988; s++) {
+    World *w = world_new (s, 3);
+    users_gangs (w, 8, 40, 60);
+    users_giant (w, 10);
+    world_run (w, 900);
+    for (guint i = 0; i < w->jobs->len; i++) {
+      SJob *j = w->jobs->pdata[i];
+      if (j->tasks < 500 && !j->told_done)
+        w_broken (w, "liveness", "%s is not done", j->id);
+      if (!j->accepted || w->now - j->ok_at > 30)
+        w_broken (w, "forgotten", "%s is not answered", j->id);
+    }
+    if (w->machines->len > 7 * w->capacity)
+      w_broken (w, "rented", "%u machines", w->machines->len);
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* A gang that loses a task before its start is completed, not begun anew; that may come too
  * late where a machine must boot for it first. */
 static void
@@ -311,11 +336,12 @@
       cmocka_unit_test (days_of_members_word),
       cmocka_unit_test (days_of_lost_places),
       cmocka_unit_test (days_with_stray_orders),
+      cmocka_unit_test (days_of_a_giant),
   };
   if (argc == 2) { /* one part */
-    static const char *const parts[] = {"quiet",  "one",   "many",   "limit",  "parts",
-                                        "copies", "nodes", "stream", "deaf",   "owners",
-                                        "cut",    "gangs", "word",   "places", "stray"};
+    static const char *const parts[] = {"quiet", "one",    "many",  "limit",  "parts", "copies",
+                                        "nodes", "stream", "deaf",  "owners", "cut",   "gangs",
+                                        "word",  "places", "stray", "giant"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
