--- a/src/bookkeeping/litter.c
+++ b/src/bookkeeping/litter.c
@@ -49,7 +49,7 @@
 hr_litter_tick (HrCore *c)
 {
   guint n = MIN (MIN (c->litter->len, AT_A_TIME), c->set->txn_ops);
-  /* At most a tenth of the allowance, and only what is left over of it. */
+  /* Only what is left over of the allowance. */
   if (!c->leads || !n || c->tidying || c->now < c->tidy_at || c->dirty->len ||
       !hr_follow_served (c) || c->write_bucket.tokens < c->write_bucket.burst * 0.8)
     return;
--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -157,7 +157,7 @@
     fleet += hr_allowed (c, j, c->fleet->pdata[i]);
   if (fleet >= j->ntasks)
     return FALSE;
-  j->rent_pause = CLAMP (2 * j->rent_pause, 30, 480);
+  j->rent_pause = CLAMP (2 * j->rent_pause, 15, 240);
   j->rent_at = c->now + j->rent_pause;
   g_message ("%s needs %u machines at once, the cloud gave %u; none is rented for it for %.0f s",
              j->id, j->ntasks, fleet, j->rent_pause);
