--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -27,6 +27,7 @@
   guint8 planned;   /* stands in a machine's list */
   guint8 inherited; /* read from the record of an earlier owner, not seen since */
   float grace;      /* of the stop */
+  float fetch;      /* how long its image was expected to take when it was placed */
   double killed_at; /* last stop order sent */
   double placed_at; /* bound since */
   double ran_at;    /* seen running since; 0: not yet */
@@ -58,6 +59,7 @@
   gboolean listed;    /* in the owner's list of open jobs */
   guint32 nlive;      /* tasks assigning or bound */
   gboolean gang_over; /* this attempt is to end; all tasks must go first */
+  double ready_at;    /* all tasks of the gang's attempt are recorded since */
   double short_since; /* a gang lost a task before its start, which is to be replaced; 0: no */
   double retry_at, pause;
   double rent_at, rent_pause; /* a gang larger than any fleet so far: no machine before then */
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -213,6 +213,8 @@
 void hr_task_stop (HrCore *c, HrJob *j, guint32 task, double grace);
 /* All its tasks are recorded, of one attempt. */
 gboolean hr_gang_ready (const HrJob *j);
+/* Is it too early to launch this task of a gang that is ready? */
+gboolean hr_gang_holds_back (const HrCore *c, const HrJob *j, const HrTask *t);
 /* Ends a gang's attempt: all its tasks have to go before the next one. */
 void hr_gang_end (HrCore *c, HrJob *j, double grace);
 void hr_job_withdrawn (HrCore *c, HrJob *j);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -39,6 +39,7 @@
   t->kill = t->inherited = 0;
   t->killed_at = t->ran_at = 0;
   t->placed_at = c->now;
+  t->fetch = hr_fetch_time (c, j, m);
   j->nlive++;
   hr_machine_take (m, &j->spec, r);
   hr_ledger_mark (c, j, task);
@@ -97,9 +98,24 @@
     return;
   }
   m->urgent = TRUE;
-  if (j->spec.shape == HR_GANG && hr_gang_ready (j))
+  if (j->spec.shape == HR_GANG && hr_gang_ready (j)) {
+    j->ready_at = c->now;
     for (guint32 i = 0; i < j->ntasks; i++)
       machine_of (c, &j->tasks[i])->urgent = TRUE;
+  }
+}
+
+/* A task that has its image at once would wait for those that fetch it, and give up after
+ * gang_wait_s; with it they would lose their fetches, attempt after attempt. So it is
+ * launched later: half of that wait before the longest fetch should end. */
+gboolean
+hr_gang_holds_back (const HrCore *c, const HrJob *j, const HrTask *t)
+{
+  double longest = 0;
+  for (guint32 i = 0; i < j->ntasks; i++)
+    if (j->tasks[i].shown == HR_NOT_SHOWN || j->tasks[i].shown == HR_W_FETCHING)
+      longest = MAX (longest, j->tasks[i].fetch);
+  return c->now < j->ready_at + longest - t->fetch - c->set->gang_wait_s / 2;
 }
 
 void
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -23,12 +23,13 @@
 }
 
 static gboolean
-launchable (const HrJob *j, const HrTask *t)
+launchable (const HrCore *c, const HrJob *j, const HrTask *t)
 {
   /* What an earlier owner recorded is not launched: it may have ended and made
    * place for others since. It is seen on its machine, or proven gone. */
   return j->stance == HR_QUEUED && !t->kill && !t->inherited &&
-         (j->spec.shape != HR_GANG || (!j->gang_over && hr_gang_ready (j)));
+         (j->spec.shape != HR_GANG ||
+          (!j->gang_over && hr_gang_ready (j) && !hr_gang_holds_back (c, j, t)));
 }
 
 /* Orders for what is recorded on this machine. Returns whether a launch is among them. */
@@ -42,7 +43,7 @@
     HrTask *t = &j->tasks[r.task];
     if (t->state != HR_T_BOUND || t->session != m->session)
       continue;
-    if (t->shown == HR_NOT_SHOWN && launchable (j, t)) {
+    if (t->shown == HR_NOT_SHOWN && launchable (c, j, t)) {
       hr_order_launch (orders, j->id, r.task, t->try);
       if (direct)
         hr_absence_note_direct (m, r.job, r.task, t->try, c->baton);
@@ -70,6 +71,16 @@
   return t->machine == m->idx && t->session == m->session && t->try == it->attempt ? t : NULL;
 }
 
+/* The item shows that the machine has the task's image. One that was stopped, or refused,
+ * may have ended before that: the fetch is given up with it. */
+static gboolean
+had_image (const HrWorkItem *it)
+{
+  if (it->state == HR_W_EXITED)
+    return it->cause == HR_X_DONE || it->cause == HR_X_INCOMPLETE || it->cause == HR_X_PEERS;
+  return it->state != HR_W_FETCHING;
+}
+
 static void
 exited (HrCore *c, HrJob *j, const HrWorkItem *it)
 {
@@ -120,7 +131,7 @@
         t->ran_at = c->now;
         g_debug ("%s/%u runs on %s", j->id, it->task, m->name);
       }
-      if (it->state != HR_W_FETCHING)
+      if (had_image (it))
         hr_machine_touch_image (m, j->spec.image);
       if (it->state == HR_W_EXITED)
         exited (c, j, it);
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -391,6 +391,31 @@
   send_in (w, j);
 }
 
+/* Of one image, which takes longer than the tasks of a gang wait for one another. */
+static void
+long_fetch (World *w, gpointer p)
+{
+  SJob *j = job_new (w);
+  j->shape = HR_GANG;
+  j->tasks = GPOINTER_TO_UINT (p);
+  j->cpus = 10;
+  j->gpus = 2;
+  j->mem = 30;
+  j->image_gb = 40;
+  j->run = 20;
+  send_in (w, j);
+}
+
+void
+users_long_fetches (World *w)
+{
+  users_init (w, 0, 0);
+  w_at (w, 5, long_fetch, GUINT_TO_POINTER (1));
+  /* When it ends one machine has the image, and the others have not. */
+  for (guint i = 0; i < 3; i++)
+    w_at (w, 80 + 100 * i, long_fetch, GUINT_TO_POINTER (2 + i));
+}
+
 static void
 giant_gang (World *w, gpointer p)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -177,6 +177,8 @@
 void users_probe (World *w);
 /* The user of a running service withdraws it, at this node. */
 void users_withdraw_at (World *w, int node);
+/* Gangs of which one task has its image at once, and others after more than gang_wait_s. */
+void users_long_fetches (World *w);
 /* A gang that no fleet of this cloud can hold. */
 void users_giant (World *w, double at);
 /* Gangs of two tasks, one after the other. */
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -177,6 +177,26 @@
   assert_int_equal (broken, 0);
 }
 
+/* One task of a gang has its image, the others fetch it for longer than the first would wait. */
+static void
+days_of_long_fetches (void **state)
+{
+  guint broken = 0;
+  for (guint s = 990; s < 994; s++) {
+    World *w = world_new (s, 3);
+    users_long_fetches (w);
+    world_run (w, 600);
+    for (guint i = 0; i < w->jobs->len; i++) {
+      SJob *j = w->jobs->pdata[i];
+      if (!j->told_done || j->first - j->accepted_at > 120)
+        w_broken (w, "liveness", "%s of %u tasks begins after %.0f s", j->id, j->tasks,
+                  (j->first ? j->first : w->now) - j->accepted_at);
+    }
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* A gang that loses a task before its start is completed, not begun anew; that may come too
  * late where a machine must boot for it first. */
 static void
@@ -337,11 +357,12 @@
       cmocka_unit_test (days_of_lost_places),
       cmocka_unit_test (days_with_stray_orders),
       cmocka_unit_test (days_of_a_giant),
+      cmocka_unit_test (days_of_long_fetches),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {"quiet", "one",    "many",  "limit",  "parts", "copies",
                                         "nodes", "stream", "deaf",  "owners", "cut",   "gangs",
-                                        "word",  "places", "stray", "giant"};
+                                        "word",  "places", "stray", "giant",  "fetch"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
