--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -103,6 +103,16 @@
   m->images[0] = image;
 }
 
+void
+hr_machine_forget_image (HrMachine *m, guint32 image)
+{
+  guint n = 0;
+  for (guint i = 0; i < m->nimages; i++)
+    if (m->images[i] != image)
+      m->images[n++] = m->images[i];
+  m->nimages = n;
+}
+
 void
 hr_machine_describe (HrMachine *m, const HrType *t, guint32 zone, gboolean spot)
 {
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -165,6 +165,7 @@
 void hr_class_use_image (HrClassStat *s, guint32 image, guint tasks);
 gboolean hr_machine_has_image (const HrMachine *m, guint32 image);
 void hr_machine_touch_image (HrMachine *m, guint32 image);
+void hr_machine_forget_image (HrMachine *m, guint32 image);
 /* What a machine is; its capacity counts from here on. Does nothing when that is known. */
 void hr_machine_describe (HrMachine *m, const HrType *t, guint32 zone, gboolean spot);
 /* Room for a task, as meant. */
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -124,6 +124,10 @@
     if (t && t->state == HR_T_BOUND) {
       g_hash_table_add (seen, t);
       t->inherited = 0;
+      /* Records tell a new owner where an image should be; one that is still being fetched
+       * at the second look is not there. */
+      if (it->state == HR_W_FETCHING && t->shown == HR_W_FETCHING)
+        hr_machine_forget_image (m, j->spec.image);
       if (t->shown != it->state)
         c->plan_dirty = TRUE;
       t->shown = it->state;
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -295,6 +295,20 @@
   w_at (w, from, lose_places, g_memdup2 (&to, sizeof to));
 }
 
+static void
+owner_ends (World *w, gpointer p)
+{
+  int owner = store_owner (w);
+  if (owner >= 0)
+    crash (w, owner);
+}
+
+void
+faults_owner_ends (World *w, double at)
+{
+  w_at (w, at, owner_ends, NULL);
+}
+
 static void
 change_owner (World *w, gpointer p)
 {
