--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -340,20 +340,28 @@
   send_in (w, j);
 }
 
-/* One small gang of the stream, and the next one in a while. */
-static void
-stream_job (World *w, gpointer p)
+/* A gang whose tasks each want a whole machine. */
+static SJob *
+gang_of (World *w, guint tasks, double image_gb, double run)
 {
-  double *to = p;
   SJob *j = job_new (w);
   j->shape = HR_GANG;
-  j->tasks = 1 + w->streamed++ % 2;
+  j->tasks = tasks;
   j->cpus = 10;
   j->gpus = 2;
   j->mem = 30;
-  j->image_gb = 1;
-  j->run = w_rand (w, 15, 30);
-  send_in (w, j);
+  j->image_gb = image_gb;
+  j->run = run;
+  return j;
+}
+
+/* One small gang of the stream, and the next one in a while. */
+static void
+stream_job (World *w, gpointer p)
+{
+  double *to = p;
+  guint tasks = 1 + w->streamed++ % 2;
+  send_in (w, gang_of (w, tasks, 1, w_rand (w, 15, 30)));
   if (w->now < *to)
     w_at (w, w->now + w_rand (w, 4, 6.5), stream_job, p);
   else
@@ -379,15 +387,8 @@
 static void
 small_gang (World *w, gpointer p)
 {
-  SJob *j = job_new (w);
-  j->shape = HR_GANG;
-  j->tasks = 2;
-  j->cpus = 10;
-  j->gpus = 2;
-  j->mem = 30;
-  j->image_gb = w->gang_image > 0 ? w->gang_image : 1;
+  SJob *j = gang_of (w, 2, w->gang_image > 0 ? w->gang_image : 1, 40);
   j->image = w->jobs->len; /* its own, to be fetched */
-  j->run = 40;
   send_in (w, j);
 }
 
@@ -395,15 +396,7 @@
 static void
 long_fetch (World *w, gpointer p)
 {
-  SJob *j = job_new (w);
-  j->shape = HR_GANG;
-  j->tasks = GPOINTER_TO_UINT (p);
-  j->cpus = 10;
-  j->gpus = 2;
-  j->mem = 30;
-  j->image_gb = 40;
-  j->run = 20;
-  send_in (w, j);
+  send_in (w, gang_of (w, GPOINTER_TO_UINT (p), 40, 20));
 }
 
 static void
@@ -431,15 +424,7 @@
 static void
 giant_gang (World *w, gpointer p)
 {
-  SJob *j = job_new (w);
-  j->shape = HR_GANG;
-  j->tasks = 500;
-  j->cpus = 10;
-  j->gpus = 2;
-  j->mem = 30;
-  j->image_gb = 1;
-  j->run = 20;
-  send_in (w, j);
+  send_in (w, gang_of (w, 500, 1, 20));
 }
 
 void
