--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -188,10 +188,11 @@
     HrMachine *best = NULL;
     if (j->tasks[k].state != HR_T_IDLE)
       continue;
+    gboolean allowed = hr_team_allows (c, j, 1);
     for (guint i = 0; i < c->fleet->len; i++) {
       HrMachine *m = c->fleet->pdata[i];
       /* Where it was refused, the same attempt would be taken for the refused one. */
-      if (m->idx != j->tasks[k].machine && startable (c, j, m) && hr_team_allows (c, j, 1) &&
+      if (allowed && m->idx != j->tasks[k].machine && startable (c, j, m) &&
           (!best || hr_fetch_time (c, j, m) < hr_fetch_time (c, j, best)))
         best = m;
     }
--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -56,7 +56,7 @@
   n->mem -= mem;
 }
 
-/* HrRoom that is free, or will be once a boot or a stop has ended. Busy machines
+/* Room that is free, or will be once a boot or a stop has ended. Busy machines
  * first, so that idle ones stay free to go; cheap ones before others. */
 static gboolean
 find_room (HrCore *c, HrRoom *rooms, guint nrooms, HrCursor *at, HrJob *j, double cpus, double gpus,
@@ -201,7 +201,7 @@
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
     gint left = (gint)j->ntasks - (gint)(j->nlive + j->ndone + j->planned);
-    if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
+    if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over || left <= 0 ||
         j->retry_at > c->now || !hr_team_allows (c, j, 1) || beyond_fleet (c, j))
       continue;
     HrCursor at = {0};
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -54,7 +54,7 @@
 typedef struct {
   HrHint hint;
   double at;
-  double vouched; /* by our clock: what it stated was so then; see hr_leader_vouched */
+  double vouched; /* by our clock: what it stated was so then; see vouched_at in leader.c */
 } HrPeerView;
 
 struct HrCore {
