An owner that loses its workers keeps the fleet; machines that are unlisted go at once

Their reports come spread over a period, so they fall silent a few at a time and the share that protects the fleet (silent_share) was never reached: 596 machines were deleted. The next owner then waited hold_s and a lease (44 s) for what was gone already. Ruled out: processor time (0.7 of the share at most), refusals by the state service.

- A silent machine that the cloud's list lacks is deleted at once, whoever leads: the 200 is the proof.
A pass through the list that an earlier term began no longer counts as whole.

--- a/src/bookkeeping/absence.c
+++ b/src/bookkeeping/absence.c
@@ -81,26 +81,36 @@
   return m->deaf_at > 0 && c->now - m->deaf_at < c->set->lease_s;
 }
 
+/* The cloud's list lacks it, though no list is so old that it could not be there yet: gone,
+ * most likely. No proof, but reason enough to have it deleted, which is one. */
+static gboolean
+unlisted (const HrCore *c, const HrMachine *m)
+{
+  return m->listed_at < c->listed_at && c->listed_at > m->known_at + 2 * c->set->list_lag_s;
+}
+
 void
 hr_absence_tick (HrCore *c)
 {
   if (!c->leads)
     return;
-  guint up = 0, silent = 0, deaf = 0;
+  guint up = 0, overdue = 0, deaf = 0;
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
     if (m->state != HR_M_UP)
       continue;
     up++;
-    silent += c->now - last_heard (c, m) > c->pol.silent_s;
+    overdue += c->now - last_heard (c, m) > c->pol.overdue_s;
     deaf += deaf_now (c, m);
   }
   if (deaf > 2 && deaf > c->pol.silent_share * up) {
     hr_leader_abdicate (c, "what this node answers reaches few workers");
     return;
   }
-  /* When many fall silent at once it is more likely us than them. */
-  gboolean us = silent > 2 && silent > c->pol.silent_share * up;
+  /* When many fall silent at once it is more likely us than them. Their reports come spread
+   * over a period, so the first ones reach silent_s well before the rest: what tells is
+   * how many are overdue by then, or they would be deleted a few at a time. */
+  gboolean us = overdue > 2 && overdue > c->pol.silent_share * up;
   /* A new owner lets workers find it first; so does one that was cut off itself, or
    * it would return every machine that the same cut kept from it. */
   gboolean early = c->now - MAX (c->led_at, c->served_since) < c->pol.silent_s + 6;
@@ -109,6 +119,9 @@
     HrMachine *m = fleet->pdata[i];
     if (m->state == HR_M_UP && deaf_now (c, m))
       hr_fleet_delete (c, m, "it reports, but what it is told does not reach it");
+    if (m->state == HR_M_UP && c->now - last_heard (c, m) > c->pol.overdue_s && unlisted (c, m) &&
+        hr_follow_served (c))
+      hr_fleet_delete (c, m, "its worker is silent, and the cloud no longer lists it");
     if (m->state != HR_M_UP || c->now - last_heard (c, m) <= c->pol.silent_s)
       continue;
     if (hr_absence_lease_over (c, m) && m->tasks->len)
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -100,6 +100,8 @@
   double deaf_at;       /* when it showed that our answers do not reach it; 0: it did not */
   gboolean rented_here; /* by this very process */
   double rented_at;     /* steady time, by our clock */
+  double known_at;      /* in this owner's fleet since */
+  double listed_at;     /* the latest pass through the cloud's list that showed it began then */
   double heard_at;      /* last report; 0: none to this owner */
   double answered_at;   /* last 200 to a report; 0: none */
   double idle_at;       /* without tasks since; 0: busy */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -41,6 +41,14 @@
   }
 }
 
+void
+hr_fleet_add (HrCore *c, HrMachine *m)
+{
+  m->known_at = c->now;
+  m->listed_at = 0;
+  g_ptr_array_add (c->fleet, m);
+}
+
 void
 hr_machine_gone (HrCore *c, HrMachine *m, const char *why)
 {
@@ -199,7 +207,7 @@
       m->state = HR_M_BOOTING;
       m->rented_here = TRUE;
       m->rented_at = sent;
-      g_ptr_array_add (c->fleet, m);
+      hr_fleet_add (c, m);
     }
     g_info ("rented %zu of %u %s%s in %s", json_array_size (list), r->count, r->spot ? "spot " : "",
             hr_intern_name (&c->names->types, r->type), hr_intern_name (&c->names->zones, r->zone));
@@ -330,7 +338,7 @@
     return; /* lists lag: it is being returned, or was */
   if (e->state == HR_M_FAILED) {
     if (m->state == HR_M_GONE)
-      g_ptr_array_add (c->fleet, m);
+      hr_fleet_add (c, m);
     m->state = HR_M_UP;
     hr_fleet_delete (c, m, "it failed");
     return;
@@ -341,13 +349,16 @@
     return;
   /* Also of a machine that only records name so far: its zone counts for others. */
   hr_machine_describe (m, t, hr_intern (&c->names->zones, e->zone), e->spot);
-  if (m->state != HR_M_GONE)
+  if (m->state != HR_M_GONE) {
+    m->listed_at = c->list_at;
     return;
+  }
   m->state = HR_M_BOOTING; /* until its worker reports */
   m->rented_at = c->now - MIN (e->age, t->boot_s * 0.6);
   if (e->state == HR_M_STARTING)
     m->rented_at = c->now - e->age;
-  g_ptr_array_add (c->fleet, m);
+  hr_fleet_add (c, m);
+  m->listed_at = c->list_at;
   c->plan_dirty = TRUE;
   g_info ("%s is in the cloud's list and was not expected; it is taken on", m->name);
 }
@@ -356,8 +367,10 @@
 on_list (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
   c->listing = FALSE;
-  if (!c->leads)
+  if (!c->leads) {
+    g_clear_pointer (&c->list_after, g_free); /* the next term begins with a pass of its own */
     return;
+  }
   json_t *list = json_object_get (body, "rockhands"), *o;
   if (status != 200 || !json_is_array (list)) {
     g_clear_pointer (&c->list_after, g_free);
@@ -382,7 +395,8 @@
     return;
   }
   g_clear_pointer (&c->list_after, g_free);
-  if (sent >= c->led_at + c->set->list_lag_s)
+  c->listed_at = c->list_at;
+  if (c->list_at >= c->led_at + c->set->list_lag_s)
     c->list_complete = TRUE;
 }
 
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -229,7 +229,8 @@
   return peer_fresh (c, p) && p->hint.store_served;
 }
 
-/* A leader that hears no worker while others do stands back. */
+/* A leader that hears no worker while others do stands back, early enough for the workers to
+ * find the next one within their leases. */
 static void
 consider_abdicating (HrCore *c)
 {
@@ -237,7 +238,7 @@
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
     up += m->state == HR_M_UP;
-    heard += m->state == HR_M_UP && c->now - m->heard_at < 2 * CONTACT_WINDOW;
+    heard += m->state == HR_M_UP && c->now - m->heard_at < c->pol.overdue_s;
   }
   for (guint i = 0; i < c->peers->len; i++) {
     HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -125,6 +125,7 @@
   double planned_at;
   gboolean types_asked, listing;
   double types_at, list_at, rent_at;
+  double listed_at; /* when the latest whole pass through the cloud's list began */
   gboolean list_complete;
   char *list_after;
   guint64 ask;
@@ -224,6 +225,7 @@
 guint32 hr_job_next_try (const HrJob *j);
 
 /* fleet.c */
+void hr_fleet_add (HrCore *c, HrMachine *m);
 void hr_fleet_tick (HrCore *c);
 void hr_fleet_delete (HrCore *c, HrMachine *m, const char *why);
 void hr_machine_gone (HrCore *c, HrMachine *m, const char *why);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -409,7 +409,7 @@
         /* Known from a record alone: it reports, or its absence gets proven. */
         m->state = HR_M_UP;
         m->session = MAX (m->session, t->rsession);
-        g_ptr_array_add (c->fleet, m);
+        hr_fleet_add (c, m);
       }
     }
     if (j->spec.shape == HR_GANG && j->ndone && j->stance == HR_QUEUED)
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -204,7 +204,7 @@
 {
   if (m->state == HR_M_GONE) {
     g_info ("%s reports and was not expected; it is taken on", m->name);
-    g_ptr_array_add (c->fleet, m);
+    hr_fleet_add (c, m);
   } else if (m->state == HR_M_BOOTING)
     g_info ("%s is up after %.0f s", m->name, c->now - m->rented_at);
   m->state = HR_M_UP;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -10,7 +10,8 @@
   X (alone_s, 0.5, 3600, "the same for an owner that hears of no outage from any other member")    \
   X (lease_margin_s, 0.1, 60, "added to every worker lease before it counts as over")              \
   X (silent_s, 1, 3600, "silence after which a machine's tasks are moved")                         \
-  X (silent_share, 0, 1, "more silent machines than this share: blame the network, delete none")   \
+  X (overdue_s, 1, 3600, "silence that no report's period explains: a sign, if many show it")      \
+  X (silent_share, 0, 1, "more overdue machines than this share: blame the network, delete none")  \
   X (boot_limit, 1, 100, "boots longer than this many times startup_s are given up")               \
   X (machines_per_part, 1, 1e6, "machines in one hash part of the plan")                           \
   X (tabu_rounds, 0, 100000, "rounds of tabu search in one pass")                                  \
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -115,6 +115,8 @@
       if (!r->answered && m->gone && w->now - MAX (m->gone_at, m->named_at) > 90 &&
           !store_names (w, m->name))
         w_broken (w, "stale", "%s is returned %.0f s after it went", m->name, w->now - m->gone_at);
+      if (!m->asked_gone)
+        m->asked_gone = w->now;
       machine_end (w, m);
     }
   }
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -421,6 +421,28 @@
     w_at (w, (fickle ? 119 : 80) + 100 * i, long_fetch, GUINT_TO_POINTER (2 + i));
 }
 
+static void
+service (World *w, gpointer p)
+{
+  SJob *j = job_new (w);
+  j->shape = HR_SERVICE;
+  j->tasks = GPOINTER_TO_UINT (p);
+  j->cpus = 4;
+  j->gpus = 1;
+  j->mem = 30;
+  j->image = w->jobs->len % 4;
+  j->image_gb = 1 + j->image;
+  send_in (w, j);
+}
+
+void
+users_services (World *w, guint n, guint tasks, double at)
+{
+  users_init (w, 0, 0);
+  for (guint i = 0; i < n; i++)
+    w_at (w, at + 0.05 * i, service, GUINT_TO_POINTER (tasks));
+}
+
 static void
 giant_gang (World *w, gpointer p)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -40,8 +40,10 @@
   double behind_at; /* when another changed the map or withdrew a job, not read yet; 0: never */
   guint64 behind_epoch;
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
-  double alone_at; /* cut off from state service and members since */
-  gboolean hold;   /* cuts hold packets back */
+  double alone_at;    /* cut off from state service and members since */
+  gboolean hold;      /* cuts hold packets back */
+  double frozen;      /* stands still until then, while its clocks run on; 0: it does not */
+  double freeze_next; /* stands still so long in the middle of its next batch */
 } Node;
 
 #define MAX_NODES 5
@@ -64,7 +66,8 @@
   guint zone;
   gboolean spot, up, gone, failed, listed_gone;
   double rented, boots, gone_at;
-  double named_at; /* when a record last ceased to name it, after it went */
+  double asked_gone; /* its deletion was first asked for then; 0: never */
+  double named_at;   /* when a record last ceased to name it, after it went */
   guint tenure, tally;
   guint64 baton;
   double lease_at; /* sent time of the last report that got an answer */
@@ -180,6 +183,8 @@
 /* Gangs of which one task has its image at once, and others after more than gang_wait_s.
  * fickle: one more is withdrawn while it fetches. */
 void users_long_fetches (World *w, gboolean fickle);
+/* Services that run until the end, of small images. */
+void users_services (World *w, guint n, guint tasks, double at);
 /* A gang that no fleet of this cloud can hold. */
 void users_giant (World *w, double at);
 /* Gangs of two tasks, one after the other. */
@@ -198,11 +203,19 @@
 void faults_cut_from_store (World *w, double at);
 /* The same, after one of them confirmed a withdrawal that the owner did not read. */
 void faults_missed_withdrawal (World *w, double at, gboolean restart);
+/* No worker reaches the owner for 40 s; other controllers do. */
+void faults_owner_unreached (World *w, double at, gboolean hold);
+/* Half of the machines end without a word, and so does the process of the owner. */
+void faults_half_gone (World *w, double at);
 /* Again and again the owner changes, and machines end without a word. */
 void faults_owners (World *w, double from, double to);
 /* Each gang loses one task's machine once, while it fetches its image. */
 void faults_lost_places (World *w, double from, double to);
 /* The process of the owner ends, and is back soon. */
 void faults_owner_ends (World *w, double at);
+/* Controllers stand still while their clocks run on: the owner, another, or all of them. */
+typedef enum { FREEZE_OWNER, FREEZE_OTHER, FREEZE_ALL } FreezeWho;
+void faults_freeze (World *w, double at, FreezeWho who, double for_s);
+void node_freeze (World *w, int i, double for_s);
 /* At that time the busiest machine stops hearing what it is told. */
 void faults_deaf (World *w, double at);
