--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -127,6 +127,7 @@
   double full_until;
   /* Plan */
   guint32 part;     /* by hash of its name */
+  guint parts;      /* of how many */
   GArray *list;     /* HrRef by deadline */
   double tardiness; /* expected, of the list */
   guint late;
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -314,12 +314,26 @@
   /* An owner that the state service refuses cannot see a cancellation. It goes on
    * answering workers for hold_s, and their leases outlast that. */
   double ends = p->hold_s + *lease * 1.002 + p->lease_margin_s;
-  if (ends < *cancel)
-    return TRUE;
-  g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_DATA,
-               "policy: expected hold_s + lease_s + lease_margin_s below cancel_s (%g), not %g",
-               *cancel, ends);
-  return FALSE;
+  const double *report = g_hash_table_lookup (vars, "report_s");
+  const struct {
+    gboolean good;
+    const char *what, *relation;
+    double limit, value;
+  } figures[] = {
+      {ends < *cancel, "hold_s + lease_s + lease_margin_s", "below cancel_s", *cancel, ends},
+      /* Reports come every report_s, give or take a quarter. */
+      {p->overdue_s > 1.25 * *report, "overdue_s", "above 1.25 report_s", 1.25 * *report,
+       p->overdue_s},
+      {p->silent_s >= p->overdue_s, "silent_s", "at least overdue_s", p->overdue_s, p->silent_s},
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (figures); i++)
+    if (!figures[i].good) {
+      g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_DATA,
+                   "policy: expected %s %s (%g), not %g", figures[i].what, figures[i].relation,
+                   figures[i].limit, figures[i].value);
+      return FALSE;
+    }
+  return TRUE;
 }
 
 void
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -363,6 +363,7 @@
       }
     }
   }
+  c->booting = booting;
   g_autoptr (GArray) needs = hr_rent_begin ();
   for (guint i = 0; i < services->len; i++) {
     HrJob *j = services->pdata[i];
--- a/src/coordination/parts.c
+++ b/src/coordination/parts.c
@@ -27,7 +27,9 @@
   c->nparts = 1 + c->fleet->len / (guint)c->pol.machines_per_part;
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
-    m->part = hr_part_of (m->name, c->nparts);
+    if (m->parts != c->nparts)
+      m->part = hr_part_of (m->name, c->nparts);
+    m->parts = c->nparts;
   }
 }
 
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -9,6 +9,13 @@
   return c->machines->pdata[t->machine];
 }
 
+/* Its orders go out with the next step. */
+static void
+urgent (HrCore *c, HrMachine *m)
+{
+  m->urgent = c->urgent = TRUE;
+}
+
 static void
 freed (HrCore *c, HrMachine *m)
 {
@@ -97,11 +104,11 @@
     hr_task_done (c, j, task);
     return;
   }
-  m->urgent = TRUE;
+  urgent (c, m);
   if (j->spec.shape == HR_GANG && hr_gang_ready (j)) {
     j->ready_at = c->now;
     for (guint32 i = 0; i < j->ntasks; i++)
-      machine_of (c, &j->tasks[i])->urgent = TRUE;
+      urgent (c, machine_of (c, &j->tasks[i]));
   }
 }
 
@@ -261,7 +268,7 @@
   t->kill = 1;
   t->grace = grace;
   t->killed_at = 0;
-  machine_of (c, t)->urgent = TRUE;
+  urgent (c, machine_of (c, t));
 }
 
 void
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -55,12 +55,9 @@
     return g_strdup_printf ("needs %u machines at once, more than the cloud has given; more are "
                             "asked for in %.0f s",
                             j->ntasks, j->rent_at - c->now);
-  guint booting = 0;
-  for (guint i = 0; i < c->fleet->len; i++)
-    booting += ((HrMachine *)c->fleet->pdata[i])->state == HR_M_BOOTING;
   return g_strdup_printf ("%u tasks wait for room; %u of them stand in a machine's plan; "
                           "%u machines are starting",
-                          j->ntasks - j->nlive - j->ndone, j->planned, booting);
+                          j->ntasks - j->nlive - j->ndone, j->planned, c->booting);
 }
 
 static void
@@ -303,7 +300,7 @@
       hr_refuse (c, cmd->id, 405, 0, "use GET");
     return;
   }
-  if (strcmp (p, "/v1/jobs") == 0) {
+  if (strcmp (p, HR_JOBS_PATH) == 0) {
     if (cmd->method != HR_POST)
       hr_refuse (c, cmd->id, 405, 0, "use POST");
     else if (cmd->too_large)
@@ -312,11 +309,11 @@
       submit (c, cmd);
     return;
   }
-  if (!g_str_has_prefix (p, "/v1/jobs/")) {
+  if (!g_str_has_prefix (p, HR_JOBS_PATH "/")) {
     hr_refuse (c, cmd->id, 404, 0, "no such path");
     return;
   }
-  g_autofree char *id = g_strdup (p + strlen ("/v1/jobs/"));
+  g_autofree char *id = g_strdup (p + strlen (HR_JOBS_PATH "/"));
   gboolean abort = g_str_has_suffix (id, "/abort");
   if (abort)
     id[strlen (id) - strlen ("/abort")] = 0;
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -342,12 +342,17 @@
 void
 hr_workers_send (HrCore *c)
 {
-  if (!c->leads || c->pol.direct_launch < 1)
+  if (!c->leads || !c->urgent || c->pol.direct_launch < 1)
     return;
+  c->urgent = FALSE;
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
-    if (!m->urgent || m->do_out || c->now < m->do_pause)
+    if (!m->urgent)
       continue;
+    if (m->do_out || c->now < m->do_pause) {
+      c->urgent = TRUE; /* looked at again with the next step */
+      continue;
+    }
     m->urgent = FALSE;
     if (m->state != HR_M_UP || !m->addr || !m->heard_at)
       continue;
--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -10,6 +10,10 @@
 
 #define TICK_MS 100
 #define GATHER_MS 5
+/* Sockets that are neither users', workers' nor our calls': listeners, the loop's own, and for
+ * each member its connection, ours, and one of each that is just being replaced. */
+#define OTHER_SOCKETS 24
+#define MEMBER_SOCKETS 4
 
 typedef struct {
   HrCore *core;
@@ -73,6 +77,15 @@
   return g_poll (fds, n, timeout);
 }
 
+/* What our own calls leave, but half at the least. */
+static guint
+server_share (const HrSettings *s)
+{
+  guint own =
+      hr_http_client_sockets (s->sockets) + OTHER_SOCKETS + MEMBER_SOCKETS * s->members->len;
+  return MAX (s->sockets / 2, s->sockets - MIN (own, s->sockets));
+}
+
 static int log_level = G_LOG_LEVEL_MESSAGE;
 
 static GLogWriterOutput
@@ -190,7 +203,7 @@
   d.client = hr_http_client_new (settings->state, settings->cloud, settings->sockets, sink, &d);
   d.peers = hr_peers_new (settings, sink, &d, &error);
   if (d.peers)
-    d.server = hr_http_server_new (settings->front, settings->sockets, sink, &d, &error);
+    d.server = hr_http_server_new (settings->front, server_share (settings), sink, &d, &error);
   if (!d.server) {
     fprintf (stderr, "hoprockd: cannot listen: %s\n", error->message);
     return 1;
--- a/src/protocol/jobspec.h
+++ b/src/protocol/jobspec.h
@@ -8,6 +8,8 @@
 
 #define HR_MAX_TASKS 100000
 #define HR_MAX_BODY 65536
+/* Where users submit and ask. */
+#define HR_JOBS_PATH "/v1/jobs"
 
 /* The tables that turn names into indices, one per process. */
 typedef struct {
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -67,6 +67,24 @@
   g_free (call);
 }
 
+/* Connections to workers are seldom used twice soon, and each has its source in the main
+ * loop: a tenth of the sockets is for them. */
+static guint
+pool_size (SessionKind kind, guint sockets)
+{
+  static const guint few[] = {[S_WATCH] = 4, [S_STORE] = 12, [S_CLOUD] = 8};
+  return kind == S_WORKERS ? MAX (16, sockets / 10) : few[kind];
+}
+
+guint
+hr_http_client_sockets (guint sockets)
+{
+  guint n = 0;
+  for (int i = 0; i < S_COUNT; i++)
+    n += pool_size (i, sockets);
+  return n;
+}
+
 HrHttpClient *
 hr_http_client_new (const char *store, const char *cloud, guint sockets, HrCommandSink sink,
                     gpointer data)
@@ -76,12 +94,10 @@
   c->cloud = g_strdup (cloud);
   c->sink = sink;
   c->data = data;
-  /* Connections to workers are seldom used twice soon, and each has its source in the
-   * main loop; the share of sockets that the server leaves is theirs. */
-  guint most[S_COUNT] = {4, 12, 8, MAX (16, sockets / 8)};
   for (int i = 0; i < S_COUNT; i++) {
-    c->sessions[i] = soup_session_new_with_options ("max-conns", most[i], "max-conns-per-host",
-                                                    i == S_WORKERS ? 2 : most[i], "timeout", 75,
+    guint most = pool_size (i, sockets);
+    c->sessions[i] = soup_session_new_with_options ("max-conns", most, "max-conns-per-host",
+                                                    i == S_WORKERS ? 2 : most, "timeout", 75,
                                                     "idle-timeout", i == S_WORKERS ? 2 : 20, NULL);
     soup_session_set_proxy_resolver (c->sessions[i], NULL);
   }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -4,6 +4,8 @@
 
 typedef struct HrHttpClient HrHttpClient;
 
+/* How many sockets its calls may take of a process that may hold so many. */
+guint hr_http_client_sockets (guint sockets);
 /* sockets: how many the process may hold. */
 HrHttpClient *hr_http_client_new (const char *store, const char *cloud, guint sockets,
                                   HrCommandSink sink, gpointer data);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -14,8 +14,11 @@
  * mostly one whose other end is gone without a word: behind a cut nobody hears the FIN.
  * Kept, such connections would use up the sockets. */
 #define IDLE_S 20
-/* Of the process's sockets; the rest is for our own calls. */
-#define SHARE_OF_SOCKETS 0.8
+/* While more than this share of its connections is in use, users are sent away at once: a
+ * worker that finds none loses its lease, a user loses a second. */
+#define SHED_SHARE 0.94
+#define SHED_RETRY "2"
+#define SHED_LOG_S 10
 /* For one connection's headers; bodies are gathered apart. */
 #define CONNECTION_MEMORY (8 * 1024)
 
@@ -24,6 +27,9 @@
   GSource *source;
   GHashTable *open; /* request id -> Request, while its answer is awaited */
   guint64 next;
+  guint connections; /* the most it may have */
+  guint shed;        /* requests sent away since the last word about it */
+  gint64 shed_at;
   HrCommandSink sink;
   gpointer data;
 };
@@ -86,6 +92,36 @@
   g_byte_array_append (r->body, (const guint8 *)data, size);
 }
 
+static gboolean
+crowded (HrHttpServer *s)
+{
+  const union MHD_DaemonInfo *i =
+      MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  return i && i->num_connections > s->connections * SHED_SHARE;
+}
+
+static enum MHD_Result
+send_away (HrHttpServer *s, struct MHD_Connection *conn)
+{
+  static const char body[] = "{\"error\":\"this node has hardly a free socket; ask again\"}";
+  struct MHD_Response *r =
+      MHD_create_response_from_buffer (sizeof body - 1, (void *)body, MHD_RESPMEM_PERSISTENT);
+  MHD_add_response_header (r, "Content-Type", "application/json");
+  MHD_add_response_header (r, "Retry-After", SHED_RETRY);
+  MHD_add_response_header (r, "Connection", "close");
+  enum MHD_Result ok = MHD_queue_response (conn, 503, r);
+  MHD_destroy_response (r);
+  gint64 now = g_get_monotonic_time ();
+  s->shed++;
+  if (now - s->shed_at > SHED_LOG_S * G_USEC_PER_SEC) {
+    g_warning ("nearly all of %u connections are in use: %u users' requests sent away",
+               s->connections, s->shed);
+    s->shed_at = now;
+    s->shed = 0;
+  }
+  return ok;
+}
+
 static enum MHD_Result
 on_request (void *data, struct MHD_Connection *conn, const char *url, const char *method,
             const char *version, const char *upload, size_t *upload_size, void **state)
@@ -93,6 +129,8 @@
   HrHttpServer *s = data;
   Request *r = *state;
   if (!r) { /* the headers only */
+    if (g_str_has_prefix (url, HR_JOBS_PATH) && crowded (s))
+      return send_away (s, conn);
     r = g_new0 (Request, 1);
     r->server = s;
     r->conn = conn;
@@ -158,7 +196,7 @@
 static GSourceFuncs source_funcs = {source_prepare, source_check, source_dispatch, NULL};
 
 HrHttpServer *
-hr_http_server_new (const char *address, guint sockets, HrCommandSink sink, gpointer data,
+hr_http_server_new (const char *address, guint connections, HrCommandSink sink, gpointer data,
                     GError **error)
 {
   g_autoptr (GSocketConnectable) net = g_network_address_parse (address, 0, error);
@@ -175,11 +213,12 @@
   HrHttpServer *s = g_new0 (HrHttpServer, 1);
   s->sink = sink;
   s->data = data;
+  s->connections = connections;
   s->open = g_hash_table_new (g_int64_hash, g_int64_equal);
   s->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, s, MHD_OPTION_SOCK_ADDR,
       &sa, MHD_OPTION_NOTIFY_COMPLETED, on_completed, s, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned int)IDLE_S, MHD_OPTION_CONNECTION_LIMIT, (unsigned int)(sockets * SHARE_OF_SOCKETS),
+      (unsigned int)IDLE_S, MHD_OPTION_CONNECTION_LIMIT, (unsigned int)connections,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
   if (!s->daemon) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -5,8 +5,8 @@
 typedef struct HrHttpServer HrHttpServer;
 typedef void (*HrCommandSink) (HrCommand *c, gpointer data);
 
-/* sockets: how many the process may hold. */
-HrHttpServer *hr_http_server_new (const char *address, guint sockets, HrCommandSink sink,
+/* connections: how many it may hold; the last few are kept from users. */
+HrHttpServer *hr_http_server_new (const char *address, guint connections, HrCommandSink sink,
                                   gpointer data, GError **error);
 void hr_http_server_reply (HrHttpServer *s, const HrEffect *e);
 /* Sends the replies given so far. */
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -136,7 +136,7 @@
     SMachine *m = w->machines->pdata[i];
     if (m->rented > at || (m->gone && m->gone_at < at) || strcmp (m->name, from) <= 0)
       continue;
-    if (json_array_size (rows) == 10) {
+    if (json_array_size (rows) == (w->capacity > 100 ? 500 : 10)) {
       more = TRUE;
       break;
     }
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -362,6 +362,50 @@
   w_at (w, at, half_gone, NULL);
 }
 
+static void
+owner_ends (World *w, gpointer p)
+{
+  int owner = store_owner (w);
+  if (owner >= 0)
+    crash (w, owner);
+}
+
+static void
+mass (World *w, gpointer p)
+{
+  guint n = 0, dead = 0, hung = 0;
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    if (!m->up || m->gone)
+      continue;
+    n++;
+    if (n % 4 == 0) {
+      m->cut = w->now + 45;
+      m->hold = TRUE;
+    } else if (n % 4 == 1 && dead++ < 100)
+      machine_end (w, m);
+    else if (n % 4 == 2 && hung++ < 100) /* some past their lease */
+      m->hang = w->now + (n % 8 < 4 ? 20 : 35);
+  }
+}
+
+static void
+all_end (World *w, gpointer p)
+{
+  for (int k = 0; k < w->n; k++)
+    crash (w, k);
+}
+
+void
+faults_mass (World *w, double at)
+{
+  w_at (w, at, mass, NULL);
+  w_at (w, at + 4, owner_ends, NULL);
+  w_at (w, at + 80, all_end, NULL);
+  w_at (w, at + 130, all_end, NULL);
+  faults_freeze (w, at + 170, FREEZE_OWNER, 20);
+}
+
 static void
 lose_places (World *w, gpointer p)
 {
@@ -397,14 +441,6 @@
   w_at (w, from, lose_places, g_memdup2 (&to, sizeof to));
 }
 
-static void
-owner_ends (World *w, gpointer p)
-{
-  int owner = store_owner (w);
-  if (owner >= 0)
-    crash (w, owner);
-}
-
 void
 faults_owner_ends (World *w, double at)
 {
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -3,8 +3,6 @@
 #include "protocol/jsonx.h"
 #include <string.h>
 
-#define CANCEL 36.0
-
 SJob *
 job_by_id (World *w, const char *id, guint32 *index)
 {
@@ -208,7 +206,7 @@
   j->started = w->now;
   if (!j->first && j->shape != HR_GANG) /* a gang begins when all its tasks run */
     j->first = w->now;
-  if (j->told_withdrawn && w->now > j->told_withdrawn + CANCEL)
+  if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
     w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
   if (m->spot && !j->spot)
     w_broken (w, "wrong_place", "%s/%u starts on a spot machine", j->id, t->task);
@@ -259,8 +257,9 @@
       if (!t->on)
         continue;
       gpus += j->gpus;
-      g_string_append_printf (who, " %s/%u.%u@%s", j->id, t->task, t->try, m->name);
-      if (j->told_withdrawn && w->now > j->told_withdrawn + CANCEL)
+      if (w->quota_gpus > 0)
+        g_string_append_printf (who, " %s/%u.%u@%s", j->id, t->task, t->try, m->name);
+      if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
         w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
     }
   }
@@ -443,6 +442,42 @@
     w_at (w, at + 0.05 * i, service, GUINT_TO_POINTER (tasks));
 }
 
+/* Of all shapes, in about the proportions of a large deployment. */
+static void
+crowd_job (World *w, gpointer p)
+{
+  guint i = GPOINTER_TO_UINT (p);
+  static const guint replicas[] = {2, 4, 6}, gangs[] = {1, 2, 4, 8};
+  SJob *j = job_new (w);
+  j->shape = i % 5 < 2 ? HR_SERVICE : i % 5 < 4 ? HR_GANG : HR_BATCH;
+  j->tasks = j->shape == HR_SERVICE ? replicas[i % 3]
+             : j->shape == HR_GANG  ? gangs[i / 5 % 4]
+                                    : 10 + i % 60;
+  j->cpus = j->shape == HR_GANG ? 10 : 5;
+  j->gpus = j->shape == HR_GANG ? 2 : 1;
+  j->mem = 30;
+  j->image = i % 8;
+  j->image_gb = 1 + j->image;
+  j->run = w_rand (w, 20, 90);
+  j->checkpoint = 10;
+  j->save = 2;
+  j->one_zone = j->shape == HR_GANG;
+  j->spread = j->shape == HR_SERVICE && i % 2;
+  j->spot = j->shape == HR_BATCH;
+  j->cancel = i % 9 == 0;
+  j->due_cancel = w->now + w_rand (w, 20, 200);
+  send_in (w, j);
+}
+
+void
+users_crowd (World *w, guint jobs, double span)
+{
+  users_init (w, 0, 0);
+  /* Most are there at the start, the others come one by one. */
+  for (guint i = 0; i < jobs; i++)
+    w_at (w, i % 3 ? 2 + 0.01 * i : w_rand (w, 10, span), crowd_job, GUINT_TO_POINTER (i));
+}
+
 static void
 giant_gang (World *w, gpointer p)
 {
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -3,8 +3,6 @@
 #include "protocol/jsonx.h"
 #include <string.h>
 
-#define REPORT 2.5
-#define LEASE 14.0
 #define GANG_WAIT 30.0
 #define GANG_PEER 4.0
 
@@ -243,7 +241,7 @@
     return;
   w_at (w, w->now + 0.25, live, m);
   /* A hanging machine may resume within its lease, not after it. */
-  if (w->now - m->lease_at > LEASE) {
+  if (w->now - m->lease_at > w->lease_s) {
     machine_stop_all (w, m, "lease");
     m->tenure++;
     m->lease_at = w->now;
@@ -294,13 +292,13 @@
     return;
   }
   m->out = FALSE;
-  double next = w->now + REPORT * w_rand (w, 0.75, 1.25);
+  double next = w->now + w->report_s * w_rand (w, 0.75, 1.25);
   if (status == 200) {
     guint64 baton = json_integer_value (json_object_get (body, "baton"));
     /* A hanging worker reads nothing before it wakes. */
     if (baton >= m->baton && o->tenure == m->tenure && m->hang <= w->now) {
       /* A higher token is a change, at most once in half a lease. */
-      if (baton > m->baton && w->now - m->token_told > LEASE / 2) {
+      if (baton > m->baton && w->now - m->token_told > w->lease_s / 2) {
         m->token_told = w->now;
         w_at (w, m->report_sent + 0.51, report_next_node, m);
       }
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -527,12 +527,13 @@
           members, json_pack ("{ssssss}", "label", l, "area", "z0", "endpoint", "127.0.0.1:9"));
     }
   g_autofree char *label = g_strdup_printf ("c%d", i);
-  json_t *facts = json_pack (
-      "{s[{sssfsfsfsf}]s[{sssssf}]s{sfsfsfsfsf}s{sfsfsfsi}s{sfsf}}", "teams", "name", "crew",
-      "cpus", 0.0, "cpus_max", 0.0, "gpus", 0.0, "gpus_max", w->quota_gpus, "objectives", "kind",
-      "finished", "class", "gang", "within_s", 200.0, "workers", "report_s", 2.5, "lease_s", 14.0,
-      "gang_wait_s", 30.0, "gang_peer_s", 4.0, "cancel_s", 36.0, "state", "rps", 250.0, "write_rps",
-      60.0, "value_kb", 4.0, "txn_ops", 12, "cloud", "rps", 8.0, "list_lag_s", 3.0);
+  json_t *facts =
+      json_pack ("{s[{sssfsfsfsf}]s[{sssssf}]s{sfsfsfsfsf}s{sfsfsfsi}s{sfsf}}", "teams", "name",
+                 "crew", "cpus", 0.0, "cpus_max", 0.0, "gpus", 0.0, "gpus_max", w->quota_gpus,
+                 "objectives", "kind", "finished", "class", "gang", "within_s", 200.0, "workers",
+                 "report_s", w->report_s, "lease_s", w->lease_s, "gang_wait_s", 30.0, "gang_peer_s",
+                 4.0, "cancel_s", w->cancel_s, "state", "rps", 250.0, "write_rps", 60.0, "value_kb",
+                 4.0, "txn_ops", 12, "cloud", "rps", 8.0, "list_lag_s", 3.0);
   json_t *root = json_pack ("{sssssssss{ssss}soso}", "label", label, "area", "z0", "front",
                             "127.0.0.1:1", "back", "127.0.0.1:2", "outside", "cloud", "127.0.0.1:3",
                             "state", "127.0.0.1:4", "members", members, "facts", facts);
@@ -594,6 +595,9 @@
 {
   World *w = g_new0 (World, 1);
   w->n = nodes;
+  w->report_s = 2.5;
+  w->lease_s = 14;
+  w->cancel_s = 36;
   w->rand = g_rand_new_with_seed (seed);
   w->events = g_sequence_new (g_free);
   w->broken = g_ptr_array_new_with_free_func (g_free);
@@ -608,6 +612,15 @@
   return w;
 }
 
+void
+world_restart (World *w)
+{
+  for (int i = 0; i < w->n; i++) {
+    node_kill (w, i);
+    node_start (w, i);
+  }
+}
+
 void
 world_run (World *w, double until)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -108,6 +108,7 @@
   Node nodes[MAX_NODES];
   int n; /* of them */
   HrPolicy pol;
+  double report_s, lease_s, cancel_s;   /* of workers */
   double quota_gpus, machines_per_part; /* 0: as the policy says */
   GHashTable *assigned;                 /* "job/task/try" -> the process that recorded it */
   /* state service */
@@ -144,6 +145,8 @@
 extern int sim_log_node;
 
 World *world_new (guint32 seed, int nodes);
+/* Starts all controllers anew: they read their settings then. */
+void world_restart (World *w);
 void world_run (World *w, double until);
 void world_free (World *w);
 void w_at (World *w, double t, WFn fn, gpointer data);
@@ -185,6 +188,8 @@
 void users_long_fetches (World *w, gboolean fickle);
 /* Services that run until the end, of small images. */
 void users_services (World *w, guint n, guint tasks, double at);
+/* Jobs of all shapes for a fleet of hundreds. */
+void users_crowd (World *w, guint jobs, double span);
 /* A gang that no fleet of this cloud can hold. */
 void users_giant (World *w, double at);
 /* Gangs of two tasks, one after the other. */
@@ -207,6 +212,9 @@
 void faults_owner_unreached (World *w, double at, gboolean hold);
 /* Half of the machines end without a word, and so does the process of the owner. */
 void faults_half_gone (World *w, double at);
+/* A hundred machines end, a hundred hang, a quarter is cut off; the owner ends meanwhile. Then
+ * all controllers end, twice, and one stands still. */
+void faults_mass (World *w, double at);
 /* Again and again the owner changes, and machines end without a word. */
 void faults_owners (World *w, double from, double to);
 /* Each gang loses one task's machine once, while it fetches its image. */
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -27,11 +27,8 @@
 {
   w->quota_gpus = quota;
   w->machines_per_part = per_part;
-  if (quota > 0 || per_part > 0) /* the nodes read it when they start */
-    for (int i = 0; i < w->n; i++) {
-      node_kill (w, i);
-      node_start (w, i);
-    }
+  if (quota > 0 || per_part > 0)
+    world_restart (w);
   users_init (w, 40, 300);
   users_probe (w);
   faults_init (w, faults, 30, 320);
@@ -374,6 +371,51 @@
   assert_int_equal (broken, 0);
 }
 
+/* Hundreds of machines, long leases, and troubles that hit a good part of them at once. */
+static void
+play_large (guint32 seed, int nodes)
+{
+  World *w = world_new (seed, nodes);
+  guint most = 0;
+  w->capacity = 1500;
+  w->report_s = 5;
+  w->lease_s = 26.5;
+  w->cancel_s = 56.5;
+  w->loss = w->dup = 0.001;
+  world_restart (w);
+  users_crowd (w, 620, 250);
+  users_probe (w);
+  faults_mass (w, 100);
+  faults_init (w, 0, 0, 330);
+  world_run (w, 90);
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    most += m->up && !m->gone;
+  }
+  world_run (w, 640);
+  if (most < 1300)
+    w_broken (w, "small", "only %u machines are up", most);
+  for (guint i = 0; i < w->jobs->len; i++) {
+    SJob *j = w->jobs->pdata[i];
+    if (!j->accepted ||
+        (!j->asked_cancel && (j->shape == HR_SERVICE ? !j->started : !j->told_done)))
+      w_broken (w, "liveness", "%s (%d, %u tasks) is not done", j->id, j->shape, j->tasks);
+  }
+  assert_int_equal (verdict (w, seed), 0);
+}
+
+static void
+a_large_day_of_three (void **state)
+{
+  play_large (1050, 3);
+}
+
+static void
+a_large_day_of_five (void **state)
+{
+  play_large (1051, 5);
+}
+
 /* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
 static GLogWriterOutput
 verbose (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
@@ -423,12 +465,14 @@
       cmocka_unit_test (days_with_frozen_controllers),
       cmocka_unit_test (days_of_unreached_owners),
       cmocka_unit_test (days_of_half_fleets),
+      cmocka_unit_test (a_large_day_of_three),
+      cmocka_unit_test (a_large_day_of_five),
   };
   if (argc == 2) { /* one part */
-    static const char *const parts[] = {"quiet",  "one",   "many",   "limit",     "parts",
-                                        "copies", "nodes", "stream", "deaf",      "owners",
-                                        "cut",    "gangs", "word",   "places",    "stray",
-                                        "giant",  "fetch", "freeze", "unreached", "half"};
+    static const char *const parts[] = {
+        "quiet", "one",    "many",      "limit", "parts",  "copies", "nodes", "stream",
+        "deaf",  "owners", "cut",       "gangs", "word",   "places", "stray", "giant",
+        "fetch", "freeze", "unreached", "half",  "large3", "large5"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -215,6 +215,39 @@
   stop (&p);
 }
 
+/* Guards against workers that lose their leases because users' connections fill the node:
+ * near the limit users are sent away at once, with when to come back, and make room. */
+static void
+workers_come_before_users (void **state)
+{
+  static const char user[] = "GET /v1/jobs/job-000001 HTTP/1.1\r\nHost: x\r\n\r\n";
+  static const char worker[] = "POST /hello HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+  Probe p = {0};
+  guint16 port = free_port ();
+  serve (&p, port, 50);
+  g_autoptr (GPtrArray) all = g_ptr_array_new_with_free_func (g_object_unref);
+  for (guint i = 0; i < 40; i++) {
+    g_ptr_array_add (all, dial (port));
+    g_autofree char *got = ask (&p, all->pdata[i], user, strlen (user));
+    assert_non_null (strstr (got, "200 OK"));
+  }
+  for (guint i = 0; i < 9; i++) { /* workers fill it */
+    g_ptr_array_add (all, dial (port));
+    g_autofree char *got = ask (&p, all->pdata[all->len - 1], worker, strlen (worker));
+    assert_non_null (strstr (got, "200 OK"));
+  }
+  g_autofree char *away = ask (&p, all->pdata[0], user, strlen (user));
+  assert_non_null (strstr (away, " 503 "));
+  assert_non_null (strstr (away, "Retry-After: 2"));
+  assert_non_null (strstr (away, "\"error\""));
+  spin (&p, 0.1);
+  char rest[16];
+  assert_int_equal (g_socket_receive (all->pdata[0], rest, sizeof rest, NULL, NULL), 0);
+  g_autofree char *still = ask (&p, all->pdata[45], worker, strlen (worker));
+  assert_non_null (strstr (still, "200 OK"));
+  stop (&p);
+}
+
 static void
 send_call (HrHttpClient *c, double timeout)
 {
@@ -271,9 +304,12 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test (a_connection_stays_open),           cmocka_unit_test (bodies_have_a_limit),
-      cmocka_unit_test (connections_cost_the_loop_nothing), cmocka_unit_test (an_asker_may_leave),
+      cmocka_unit_test (a_connection_stays_open),
+      cmocka_unit_test (bodies_have_a_limit),
+      cmocka_unit_test (connections_cost_the_loop_nothing),
+      cmocka_unit_test (an_asker_may_leave),
       cmocka_unit_test (calls_end_at_their_deadline),
+      cmocka_unit_test (workers_come_before_users),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
