Tasks whose record cannot be read wait until no lease of an earlier owner can be left

A torn page was logged and its tasks counted as idle, so the next owner started them while they still ran. They now wait hold_s and a lease from when the owner took over, and their attempts are numbered beyond those that the page may have held. A page of another length, or with anything but 0, 1 or a place, counts as torn.

--- a/src/bookkeeping/absence.c
+++ b/src/bookkeeping/absence.c
@@ -45,6 +45,12 @@
   return TRUE;
 }
 
+double
+hr_absence_lease (const HrCore *c)
+{
+  return c->set->lease_s * 1.002 + c->pol.lease_margin_s;
+}
+
 gboolean
 hr_absence_lease_over (const HrCore *c, const HrMachine *m)
 {
@@ -53,7 +59,7 @@
   double base = m->answered_at;
   if (m->token < c->led_baton)
     base = MAX (base, c->led_at + c->pol.hold_s);
-  return c->now > base + c->set->lease_s * 1.002 + c->pol.lease_margin_s;
+  return c->now > base + hr_absence_lease (c);
 }
 
 void
--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -96,7 +96,8 @@
   }
   /* The owner alone changes tasks; what others write leaves them as they were. */
   if (!r.per_page && r.tasks && (!c->leads || fresh)) {
-    if (!hr_record_tasks (j, 0, r.tasks, &c->machine_ids))
+    j->torn = !hr_record_tasks (j, 0, r.tasks, &c->machine_ids);
+    if (j->torn)
       g_warning ("%s: the tasks in its record make no sense", j->id);
     note_images (c, j, 0, j->ntasks);
   }
@@ -136,8 +137,11 @@
   }
   p->stamp = stamp;
   if (!c->leads) {
-    if (!hr_record_tasks (j, n * j->per_page, json_object_get (v, "x"), &c->machine_ids))
+    /* Other pages may be torn too: once one was, the job counts as torn. */
+    if (!hr_record_tasks (j, n * j->per_page, json_object_get (v, "x"), &c->machine_ids)) {
+      j->torn = TRUE;
       g_warning ("%s: page %u of its record makes no sense", j->id, (guint)n);
+    }
     note_images (c, j, n * j->per_page, j->per_page);
   }
 }
--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -93,7 +93,8 @@
 {
   size_t i;
   json_t *e;
-  if (!json_is_array (x) || first + json_array_size (x) > j->ntasks)
+  guint32 n = MIN (j->per_page ? j->per_page : j->ntasks, j->ntasks - first);
+  if (!json_is_array (x) || json_array_size (x) != n)
     return FALSE;
   json_array_foreach (x, i, e)
   {
@@ -110,7 +111,9 @@
       t->rmachine = hr_intern (machines, m);
       t->rsession = s;
       t->rtry = a;
-    } else if (!done)
+    } else if (!json_is_integer (e))
+      return FALSE;
+    else if (!done)
       t->rmachine = HR_NONE;
   }
   return TRUE;
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -179,6 +179,8 @@
 void hr_litter_tick (HrCore *c);
 
 /* bookkeeping/absence.c: proofs that a task is on no machine */
+/* A lease and its margin: the longest that a worker may keep tasks unanswered. */
+double hr_absence_lease (const HrCore *c);
 gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
 gboolean hr_absence_orders_settled (const HrMachine *m);
 void hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -347,6 +347,9 @@
   s->types = j->spec.types;
 }
 
+/* More than any task is tried in one owner's time. */
+#define TRIES_A_TERM 1000
+
 /* A new owner: what the records say is what may be out there. */
 void
 hr_tasks_take_over (HrCore *c)
@@ -383,7 +386,9 @@
     j->short_since = 0;
     j->planned = 0;
     j->errors = 0;
-    j->retry_at = 0;
+    /* Tasks that nobody knows the place of wait until no lease can be left that an earlier
+     * owner renewed; whatever reports to us is told to stop what we do not know. */
+    j->retry_at = j->torn ? c->led_at + c->pol.hold_s + hr_absence_lease (c) : 0;
     gboolean bound = FALSE, mixed = FALSE;
     for (guint32 k = 0; k < j->ntasks; k++) {
       HrTask *t = &j->tasks[k];
@@ -399,6 +404,8 @@
         continue;
       }
       if (t->rmachine == HR_NONE) {
+        if (j->torn) /* its attempts are not known either, and none may be numbered twice */
+          t->try = MAX (t->try, (guint32)(c->led_baton * TRIES_A_TERM));
         mixed |= j->spec.shape == HR_GANG && bound;
         continue;
       }
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -370,6 +370,27 @@
     crash (w, owner);
 }
 
+static void
+all_end (World *w, gpointer p)
+{
+  for (int k = 0; k < w->n; k++)
+    crash (w, k);
+}
+
+static void
+tear (World *w, gpointer p)
+{
+  all_end (w, NULL);
+  if (!store_tear (w))
+    w_broken (w, "torn", "no page is there");
+}
+
+void
+faults_torn_pages (World *w, double at)
+{
+  w_at (w, at, tear, NULL);
+}
+
 static void
 mass (World *w, gpointer p)
 {
@@ -389,13 +410,6 @@
   }
 }
 
-static void
-all_end (World *w, gpointer p)
-{
-  for (int k = 0; k < w->n; k++)
-    crash (w, k);
-}
-
 void
 faults_mass (World *w, double at)
 {
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -284,6 +284,23 @@
   return FALSE;
 }
 
+/* Every page of tasks becomes one that cannot be read. */
+guint
+store_tear (World *w)
+{
+  GHashTableIter it;
+  gpointer path, k;
+  guint n = 0;
+  g_hash_table_iter_init (&it, w->keys);
+  while (g_hash_table_iter_next (&it, &path, &k))
+    if (g_str_has_prefix (path, "h/t/")) {
+      g_free (((SKey *)k)->text);
+      ((SKey *)k)->text = g_strdup ("{\"w\":\"torn\",\"x\":[0,\"m-0\",1]}");
+      n++;
+    }
+  return n;
+}
+
 /* Pages in the ledger whose job is final. */
 guint
 store_litter (World *w)
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -469,6 +469,27 @@
   send_in (w, j);
 }
 
+static void
+paged_job (World *w, gpointer p)
+{
+  SJob *j = job_new (w);
+  j->shape = HR_BATCH;
+  j->tasks = 140;
+  j->cpus = 4;
+  j->gpus = 1;
+  j->mem = 30;
+  j->image_gb = 1;
+  j->run = 40;
+  send_in (w, j);
+}
+
+void
+users_paged (World *w, double at)
+{
+  users_init (w, 0, 0);
+  w_at (w, at, paged_job, NULL);
+}
+
 void
 users_crowd (World *w, guint jobs, double span)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -168,6 +168,7 @@
 void store_init (World *w);
 gboolean store_names (World *w, const char *machine);
 guint store_litter (World *w);
+guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
 void store_free (World *w);
 void cloud_request (World *w, Req *r);
@@ -188,6 +189,8 @@
 void users_long_fetches (World *w, gboolean fickle);
 /* Services that run until the end, of small images. */
 void users_services (World *w, guint n, guint tasks, double at);
+/* A job whose tasks stand in pages. */
+void users_paged (World *w, double at);
 /* Jobs of all shapes for a fleet of hundreds. */
 void users_crowd (World *w, guint jobs, double span);
 /* A gang that no fleet of this cloud can hold. */
@@ -212,6 +215,8 @@
 void faults_owner_unreached (World *w, double at, gboolean hold);
 /* Half of the machines end without a word, and so does the process of the owner. */
 void faults_half_gone (World *w, double at);
+/* The pages of large jobs get torn while all controllers are away for a moment. */
+void faults_torn_pages (World *w, double at);
 /* A hundred machines end, a hundred hang, a quarter is cut off; the owner ends meanwhile. Then
  * all controllers end, twice, and one stands still. */
 void faults_mass (World *w, double at);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -371,6 +371,24 @@
   assert_int_equal (broken, 0);
 }
 
+/* Pages that cannot be read name no machine, but their tasks are on some: none is placed twice,
+ * and all are done in the end. */
+static void
+days_of_torn_pages (void **state)
+{
+  guint broken = 0;
+  for (guint s = 1060; s < 1064; s++) {
+    World *w = world_new (s, 3);
+    users_paged (w, 5);
+    faults_torn_pages (w, 60);
+    world_run (w, 600);
+    if (!((SJob *)w->jobs->pdata[0])->told_done)
+      w_broken (w, "liveness", "the job is not done");
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Hundreds of machines, long leases, and troubles that hit a good part of them at once. */
 static void
 play_large (guint32 seed, int nodes)
@@ -467,12 +485,13 @@
       cmocka_unit_test (days_of_half_fleets),
       cmocka_unit_test (a_large_day_of_three),
       cmocka_unit_test (a_large_day_of_five),
+      cmocka_unit_test (days_of_torn_pages),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {
         "quiet", "one",    "many",      "limit", "parts",  "copies", "nodes", "stream",
         "deaf",  "owners", "cut",       "gangs", "word",   "places", "stray", "giant",
-        "fetch", "freeze", "unreached", "half",  "large3", "large5"};
+        "fetch", "freeze", "unreached", "half",  "large3", "large5", "torn"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
