--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -244,11 +244,17 @@
   return blocked;
 }
 
+/* A task that stands in a list, and when it should be done there. */
+typedef struct {
+  HrRef r;
+  double end;
+} Listed;
+
 static int
 by_deadline (gconstpointer a, gconstpointer b, gpointer data)
 {
   HrCore *c = data;
-  const HrRef *x = a, *y = b;
+  const HrRef *x = &((const Listed *)a)->r, *y = &((const Listed *)b)->r;
   const HrJob *p = c->jobs->pdata[x->job], *q = c->jobs->pdata[y->job];
   if (p->deadline != q->deadline)
     return p->deadline < q->deadline ? -1 : 1;
@@ -267,25 +273,33 @@
   return a->tasks->len > b->tasks->len;
 }
 
-/* A machine with room takes the earliest-deadline task that fits from any list.
- * blocked: by index of the machine. */
+/* A machine with room takes the earliest-deadline task that fits from any list, unless its
+ * own list has it done sooner: where its image is cached, mostly. On a large fleet most tasks
+ * else fetch their image anew. blocked: by index of the machine. */
 static void
 start_from_any (HrCore *c, GHashTable *blocked)
 {
   g_autoptr (GPtrArray) rooms = roomy (c);
-  g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (HrRef));
+  g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (Listed));
   for (guint i = 0; i < c->fleet->len && rooms->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
+    if (!m->list->len)
+      continue;
+    g_autofree double *starts = g_new (double, m->list->len);
+    hr_project (c, m, starts);
     for (guint k = 0; k < m->list->len; k++) {
       HrRef r = g_array_index (m->list, HrRef, k);
-      if (((HrJob *)c->jobs->pdata[r.job])->spec.shape == HR_BATCH)
-        g_array_append_val (all, r);
+      HrJob *j = c->jobs->pdata[r.job];
+      Listed l = {r, starts[k] + hr_estimate (c, j, m)};
+      if (j->spec.shape == HR_BATCH)
+        g_array_append_val (all, l);
     }
   }
   g_array_sort_with_data (all, by_deadline, c);
   guint32 without = HR_NONE; /* the job whose last task found no room: nor will the next */
   for (guint i = 0; i < all->len; i++) {
-    HrRef r = g_array_index (all, HrRef, i);
+    Listed *l = &g_array_index (all, Listed, i);
+    HrRef r = l->r;
     HrJob *j = c->jobs->pdata[r.job];
     HrMachine *best = NULL;
     if (r.job == without || !hr_team_allows (c, j, 1))
@@ -298,10 +312,10 @@
       if (!best || batch_better (c, j, m, best))
         best = m;
     }
-    if (best)
-      start (c, j, r.task, best, next_try (&j->tasks[r.task]));
-    else
+    if (!best)
       without = r.job;
+    else if (c->now + hr_estimate (c, j, best) < l->end)
+      start (c, j, r.task, best, next_try (&j->tasks[r.task]));
   }
 }
 
