A job within its team's guarantee does not wait for other teams

Preemption made room for services alone; an array or gang of a team below its guarantee waited behind another team's long work, whose earlier deadlines also held its place in the lists. While such a job waits, others start nothing beyond their guarantees, and what they run beyond them makes room. Test: sim_guarantee (fails without the room made, and without the hold on the others). No effect with one team.

--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -71,6 +71,7 @@
   gboolean counted;  /* its arrival was counted */
   double gang_start; /* planned common start of a gang, steady time */
   guint planned;     /* tasks standing in lists */
+  gboolean entitled; /* within its team's guarantee, together with the team's earlier jobs */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
 } HrJob;
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -234,7 +234,8 @@
       blocked = INFINITY;
       continue;
     }
-    if (!isfinite (blocked) && c->now >= j->retry_at) {
+    /* One that its team holds back holds nobody else up. */
+    if (!isfinite (blocked) && c->now >= j->retry_at && hr_team_allows (c, j, 1)) {
       g_autofree double *starts = g_new (double, m->list->len);
       hr_project (c, m, starts);
       blocked = MAX (c->now, starts[i]);
@@ -330,6 +331,22 @@
   return x->idx < y->idx ? -1 : x->idx > y->idx;
 }
 
+/* What a team is guaranteed it gets from those that run beyond theirs. Gangs of several tasks
+ * begin when all their places are there, so a part of them makes room for nothing. */
+static void
+make_guaranteed_room (HrCore *c, HrRoom *rooms)
+{
+  for (guint i = 0; c->entitled_waits && i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    if (!j->entitled || j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
+        c->now < j->retry_at)
+      continue;
+    for (guint32 k = j->nlive + j->ndone; k < j->ntasks; k++)
+      if (!hr_preempt (c, j, rooms, TRUE))
+        break;
+  }
+}
+
 void
 hr_dispatch (HrCore *c)
 {
@@ -386,11 +403,12 @@
     for (guint32 k = 0; k < j->ntasks; k++) {
       if (j->tasks[k].state != HR_T_IDLE || j->retry_at > c->now || !hr_team_allows (c, j, 1))
         continue;
-      room = room && hr_preempt (c, j, rooms);
+      room = room && hr_preempt (c, j, rooms, FALSE);
       if (!room)
         hr_rent_need (c, rooms, booting, &at, needs, j);
     }
   }
+  make_guaranteed_room (c, rooms);
   hr_rent_headroom (c, rooms, n, needs);
   hr_rent_for_lists (c, rooms, booting, needs);
   hr_rent_end (c, needs);
--- a/src/coordination/preempt.c
+++ b/src/coordination/preempt.c
@@ -85,7 +85,7 @@
 
 /* Stops the tasks of one machine whose loss is least, so that the job fits there. */
 gboolean
-hr_preempt (HrCore *c, HrJob *j, HrRoom *rooms)
+hr_preempt (HrCore *c, HrJob *j, HrRoom *rooms, gboolean others)
 {
   HrRoom *best = NULL;
   double least = INFINITY;
@@ -101,7 +101,8 @@
       HrTask *t = &v->tasks[x.task];
       if (cpus >= j->spec.cpus && gpus >= j->spec.gpus && mem >= j->spec.mem)
         break;
-      if (t->state != HR_T_BOUND || t->kill || !may_stop (c, v, j))
+      if (t->state != HR_T_BOUND || t->kill || (others && v->spec.team == j->spec.team) ||
+          !may_stop (c, v, j))
         continue;
       cpus += v->spec.cpus;
       gpus += v->spec.gpus;
@@ -123,7 +124,8 @@
     if (best->cpus + 1e-6 >= j->spec.cpus && best->gpus + 1e-6 >= j->spec.gpus &&
         best->mem + 1e-6 >= j->spec.mem)
       break;
-    if (t->state != HR_T_BOUND || t->kill || !may_stop (c, v, j))
+    if (t->state != HR_T_BOUND || t->kill || (others && v->spec.team == j->spec.team) ||
+        !may_stop (c, v, j))
       continue;
     g_info ("%s/%u on %s makes room for %s", v->id, x.task, best->m->name, j->id);
     best->cpus += v->spec.cpus;
--- a/src/coordination/room.h
+++ b/src/coordination/room.h
@@ -27,7 +27,8 @@
 /* Does the team run more than it is guaranteed, or would n more tasks stay within? */
 gboolean hr_team_beyond (HrCore *c, const HrJob *j, guint n);
 HrMachine *hr_swap_for_image (HrCore *c, HrJob *j);
-gboolean hr_preempt (HrCore *c, HrJob *j, HrRoom *rooms);
+/* others: stop other teams' work only. */
+gboolean hr_preempt (HrCore *c, HrJob *j, HrRoom *rooms, gboolean others);
 
 /* Room for a task of the job on a machine that boots, or on one to be rented. booting:
  * how many rooms, the first ones, are on machines that boot. needs: what hr_rent_begin gave. */
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -119,7 +119,8 @@
   GPtrArray *fleet; /* the machines that are not gone */
 
   /* Planning and the fleet. */
-  GArray *team_waits; /* guint32: per team, the gang that waits for the limit, or HR_NONE */
+  GArray *team_waits;      /* guint32: per team, the gang that waits for the limit, or HR_NONE */
+  gboolean entitled_waits; /* a job within its team's guarantee waits for room */
   gboolean plan_dirty;
   guint nparts;
   double planned_at;
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -287,13 +287,14 @@
   static const char *const ranks[] = {"normal", "urgent", "production"};
   static const char *const classes[] = {"array", "gang", "live"};
   g_autofree char *image = g_strdup_printf ("img-%u", j->image);
-  json_t *o = json_pack (
-      "{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass", classes[j->shape],
-      "crew", "crew", "shape", shapes[j->shape], "rank", ranks[j->shape], "pieces", (int)j->tasks,
-      "vcpus", j->cpus, "accelerators", j->gpus, "memory_gb", j->mem, "bundle", image, "size_gb",
-      j->image_gb, "hulls", "quarry", "together", j->one_zone, "apart", j->spread, "loaners",
-      j->spot, "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
-      j->checkpoint, "stash_s", j->save);
+  json_t *o =
+      json_pack ("{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass",
+                 classes[j->shape], "crew", j->team ? j->team : "crew", "shape", shapes[j->shape],
+                 "rank", ranks[j->shape], "pieces", (int)j->tasks, "vcpus", j->cpus, "accelerators",
+                 j->gpus, "memory_gb", j->mem, "bundle", image, "size_gb", j->image_gb, "hulls",
+                 "quarry", "together", j->one_zone, "apart", j->spread, "loaners", j->spot,
+                 "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
+                 j->checkpoint, "stash_s", j->save);
   if (j->shape == HR_BATCH)
     json_object_set_new (o, "due_s", json_real (j->run * 2 + 30));
   j->body = hr_json_take_text (o);
@@ -490,6 +491,45 @@
   w_at (w, at, paged_job, NULL);
 }
 
+static void
+borrower (World *w, gpointer p)
+{
+  SJob *j = job_new (w);
+  j->shape = HR_BATCH;
+  j->tasks = 60;
+  j->cpus = 4;
+  j->gpus = 1;
+  j->mem = 30;
+  j->image_gb = 1;
+  j->run = 300;
+  send_in (w, j);
+}
+
+static void
+guaranteed (World *w, gpointer p)
+{
+  SJob *j = job_new (w);
+  j->shape = p ? HR_GANG : HR_BATCH;
+  j->tasks = p ? 2 : 6;
+  j->cpus = p ? 10 : 4;
+  j->gpus = p ? 2 : 1;
+  j->mem = 30;
+  j->image_gb = 1;
+  j->run = 25;
+  j->team = "guests";
+  send_in (w, j);
+}
+
+void
+users_two_teams (World *w, double later)
+{
+  users_init (w, 0, 0);
+  for (guint i = 0; i < 3; i++)
+    w_at (w, 5 + i, borrower, NULL);
+  w_at (w, later, guaranteed, NULL);
+  w_at (w, later + 60, guaranteed, GUINT_TO_POINTER (1));
+}
+
 void
 users_crowd (World *w, guint jobs, double span)
 {
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -534,6 +534,11 @@
                  "report_s", w->report_s, "lease_s", w->lease_s, "gang_wait_s", 30.0, "gang_peer_s",
                  4.0, "cancel_s", w->cancel_s, "state", "rps", 250.0, "write_rps", 60.0, "value_kb",
                  4.0, "txn_ops", 12, "cloud", "rps", 8.0, "list_lag_s", 3.0);
+  if (w->guarantee_gpus > 0)
+    json_array_append_new (json_object_get (facts, "teams"),
+                           json_pack ("{sssfsfsfsf}", "name", "guests", "cpus",
+                                      10 * w->guarantee_gpus, "cpus_max", 0.0, "gpus",
+                                      w->guarantee_gpus, "gpus_max", 0.0));
   json_t *root = json_pack ("{sssssssss{ssss}soso}", "label", label, "area", "z0", "front",
                             "127.0.0.1:1", "back", "127.0.0.1:2", "outside", "cloud", "127.0.0.1:3",
                             "state", "127.0.0.1:4", "members", members, "facts", facts);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -96,7 +96,8 @@
   double poll_at, ok_at;
   double accepted_at;
   gboolean large, forgotten, lost_place;
-  guint *done; /* per task */
+  const char *team; /* NULL: the first one */
+  guint *done;      /* per task */
   double *progress;
 } SJob;
 
@@ -109,6 +110,7 @@
   int n; /* of them */
   HrPolicy pol;
   double report_s, lease_s, cancel_s;   /* of workers */
+  double guarantee_gpus;                /* of a second team; 0: there is none */
   double quota_gpus, machines_per_part; /* 0: as the policy says */
   GHashTable *assigned;                 /* "job/task/try" -> the process that recorded it */
   /* state service */
@@ -189,6 +191,9 @@
 void users_long_fetches (World *w, gboolean fickle);
 /* Services that run until the end, of small images. */
 void users_services (World *w, guint n, guint tasks, double at);
+/* The first team fills the fleet with long work; later the second one wants what it is
+ * guaranteed: tasks of an array, then a gang. */
+void users_two_teams (World *w, double later);
 /* A job whose tasks stand in pages. */
 void users_paged (World *w, double at);
 /* Jobs of all shapes for a fleet of hundreds. */
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -371,6 +371,29 @@
   assert_int_equal (broken, 0);
 }
 
+/* A team that wants no more than it is guaranteed does not wait for another one's long work,
+ * also where that has the earlier deadlines and fills the whole fleet. */
+static void
+days_of_a_guarantee (void **state)
+{
+  guint broken = 0;
+  for (guint s = 1070; s < 1074; s++) {
+    World *w = world_new (s, 3);
+    w->guarantee_gpus = 8;
+    world_restart (w);
+    users_two_teams (w, 120);
+    world_run (w, 330);
+    for (guint i = 0; i < w->jobs->len; i++) {
+      SJob *j = w->jobs->pdata[i];
+      if (j->team && (!j->told_done || j->told_done - j->accepted_at > 75))
+        w_broken (w, "guarantee", "%s of %u tasks is done after %.0f s", j->id, j->tasks,
+                  (j->told_done ? j->told_done : w->now) - j->accepted_at);
+    }
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Pages that cannot be read name no machine, but their tasks are on some: none is placed twice,
  * and all are done in the end. */
 static void
@@ -486,12 +509,13 @@
       cmocka_unit_test (a_large_day_of_three),
       cmocka_unit_test (a_large_day_of_five),
       cmocka_unit_test (days_of_torn_pages),
+      cmocka_unit_test (days_of_a_guarantee),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {
         "quiet", "one",    "many",      "limit", "parts",  "copies", "nodes", "stream",
         "deaf",  "owners", "cut",       "gangs", "word",   "places", "stray", "giant",
-        "fetch", "freeze", "unreached", "half",  "large3", "large5", "torn"};
+        "fetch", "freeze", "unreached", "half",  "large3", "large5", "torn",  "guarantee"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
