--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -171,17 +171,45 @@
   w_at (w, at, deafen, NULL);
 }
 
+/* Of the machines marked for it when a trouble began: how many there are, and for how many it is
+ * so. */
+static guint
+of_marked (World *w, gboolean (*is) (const SMachine *), guint *all)
+{
+  guint n = 0;
+  *all = 0;
+  for (guint i = 0; i < w->machines->len; i++) {
+    const SMachine *m = w->machines->pdata[i];
+    *all += m->through_cut;
+    n += m->through_cut && is (m);
+  }
+  return n;
+}
+
+static gboolean
+is_gone (const SMachine *m)
+{
+  return m->gone;
+}
+
+static gboolean
+is_lost (const SMachine *m)
+{
+  return m->gone || m->tenure > 1;
+}
+
+static gboolean
+is_kept (const SMachine *m)
+{
+  return !m->asked_gone;
+}
+
 /* All controllers behind one cut, which holds back what is sent to them; they hear one
  * another. Nothing that was up before may be given away because of it. */
 static void
 kept (World *w, gpointer p)
 {
-  guint up = 0, lost = 0;
-  for (guint i = 0; i < w->machines->len; i++) {
-    SMachine *m = w->machines->pdata[i];
-    up += m->through_cut;
-    lost += m->through_cut && m->gone;
-  }
+  guint up, lost = of_marked (w, is_gone, &up);
   if (!up || lost * 3 > up)
     w_broken (w, "kept", "%u of %u machines are given away after a cut", lost, up);
 }
@@ -293,12 +321,7 @@
 static void
 reached_again (World *w, gpointer p)
 {
-  guint up = 0, lost = 0;
-  for (guint i = 0; i < w->machines->len; i++) {
-    SMachine *m = w->machines->pdata[i];
-    up += m->through_cut;
-    lost += m->through_cut && (m->gone || m->tenure > 1);
-  }
+  guint up, lost = of_marked (w, is_lost, &up);
   if (!up || lost)
     w_broken (w, "kept", "%u of %u machines are lost with the owner's way to its workers", lost,
               up);
@@ -330,12 +353,7 @@
 static void
 proven (World *w, gpointer p)
 {
-  guint gone = 0, kept = 0;
-  for (guint i = 0; i < w->machines->len; i++) {
-    SMachine *m = w->machines->pdata[i];
-    gone += m->through_cut;
-    kept += m->through_cut && !m->asked_gone;
-  }
+  guint gone, kept = of_marked (w, is_kept, &gone);
   if (!gone || kept)
     w_broken (w, "proof", "%u of %u machines that went are not asked to be deleted", kept, gone);
 }
