--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -438,7 +438,9 @@
   w->report_s = 5;
   w->lease_s = 26.5;
   w->cancel_s = 56.5;
-  w->loss = w->dup = 0.001;
+  w->loss = 0.001;
+  w->dup = 0.01; /* what was carried out comes again, up to a minute later */
+  w->copies = 0.05;
   world_restart (w);
   users_crowd (w, 620, 250);
   users_probe (w);
