--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -470,18 +470,25 @@
   send_in (w, j);
 }
 
-static void
-paged_job (World *w, gpointer p)
+/* An array, of which two tasks fit on a machine. */
+static SJob *
+batch_of (World *w, guint tasks, double run)
 {
   SJob *j = job_new (w);
   j->shape = HR_BATCH;
-  j->tasks = 140;
+  j->tasks = tasks;
   j->cpus = 4;
   j->gpus = 1;
   j->mem = 30;
   j->image_gb = 1;
-  j->run = 40;
-  send_in (w, j);
+  j->run = run;
+  return j;
+}
+
+static void
+paged_job (World *w, gpointer p)
+{
+  send_in (w, batch_of (w, 140, 40));
 }
 
 void
@@ -494,28 +501,13 @@
 static void
 borrower (World *w, gpointer p)
 {
-  SJob *j = job_new (w);
-  j->shape = HR_BATCH;
-  j->tasks = 60;
-  j->cpus = 4;
-  j->gpus = 1;
-  j->mem = 30;
-  j->image_gb = 1;
-  j->run = 300;
-  send_in (w, j);
+  send_in (w, batch_of (w, 60, 300));
 }
 
 static void
 guaranteed (World *w, gpointer p)
 {
-  SJob *j = job_new (w);
-  j->shape = p ? HR_GANG : HR_BATCH;
-  j->tasks = p ? 2 : 6;
-  j->cpus = p ? 10 : 4;
-  j->gpus = p ? 2 : 1;
-  j->mem = 30;
-  j->image_gb = 1;
-  j->run = 25;
+  SJob *j = p ? gang_of (w, 2, 1, 25) : batch_of (w, 6, 25);
   j->team = "guests";
   send_in (w, j);
 }
