--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -85,7 +85,7 @@
     j->ntasks = r.ntasks;
     j->nrdone = r.ndone;
     j->shrunk = TRUE;
-    hr_litter_job (c, j);
+    hr_garbage_job (c, j);
     if (!c->leads || !j->nlive)
       hr_job_shrink (j);
     return TRUE;
@@ -96,8 +96,8 @@
   }
   /* The owner alone changes tasks; what others write leaves them as they were. */
   if (!r.per_page && r.tasks && (!c->leads || fresh)) {
-    j->torn = !hr_record_tasks (j, 0, r.tasks, &c->machine_ids);
-    if (j->torn)
+    j->unreadable = !hr_record_tasks (j, 0, r.tasks, &c->machine_ids);
+    if (j->unreadable)
       g_warning ("%s: the tasks in its record make no sense", j->id);
     note_images (c, j, 0, j->ntasks);
   }
@@ -122,9 +122,9 @@
   HrJob *j = hr_job_find (c, id);
   guint64 n = g_ascii_strtoull (slash + 1, NULL, 10);
   if (j && j->shrunk) {
-    hr_litter_gone (c, j, n);
+    hr_garbage_gone (c, j, n);
     if (v)
-      hr_litter_note (c, j, n);
+      hr_garbage_note (c, j, n);
     return;
   }
   const char *tag = hr_json_str (v, "w");
@@ -137,9 +137,9 @@
   }
   p->stamp = stamp;
   if (!c->leads) {
-    /* Other pages may be torn too: once one was, the job counts as torn. */
+    /* Other pages may be unreadable too: once one was, the job counts as unreadable. */
     if (!hr_record_tasks (j, n * j->per_page, json_object_get (v, "x"), &c->machine_ids)) {
-      j->torn = TRUE;
+      j->unreadable = TRUE;
       g_warning ("%s: page %u of its record makes no sense", j->id, (guint)n);
     }
     note_images (c, j, n * j->per_page, j->per_page);
--- a/src/bookkeeping/litter.c
+++ b/src/bookkeeping/garbage.c
@@ -7,29 +7,29 @@
 #define AT_A_TIME 4 /* of the changes that a transaction may hold */
 
 void
-hr_litter_note (HrCore *c, const HrJob *j, guint page)
+hr_garbage_note (HrCore *c, const HrJob *j, guint page)
 {
   HrDirty d = {j->idx, page};
-  g_array_append_val (c->litter, d);
+  g_array_append_val (c->garbage, d);
 }
 
 /* The job has become final: so far as we know, these of its pages are in the ledger. */
 void
-hr_litter_job (HrCore *c, const HrJob *j)
+hr_garbage_job (HrCore *c, const HrJob *j)
 {
   for (guint i = 0; j->per_page && i < j->npages; i++)
     if (j->pages[i].stamp)
-      hr_litter_note (c, j, i);
+      hr_garbage_note (c, j, i);
 }
 
 /* The page is gone from the ledger. */
 void
-hr_litter_gone (HrCore *c, const HrJob *j, guint page)
+hr_garbage_gone (HrCore *c, const HrJob *j, guint page)
 {
-  for (guint i = 0; i < c->litter->len; i++) {
-    HrDirty *d = &g_array_index (c->litter, HrDirty, i);
+  for (guint i = 0; i < c->garbage->len; i++) {
+    HrDirty *d = &g_array_index (c->garbage, HrDirty, i);
     if (d->job == j->idx && d->page == page)
-      g_array_remove_index_fast (c->litter, i--);
+      g_array_remove_index_fast (c->garbage, i--);
   }
 }
 
@@ -41,21 +41,21 @@
   c->tidy_at = c->now + 1;
   for (guint i = 0; i < batch->len && status == 200; i++) {
     const HrDirty *d = &g_array_index (batch, HrDirty, i);
-    hr_litter_gone (c, c->jobs->pdata[d->job], d->page);
+    hr_garbage_gone (c, c->jobs->pdata[d->job], d->page);
   } /* otherwise it is tried again */
 }
 
 void
-hr_litter_tick (HrCore *c)
+hr_garbage_tick (HrCore *c)
 {
-  guint n = MIN (MIN (c->litter->len, AT_A_TIME), c->set->txn_ops);
+  guint n = MIN (MIN (c->garbage->len, AT_A_TIME), c->set->txn_ops);
   /* Only what is left over of the allowance. */
   if (!c->leads || !n || c->tidying || c->now < c->tidy_at || c->dirty->len ||
       !hr_follow_served (c) || c->write_bucket.tokens < c->write_bucket.burst * 0.8)
     return;
   json_t *writes = json_array ();
   GArray *batch = g_array_new (FALSE, FALSE, sizeof (HrDirty));
-  g_array_append_vals (batch, c->litter->data, n);
+  g_array_append_vals (batch, c->garbage->data, n);
   for (guint i = 0; i < n; i++) {
     const HrDirty *d = &g_array_index (batch, HrDirty, i);
     g_autofree char *key = hr_page_key (c->jobs->pdata[d->job], d->page);
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -175,7 +175,7 @@
       g_info ("%s is done", j->id);
     }
     j->shrunk = TRUE;
-    hr_litter_job (c, j);
+    hr_garbage_job (c, j);
     hr_job_shrink (j);
   } else if (j->stance == HR_QUEUED && j->nrdone == j->ntasks)
     mark_page (c, j, j->pages);
--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -129,16 +129,16 @@
 gboolean
 hr_machine_fits (const HrMachine *m, const HrJobSpec *s)
 {
-  return s->cpus <= m->cpus - m->alien_cpus + EPS && s->gpus <= m->gpus - m->alien_gpus + EPS &&
-         s->mem <= m->mem - m->alien_mem + EPS;
+  return s->cpus <= m->cpus - m->foreign_cpus + EPS && s->gpus <= m->gpus - m->foreign_gpus + EPS &&
+         s->mem <= m->mem - m->foreign_mem + EPS;
 }
 
 gboolean
 hr_machine_has_beside_claims (const HrMachine *m, double cpus, double gpus, double mem)
 {
-  return cpus <= m->cpus - m->alien_cpus - m->claim_cpus + EPS &&
-         gpus <= m->gpus - m->alien_gpus - m->claim_gpus + EPS &&
-         mem <= m->mem - m->alien_mem - m->claim_mem + EPS;
+  return cpus <= m->cpus - m->foreign_cpus - m->claim_cpus + EPS &&
+         gpus <= m->gpus - m->foreign_gpus - m->claim_gpus + EPS &&
+         mem <= m->mem - m->foreign_mem - m->claim_mem + EPS;
 }
 
 gboolean
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -55,7 +55,7 @@
   HrPage *pages;
   guint npages;
   gboolean shrunk;
-  gboolean torn; /* what is recorded of its tasks could not be read: they may be anywhere */
+  gboolean unreadable; /* what is recorded of its tasks could not be read: they may be anywhere */
   /* The owner's. */
   gboolean listed;    /* in the owner's list of open jobs */
   guint32 nlive;      /* tasks assigning or bound */
@@ -98,7 +98,7 @@
   guint32 session;
   guint64 seq, token;
   double seq_at;        /* when the message with that seq came */
-  double unheard_at;    /* when a session first showed that; 0: the last one did not */
+  double unreceived_at; /* when a session first showed that; 0: the last one did not */
   double deaf_at;       /* when it showed that our answers do not reach it; 0: it did not */
   gboolean rented_here; /* by this very process */
   double rented_at;     /* steady time, by our clock */
@@ -115,14 +115,14 @@
   GArray *direct;       /* HrDirectLaunch of this session */
   gboolean urgent;      /* orders to send at once */
   double do_pause;
-  gboolean delete_out;                      /* the call for it is under way */
-  gboolean deleted;                         /* the cloud confirmed it */
-  GArray *tasks;                            /* HrRef of tasks assigning or bound */
-  double alien_cpus, alien_gpus, alien_mem; /* taken by what should not be there */
-  double cpus, gpus, mem;                   /* free, as meant */
-  double claim_cpus, claim_gpus, claim_mem; /* of that, kept for services */
-  double fixed_cpus, fixed_gpus, fixed_mem; /* taken by services */
-  guint32 images[16];                       /* most recent first */
+  gboolean delete_out;                            /* the call for it is under way */
+  gboolean deleted;                               /* the cloud confirmed it */
+  GArray *tasks;                                  /* HrRef of tasks assigning or bound */
+  double foreign_cpus, foreign_gpus, foreign_mem; /* taken by what should not be there */
+  double cpus, gpus, mem;                         /* free, as meant */
+  double claim_cpus, claim_gpus, claim_mem;       /* of that, kept for services */
+  double fixed_cpus, fixed_gpus, fixed_mem;       /* taken by services */
+  guint32 images[16];                             /* most recent first */
   guint nimages;
   guint errors; /* failures in a row */
   guint32 error_job;
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -176,7 +176,7 @@
   c->open = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->classes = g_array_new (FALSE, TRUE, sizeof (HrClassStat));
   c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
-  c->litter = g_array_new (FALSE, TRUE, sizeof (HrDirty));
+  c->garbage = g_array_new (FALSE, TRUE, sizeof (HrDirty));
   c->fleet = g_ptr_array_new ();
   c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
   c->team_waits = g_array_new (FALSE, TRUE, sizeof (guint32));
@@ -215,7 +215,7 @@
   g_array_unref (c->classes);
   g_array_unref (c->refused);
   g_array_unref (c->dirty);
-  g_array_unref (c->litter);
+  g_array_unref (c->garbage);
   g_array_unref (c->wants);
   g_array_unref (c->team_waits);
   g_ptr_array_unref (c->fleet);
@@ -261,7 +261,7 @@
   hr_leader_tick (c);
   hr_absence_tick (c);
   hr_fleet_tick (c);
-  hr_litter_tick (c);
+  hr_garbage_tick (c);
 }
 
 void
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -106,7 +106,7 @@
   GPtrArray *a = g_ptr_array_sized_new (c->fleet->len);
   for (guint i = 0; i < c->fleet->len; i++) {
     HrMachine *m = c->fleet->pdata[i];
-    if (m->state == HR_M_UP && !m->drain && m->cpus - m->alien_cpus > 0)
+    if (m->state == HR_M_UP && !m->drain && m->cpus - m->foreign_cpus > 0)
       g_ptr_array_add (a, m);
   }
   return a;
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -34,7 +34,7 @@
  * the owner: each of the other members said so, after it had heard our clock. With none,
  * there is nobody who could. */
 static double
-vouched_at (const HrCore *c)
+attested_at (const HrCore *c)
 {
   double t = c->now;
   if (!c->synced_once)
@@ -45,14 +45,14 @@
     for (guint k = 0; k < c->peers->len; k++) {
       const HrPeerView *p = &g_array_index (c->peers, HrPeerView, k);
       if (g_str_equal (p->hint.label, label))
-        said = p->vouched;
+        said = p->attested;
     }
     t = MIN (t, said);
   }
   return t;
 }
 
-/* hold_s bounds how long an owner may answer without a reading, or the word of all other
+/* hold_s bounds how long an owner may answer without a reading, or the attestation of all other
  * members that they have none to go by either: a cut of them all, behind which workers
  * would lose their tasks for nothing. One that is cut off from members and state service
  * alike stops sooner: another leads by then, and while its workers still hear us they do
@@ -63,7 +63,7 @@
   double hold = c->pol.hold_s;
   if (!hr_leader_outage_for_all (c))
     hold = MIN (hold, c->pol.alone_s);
-  return c->leads && c->now - MAX (c->confirmed_at, vouched_at (c)) <= hold;
+  return c->leads && c->now - MAX (c->confirmed_at, attested_at (c)) <= hold;
 }
 
 static void
@@ -307,7 +307,7 @@
     const HrEcho *e = &h->echoes[i];
     if (g_str_equal (e->label, c->set->label) && g_str_equal (e->incarnation, c->incarnation) &&
         e->clock <= c->now)
-      p->vouched = MAX (p->vouched, e->clock);
+      p->attested = MAX (p->attested, e->clock);
   }
 }
 
--- a/src/coordination/preempt.c
+++ b/src/coordination/preempt.c
@@ -36,8 +36,8 @@
 static double
 room_by_stopping (HrCore *c, HrJob *j, HrMachine *m, gboolean stop)
 {
-  double cpus = m->cpus - m->alien_cpus, gpus = m->gpus - m->alien_gpus,
-         mem = m->mem - m->alien_mem, cost = 0;
+  double cpus = m->cpus - m->foreign_cpus, gpus = m->gpus - m->foreign_gpus,
+         mem = m->mem - m->foreign_mem, cost = 0;
   for (guint k = 0; k < m->tasks->len; k++) {
     if (cpus + 1e-6 >= j->spec.cpus && gpus + 1e-6 >= j->spec.gpus && mem + 1e-6 >= j->spec.mem)
       break;
--- a/src/coordination/project.c
+++ b/src/coordination/project.c
@@ -108,8 +108,9 @@
     busy = g_array_new (FALSE, FALSE, sizeof (Busy));
   g_array_set_size (busy, 0);
   const HrType *ty = hr_type (c, m);
-  double cpus = m->cpus - m->alien_cpus - m->claim_cpus,
-         gpus = m->gpus - m->alien_gpus - m->claim_gpus, mem = m->mem - m->alien_mem - m->claim_mem;
+  double cpus = m->cpus - m->foreign_cpus - m->claim_cpus,
+         gpus = m->gpus - m->foreign_gpus - m->claim_gpus,
+         mem = m->mem - m->foreign_mem - m->claim_mem;
   double at = c->now;
   if (m->state == HR_M_BOOTING)
     at = MAX (c->now + 2, m->rented_at + ty->boot_s);
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -54,7 +54,7 @@
 typedef struct {
   HrHint hint;
   double at;
-  double vouched; /* by our clock: what it stated was so then; see vouched_at in leader.c */
+  double attested; /* by our clock: what it stated was so then; see attested_at in leader.c */
 } HrPeerView;
 
 struct HrCore {
@@ -85,8 +85,8 @@
 
   /* Writing to it. */
   GQueue txns[HR_TXN_KINDS];
-  GArray *dirty;  /* HrDirty: pages with something to record */
-  GArray *litter; /* HrDirty: pages of final jobs, still in the ledger */
+  GArray *dirty;   /* HrDirty: pages with something to record */
+  GArray *garbage; /* HrDirty: pages of final jobs, still in the ledger */
   gboolean tidying;
   double tidy_at;
   HrBucket write_bucket, cloud_bucket;
@@ -173,11 +173,11 @@
 char *hr_job_key (const HrJob *j);
 char *hr_page_key (const HrJob *j, guint page);
 
-/* bookkeeping/litter.c: pages of final jobs */
-void hr_litter_note (HrCore *c, const HrJob *j, guint page);
-void hr_litter_job (HrCore *c, const HrJob *j);
-void hr_litter_gone (HrCore *c, const HrJob *j, guint page);
-void hr_litter_tick (HrCore *c);
+/* bookkeeping/garbage.c: pages of final jobs */
+void hr_garbage_note (HrCore *c, const HrJob *j, guint page);
+void hr_garbage_job (HrCore *c, const HrJob *j);
+void hr_garbage_gone (HrCore *c, const HrJob *j, guint page);
+void hr_garbage_tick (HrCore *c);
 
 /* bookkeeping/absence.c: proofs that a task is on no machine */
 /* A lease and its margin: the longest that a worker may keep tasks unanswered. */
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -360,11 +360,11 @@
     g_array_set_size (m->tasks, 0);
     g_array_set_size (m->list, 0);
     g_array_set_size (m->direct, 0);
-    m->alien_cpus = m->alien_gpus = m->alien_mem = 0;
+    m->foreign_cpus = m->foreign_gpus = m->foreign_mem = 0;
     m->cpus = ty ? ty->cpus : 0;
     m->gpus = ty ? ty->gpus : 0;
     m->mem = ty ? ty->mem : 0;
-    m->heard_at = m->answered_at = m->unheard_at = m->deaf_at = 0;
+    m->heard_at = m->answered_at = m->unreceived_at = m->deaf_at = 0;
     m->rented_here = FALSE;
     m->token = 0;
     m->reply_launch = m->do_out = m->do_lost = 0;
@@ -388,7 +388,7 @@
     j->errors = 0;
     /* Tasks that nobody knows the place of wait until no lease can be left that an earlier
      * owner renewed; whatever reports to us is told to stop what we do not know. */
-    j->retry_at = j->torn ? c->led_at + c->pol.hold_s + hr_absence_lease (c) : 0;
+    j->retry_at = j->unreadable ? c->led_at + c->pol.hold_s + hr_absence_lease (c) : 0;
     gboolean bound = FALSE, mixed = FALSE;
     for (guint32 k = 0; k < j->ntasks; k++) {
       HrTask *t = &j->tasks[k];
@@ -404,7 +404,7 @@
         continue;
       }
       if (t->rmachine == HR_NONE) {
-        if (j->torn) /* its attempts are not known either, and none may be numbered twice */
+        if (j->unreadable) /* its attempts are not known either, and none may be numbered twice */
           t->try = MAX (t->try, (guint32)(c->led_baton * TRIES_A_TERM));
         mixed |= j->spec.shape == HR_GANG && bound;
         continue;
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -7,30 +7,30 @@
 
 static const char *const stances[] = {"queued", "done", "withdrawn"};
 
-typedef enum { ASK_POLL, ASK_SUBMIT, ASK_ABORT } AskKind;
+typedef enum { REQUEST_POLL, REQUEST_SUBMIT, REQUEST_ABORT } RequestKind;
 typedef struct {
-  guint64 request;
-  AskKind kind;
+  guint64 reply_id; /* of the command that it came with */
+  RequestKind kind;
   char *id;
   HrJobSpec spec;
   double asked;
   guint tries;
   char *tag; /* of the write under way */
-} Ask;
+} UserRequest;
 
 static void
-ask_free (Ask *a)
+request_free (UserRequest *request)
 {
-  g_free (a->id);
-  g_free (a->tag);
-  g_free (a);
+  g_free (request->id);
+  g_free (request->tag);
+  g_free (request);
 }
 
 static void
-refuse_later (HrCore *c, Ask *a, int status, const char *why)
+refuse_later (HrCore *c, UserRequest *request, int status, const char *why)
 {
-  hr_refuse (c, a->request, status, c->store_down ? 2 : 1, why);
-  ask_free (a);
+  hr_refuse (c, request->reply_id, status, c->store_down ? 2 : 1, why);
+  request_free (request);
 }
 
 /* Why the job is where it is, for the person who waits for it. */
@@ -61,7 +61,7 @@
 }
 
 static void
-answer (HrCore *c, Ask *a, HrJob *j, int status)
+answer (HrCore *c, UserRequest *request, HrJob *j, int status)
 {
   guint32 running = 0, done = j->stance == HR_DONE ? j->ntasks : j->nrdone;
   for (guint32 i = 0; j->tasks && i < j->ntasks && j->stance == HR_QUEUED; i++)
@@ -70,46 +70,46 @@
                          : j->tasks[i].rmachine != HR_NONE);
   const char *st = j->stance == HR_QUEUED && running ? "running" : stances[j->stance];
   g_autofree char *why = reason (c, j);
-  hr_reply (c, a->request, status,
-            json_pack ("{sssssisiss}", "name_id", a->id, "stance", st, "done", (int)done, "running",
-                       (int)running, "reason", why),
+  hr_reply (c, request->reply_id, status,
+            json_pack ("{sssssisiss}", "name_id", request->id, "stance", st, "done", (int)done,
+                       "running", (int)running, "reason", why),
             0);
-  ask_free (a);
+  request_free (request);
 }
 
-static void send_abort (HrCore *c, Ask *a);
+static void send_abort (HrCore *c, UserRequest *request);
 
 static void
 on_read (HrCore *c, gboolean ok, gpointer data)
 {
-  Ask *a = data;
-  HrJob *j = hr_job_find (c, a->id);
+  UserRequest *request = data;
+  HrJob *j = hr_job_find (c, request->id);
   if (!ok) {
-    refuse_later (c, a, 503, "the state service cannot be read just now; ask again");
+    refuse_later (c, request, 503, "the state service cannot be read just now; ask again");
     return;
   }
   if (!j) {
     /* A submission gets here after a 409, so its record exists. */
-    if (a->kind == ASK_SUBMIT)
-      refuse_later (c, a, 503, "its record is being written; ask again");
+    if (request->kind == REQUEST_SUBMIT)
+      refuse_later (c, request, 503, "its record is being written; ask again");
     else {
-      hr_refuse (c, a->request, 404, 0, "no such job was accepted");
-      ask_free (a);
+      hr_refuse (c, request->reply_id, 404, 0, "no such job was accepted");
+      request_free (request);
     }
-  } else if (a->kind == ASK_ABORT && j->stance == HR_QUEUED)
-    send_abort (c, a);
+  } else if (request->kind == REQUEST_ABORT && j->stance == HR_QUEUED)
+    send_abort (c, request);
   else
-    answer (c, a, j, 200);
+    answer (c, request, j, 200);
 }
 
 /* Final states never change, so they need no reading. */
 static gboolean
-answer_final (HrCore *c, Ask *a)
+answer_final (HrCore *c, UserRequest *request)
 {
-  HrJob *j = hr_job_find (c, a->id);
+  HrJob *j = hr_job_find (c, request->id);
   if (!j || j->stance == HR_QUEUED)
     return FALSE;
-  answer (c, a, j, 200);
+  answer (c, request, j, 200);
   return TRUE;
 }
 
@@ -140,24 +140,24 @@
   return NULL;
 }
 
-static void send_submit (HrCore *c, Ask *a);
+static void send_submit (HrCore *c, UserRequest *request);
 
 static void
 on_submit (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
-  Ask *a = data;
+  UserRequest *request = data;
   guint64 epoch;
   if (status == 200 && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
-    HrJob *j = hr_job_get (c, a->id);
+    HrJob *j = hr_job_get (c, request->id);
     if (!j->known) {
       j->known = TRUE;
       j->stance = HR_QUEUED;
       j->stamp = epoch;
-      j->submitted = a->asked;
+      j->submitted = request->asked;
       g_free (j->tag);
-      j->tag = g_strdup (a->tag);
-      hr_job_set_spec (j, &a->spec,
-                       a->spec.tasks <= hr_tasks_per_page (c->set->value_kb)
+      j->tag = g_strdup (request->tag);
+      hr_job_set_spec (j, &request->spec,
+                       request->spec.tasks <= hr_tasks_per_page (c->set->value_kb)
                            ? 0
                            : hr_tasks_per_page (c->set->value_kb));
       if (!j->per_page)
@@ -165,32 +165,32 @@
       hr_job_open (c, j);
       c->plan_dirty = TRUE;
     }
-    answer (c, a, j, 201);
+    answer (c, request, j, 201);
   } else if (status == 409)
-    hr_follow_read (c, on_read, a); /* there already: by an earlier try, perhaps */
-  else if (status == 429 && ++a->tries < MAX_TRIES && c->wall - a->asked < 1.5)
-    send_submit (c, a); /* the node is pacing its writes, not refusing */
+    hr_follow_read (c, on_read, request); /* there already: by an earlier try, perhaps */
+  else if (status == 429 && ++request->tries < MAX_TRIES && c->wall - request->asked < 1.5)
+    send_submit (c, request); /* the node is pacing its writes, not refusing */
   else
-    refuse_later (c, a, status == 429 ? 429 : 503,
+    refuse_later (c, request, status == 429 ? 429 : 503,
                   status == 429 ? "too many jobs at once; submit again"
                                 : "the state service did not confirm the job; submit again");
 }
 
 static void
-send_submit (HrCore *c, Ask *a)
+send_submit (HrCore *c, UserRequest *request)
 {
-  g_autofree char *key = g_strconcat ("h/j/", a->id, NULL);
-  HrJob tmp = {.submitted = a->asked};
+  g_autofree char *key = g_strconcat ("h/j/", request->id, NULL);
+  HrJob tmp = {.submitted = request->asked};
   guint per = hr_tasks_per_page (c->set->value_kb);
-  hr_job_set_spec (&tmp, &a->spec, a->spec.tasks <= per ? 0 : per);
-  if (!a->tag)
-    a->tag = hr_new_tag (c);
+  hr_job_set_spec (&tmp, &request->spec, request->spec.tasks <= per ? 0 : per);
+  if (!request->tag)
+    request->tag = hr_new_tag (c);
   json_t *when = hr_cond (json_array (), key, 0);
   json_t *writes =
       hr_set (json_array (), key,
-              hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, a->tag, FALSE), 0);
+              hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, request->tag, FALSE), 0);
   hr_job_shrink (&tmp);
-  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, a);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, request);
 }
 
 static void
@@ -207,34 +207,34 @@
     json_decref (o);
     return;
   }
-  Ask *a = g_new0 (Ask, 1);
-  a->request = cmd->id;
-  a->kind = ASK_SUBMIT;
-  a->id = g_strdup (id);
-  a->spec = spec;
-  a->asked = c->wall;
+  UserRequest *request = g_new0 (UserRequest, 1);
+  request->reply_id = cmd->id;
+  request->kind = REQUEST_SUBMIT;
+  request->id = g_strdup (id);
+  request->spec = spec;
+  request->asked = c->wall;
   json_decref (o);
-  if (answer_final (c, a))
+  if (answer_final (c, request))
     return;
-  if (hr_job_find (c, a->id)) {
-    hr_follow_read (c, on_read, a);
+  if (hr_job_find (c, request->id)) {
+    hr_follow_read (c, on_read, request);
     return;
   }
   if (!c->types || !c->synced_once) {
-    refuse_later (c, a, 503, "this node has only just started; submit again");
+    refuse_later (c, request, 503, "this node has only just started; submit again");
     return;
   }
   g_autofree char *never = impossible (c, &spec);
   if (never) {
-    hr_refuse (c, a->request, 422, 0, never);
-    ask_free (a);
+    hr_refuse (c, request->reply_id, 422, 0, never);
+    request_free (request);
     return;
   }
   if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
-    refuse_later (c, a, 503, "the state service does not answer; submit again");
+    refuse_later (c, request, 503, "the state service does not answer; submit again");
     return;
   }
-  send_submit (c, a);
+  send_submit (c, request);
 }
 
 /* ---- cancellations ---- */
@@ -242,8 +242,8 @@
 static void
 on_abort (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
-  Ask *a = data;
-  HrJob *j = hr_job_find (c, a->id);
+  UserRequest *request = data;
+  HrJob *j = hr_job_find (c, request->id);
   guint64 epoch;
   if (status == 200 && j && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
     c->withdrawn = MAX (c->withdrawn, epoch);
@@ -255,25 +255,25 @@
       if (c->leads)
         hr_job_withdrawn (c, j);
     }
-    answer (c, a, j, 200);
-  } else if ((status == 409 || status == 429) && ++a->tries < MAX_TRIES)
-    hr_follow_read (c, on_read, a); /* the record moved on: read it and try again */
+    answer (c, request, j, 200);
+  } else if ((status == 409 || status == 429) && ++request->tries < MAX_TRIES)
+    hr_follow_read (c, on_read, request); /* the record moved on: read it and try again */
   else
-    refuse_later (c, a, 503, "the cancellation is not confirmed; ask again");
+    refuse_later (c, request, 503, "the cancellation is not confirmed; ask again");
 }
 
 static void
-send_abort (HrCore *c, Ask *a)
+send_abort (HrCore *c, UserRequest *request)
 {
-  HrJob *j = hr_job_find (c, a->id);
+  HrJob *j = hr_job_find (c, request->id);
   g_autofree char *key = hr_job_key (j);
-  g_free (a->tag);
-  a->tag = hr_new_tag (c);
+  g_free (request->tag);
+  request->tag = hr_new_tag (c);
   json_t *when = hr_cond (json_array (), key, j->stamp);
   json_t *writes =
       hr_set (json_array (), key,
-              hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, a->tag, FALSE), 0);
-  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_abort, a);
+              hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, request->tag, FALSE), 0);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_abort, request);
 }
 
 /* ---- the door ---- */
@@ -328,11 +328,11 @@
     hr_refuse (c, cmd->id, 404, 0, "no such job was accepted");
     return;
   }
-  Ask *a = g_new0 (Ask, 1);
-  a->request = cmd->id;
-  a->kind = abort ? ASK_ABORT : ASK_POLL;
-  a->id = g_steal_pointer (&id);
-  a->asked = c->wall;
-  if (!answer_final (c, a))
-    hr_follow_read (c, on_read, a);
+  UserRequest *request = g_new0 (UserRequest, 1);
+  request->reply_id = cmd->id;
+  request->kind = abort ? REQUEST_ABORT : REQUEST_POLL;
+  request->id = g_steal_pointer (&id);
+  request->asked = c->wall;
+  if (!answer_final (c, request))
+    hr_follow_read (c, on_read, request);
 }
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -91,7 +91,8 @@
 }
 
 static void
-alien (HrCore *c, HrMachine *m, HrJob *j, const HrWorkItem *it, json_t *orders, guint *kept)
+report_foreign (HrCore *c, HrMachine *m, HrJob *j, const HrWorkItem *it, json_t *orders,
+                guint *kept)
 {
   if (it->state == HR_W_EXITED) {
     if (hr_absence_may_clear (c, m, j ? j->idx : HR_NONE, it->task, it->attempt))
@@ -102,9 +103,9 @@
   }
   /* It takes room until it is gone. */
   if (j && j->known && j->ntasks) {
-    m->alien_cpus += j->spec.cpus;
-    m->alien_gpus += j->spec.gpus;
-    m->alien_mem += j->spec.mem;
+    m->foreign_cpus += j->spec.cpus;
+    m->foreign_gpus += j->spec.gpus;
+    m->foreign_mem += j->spec.mem;
   }
   hr_order_kill (orders, it->job, it->task, it->attempt, 0);
 }
@@ -116,7 +117,7 @@
   g_autoptr (GArray) before = g_array_copy (m->tasks);
   g_autoptr (GHashTable) seen = g_hash_table_new (g_direct_hash, g_direct_equal);
   guint kept = 0;
-  m->alien_cpus = m->alien_gpus = m->alien_mem = 0;
+  m->foreign_cpus = m->foreign_gpus = m->foreign_mem = 0;
   for (guint i = 0; i < r->items->len; i++) {
     HrWorkItem *it = &g_array_index (r->items, HrWorkItem, i);
     HrJob *j;
@@ -145,7 +146,7 @@
       continue; /* its ending is still to be recorded: no clear before that */
     if (t && t->state == HR_T_ASSIGNING)
       continue;
-    alien (c, m, j, it, orders, &kept);
+    report_foreign (c, m, j, it, orders, &kept);
   }
   if (!full)
     return;
@@ -264,11 +265,11 @@
     /* A session that ends within a lease of our answer shows that the answer was not
      * received: reports come from there, but nothing that we say arrives. Once may also be
      * a report that a cut held back; such ones come in a bunch, not a lease apart. */
-    gboolean unheard = m->answered_at && c->now - m->answered_at < c->set->lease_s - 1;
-    if (unheard && m->unheard_at && c->now - m->unheard_at > c->set->lease_s / 2)
+    gboolean unreceived = m->answered_at && c->now - m->answered_at < c->set->lease_s - 1;
+    if (unreceived && m->unreceived_at && c->now - m->unreceived_at > c->set->lease_s / 2)
       m->deaf_at = c->now;
-    if (!unheard || !m->unheard_at || c->now - m->unheard_at > c->set->lease_s / 2)
-      m->unheard_at = unheard ? c->now : 0;
+    if (!unreceived || !m->unreceived_at || c->now - m->unreceived_at > c->set->lease_s / 2)
+      m->unreceived_at = unreceived ? c->now : 0;
     m->reply_launch = m->do_lost = 0; /* orders of the old session are void */
     m->session = r->session;
     g_array_set_size (m->direct, 0);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -11,7 +11,7 @@
 #include <string.h>
 
 /* Workers report and users poll every few seconds. A connection silent for longer is
- * mostly one whose other end is gone without a word: behind a cut nobody hears the FIN.
+ * mostly one whose other end is gone without notice: behind a cut nobody hears the FIN.
  * Kept, such connections would use up the sockets. */
 #define IDLE_S 20
 /* While more than this share of its connections is in use, users are sent away at once: a
@@ -28,7 +28,7 @@
   GHashTable *open; /* request id -> Request, while its answer is awaited */
   guint64 next;
   guint connections; /* the most it may have */
-  guint shed;        /* requests sent away since the last word about it */
+  guint shed;        /* requests sent away since the last warning about it */
   gint64 shed_at;
   HrCommandSink sink;
   gpointer data;
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -18,7 +18,7 @@
   m->gone_at = w->now;
 }
 
-/* The cloud takes it, with no word. */
+/* The cloud takes it, with no notice. */
 static void
 taken (World *w, gpointer p)
 {
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -255,8 +255,8 @@
     lost += m->through_cut && !m->gone && m->tenure > 1;
   }
   if (!up || lost)
-    w_broken (w, "word", "%u of %u machines lost their lease, though no member was served", lost,
-              up);
+    w_broken (w, "attestation", "%u of %u machines lost their lease, though no member was served",
+              lost, up);
 }
 
 static void
@@ -285,7 +285,7 @@
 }
 
 /* All but one node miss a withdrawal that this one confirms just before it is cut off too,
- * and perhaps restarts: its word must not keep the job's tasks alive. */
+ * and perhaps restarts: its attestation must not keep the job's tasks alive. */
 static void
 others_away (World *w, gpointer p)
 {
@@ -426,11 +426,11 @@
 {
   all_end (w, NULL);
   if (!store_tear (w))
-    w_broken (w, "torn", "no page is there");
+    w_broken (w, "unreadable", "no page is there");
 }
 
 void
-faults_torn_pages (World *w, double at)
+faults_unreadable_pages (World *w, double at)
 {
   w_at (w, at, tear, NULL);
 }
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -303,7 +303,7 @@
 
 /* Pages in the ledger whose job is final. */
 guint
-store_litter (World *w)
+store_garbage (World *w)
 {
   GHashTableIter it;
   gpointer path;
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -532,15 +532,15 @@
 }
 
 static void
-giant_gang (World *w, gpointer p)
+oversized_gang (World *w, gpointer p)
 {
   send_in (w, gang_of (w, 500, 1, 20));
 }
 
 void
-users_giant (World *w, double at)
+users_oversized (World *w, double at)
 {
-  w_at (w, at, giant_gang, NULL);
+  w_at (w, at, oversized_gang, NULL);
 }
 
 void
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -268,7 +268,7 @@
       return;
     t = cut + delay (w);
   }
-  if (!w->calm && worker && w->stray > 0 && w_rand (w, 0, 1) < w->stray) {
+  if (!w->calm && worker && w->late_orders > 0 && w_rand (w, 0, 1) < w->late_orders) {
     r->refs++;
     w_at (w, t + w_rand (w, 30, 75), arrive, r);
     return;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -135,9 +135,10 @@
   GPtrArray *broken; /* texts */
   guint starts;
   double loss, dup, late;
-  double stray;  /* share of direct orders that get no answer and come half a minute or more late */
-  double copies; /* share of reports of which a copy comes late */
-  gboolean calm; /* no more faults */
+  double late_orders; /* share of direct orders that get no answer and come half a minute or more
+                         late */
+  double copies;      /* share of reports of which a copy comes late */
+  gboolean calm;      /* no more faults */
   double calm_at;
   guint invented_asked;
 };
@@ -169,7 +170,7 @@
 void store_request (World *w, Req *r);
 void store_init (World *w);
 gboolean store_names (World *w, const char *machine);
-guint store_litter (World *w);
+guint store_garbage (World *w);
 guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
 void store_free (World *w);
@@ -199,7 +200,7 @@
 /* Jobs of all shapes for a fleet of hundreds. */
 void users_crowd (World *w, guint jobs, double span);
 /* A gang that no fleet of this cloud can hold. */
-void users_giant (World *w, double at);
+void users_oversized (World *w, double at);
 /* Gangs of two tasks, one after the other. */
 void users_gangs (World *w, guint n, double from, double gap);
 /* A stream of small urgent gangs that alone would nearly fill the fleet, beside a few large jobs.
@@ -218,17 +219,17 @@
 void faults_missed_withdrawal (World *w, double at, gboolean restart);
 /* No worker reaches the owner for 40 s; other controllers do. */
 void faults_owner_unreached (World *w, double at, gboolean hold);
-/* Half of the machines end without a word, and so does the process of the owner. */
+/* Half of the machines end without notice, and so does the process of the owner. */
 void faults_half_gone (World *w, double at);
-/* The pages of large jobs get torn while all controllers are away for a moment. */
-void faults_torn_pages (World *w, double at);
+/* The pages of large jobs become unreadable while all controllers are away for a moment. */
+void faults_unreadable_pages (World *w, double at);
 /* The owner is cut off from state service and members until another leads; then no controller
  * is served for 50 s, and all hear one another again. */
 void faults_two_owners (World *w, double at);
 /* A hundred machines end, a hundred hang, a quarter is cut off; the owner ends meanwhile. Then
  * all controllers end, twice, and one stands still. */
 void faults_mass (World *w, double at);
-/* Again and again the owner changes, and machines end without a word. */
+/* Again and again the owner changes, and machines end without notice. */
 void faults_owners (World *w, double from, double to);
 /* Each gang loses one task's machine once, while it fetches its image. */
 void faults_lost_places (World *w, double from, double to);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -33,8 +33,8 @@
   users_probe (w);
   faults_init (w, faults, 30, 320);
   world_run (w, 1000);
-  if (store_litter (w))
-    w_broken (w, "litter", "%u pages of final jobs are kept", store_litter (w));
+  if (store_garbage (w))
+    w_broken (w, "garbage", "%u pages of final jobs are kept", store_garbage (w));
   if (w->starts == 0)
     w_broken (w, "nothing_ran", "no task was started");
   for (guint i = 0; i < w->jobs->len; i++) {
@@ -132,7 +132,7 @@
   assert_int_equal (broken, 0);
 }
 
-/* No controller is served for longer than an owner alone may go on: its members' word lets
+/* No controller is served for longer than an owner alone may go on: its members' attestation lets
  * tasks live, but not those of a job that one of them withdrew meanwhile. */
 static void
 days_of_members_word (void **state)
@@ -164,8 +164,8 @@
   return verdict (w, seed);
 }
 
-/* Another owner is there, and nobody is served: by the members' word the earlier one would keep
- * tasks alive that the other takes for gone. */
+/* Another owner is there, and nobody is served: by the members' attestation the earlier one would
+ * keep tasks alive that the other takes for gone. */
 static void
 days_of_two_owners (void **state)
 {
@@ -181,13 +181,13 @@
 /* A gang that no fleet can hold stays known, and neither keeps others from their machines nor
  * has the whole cloud rented and returned again and again. */
 static void
-days_of_a_giant (void **state)
+days_of_an_oversized_gang (void **state)
 {
   guint broken = 0;
   for (guint s = 985; s < 988; s++) {
     World *w = world_new (s, 3);
     users_gangs (w, 8, 40, 60);
-    users_giant (w, 10);
+    users_oversized (w, 10);
     world_run (w, 900);
     for (guint i = 0; i < w->jobs->len; i++) {
       SJob *j = w->jobs->pdata[i];
@@ -328,12 +328,12 @@
 /* Direct orders that get no answer and are carried out half a minute or more later, for jobs
  * that are withdrawn meanwhile: that their worker does not show a task proves nothing. */
 static void
-days_with_stray_orders (void **state)
+days_with_late_orders (void **state)
 {
   guint broken = 0;
   for (guint s = 970; s < 982; s++) {
     World *w = world_new (s, 3);
-    w->stray = 0.3;
+    w->late_orders = 0.3;
     w->fickle = TRUE;
     broken += play_on (w, s, 0, 0, 0);
   }
@@ -413,13 +413,13 @@
 /* Pages that cannot be read name no machine, but their tasks are on some: none is placed twice,
  * and all are done in the end. */
 static void
-days_of_torn_pages (void **state)
+days_of_unreadable_pages (void **state)
 {
   guint broken = 0;
   for (guint s = 1060; s < 1064; s++) {
     World *w = world_new (s, 3);
     users_paged (w, 5);
-    faults_torn_pages (w, 60);
+    faults_unreadable_pages (w, 60);
     world_run (w, 600);
     if (!((SJob *)w->jobs->pdata[0])->told_done)
       w_broken (w, "liveness", "the job is not done");
@@ -518,23 +518,24 @@
       cmocka_unit_test (days_of_few_gangs),
       cmocka_unit_test (days_of_members_word),
       cmocka_unit_test (days_of_lost_places),
-      cmocka_unit_test (days_with_stray_orders),
-      cmocka_unit_test (days_of_a_giant),
+      cmocka_unit_test (days_with_late_orders),
+      cmocka_unit_test (days_of_an_oversized_gang),
       cmocka_unit_test (days_of_long_fetches),
       cmocka_unit_test (days_with_frozen_controllers),
       cmocka_unit_test (days_of_unreached_owners),
       cmocka_unit_test (days_of_half_fleets),
       cmocka_unit_test (a_large_day_of_three),
       cmocka_unit_test (a_large_day_of_five),
-      cmocka_unit_test (days_of_torn_pages),
+      cmocka_unit_test (days_of_unreadable_pages),
       cmocka_unit_test (days_of_a_guarantee),
       cmocka_unit_test (days_of_two_owners),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {
-        "quiet",     "one",  "many",   "limit",  "parts",  "copies",    "nodes", "stream", "deaf",
-        "owners",    "cut",  "gangs",  "word",   "places", "stray",     "giant", "fetch",  "freeze",
-        "unreached", "half", "large3", "large5", "torn",   "guarantee", "two"};
+        "quiet",       "one",        "many",      "limit",  "parts",     "copies",      "nodes",
+        "stream",      "deaf",       "owners",    "cut",    "gangs",     "attestation", "places",
+        "late_orders", "oversized",  "fetch",     "freeze", "unreached", "half",        "large3",
+        "large5",      "unreadable", "guarantee", "two"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
