--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -93,7 +93,14 @@
   if (fresh || !j->tasks) {
     hr_job_set_spec (j, &r.spec, r.per_page);
     j->submitted = r.submitted;
+    j->resplit = r.resplit && c->speaks;
+  } else if (c->speaks && r.resplit && r.per_page != j->per_page)
+    hr_split_apply (c, j, r.per_page, stamp);
+  if (c->speaks) {
+    json_decref (j->extra);
+    j->extra = g_steal_pointer (&r.extra);
   }
+  hr_record_clear (&r);
   /* The owner alone changes tasks; what others write leaves them as they were. */
   if (!r.per_page && r.tasks && (!c->leads || fresh)) {
     j->unreadable = !hr_record_tasks (j, 0, r.tasks, &c->machine_ids);
@@ -112,23 +119,28 @@
   return TRUE;
 }
 
+/* A page of a job that is final, or of a layout that is not, or no longer, in force. */
 static void
-applied_page (HrCore *c, const char *rest, const json_t *v, guint64 stamp)
+applied_spare_page (HrCore *c, HrJob *j, guint per_page, guint page, const json_t *v, guint64 stamp)
 {
-  const char *slash = strrchr (rest, '/');
-  if (!slash)
-    return;
-  g_autofree char *id = g_strndup (rest, slash - rest);
-  HrJob *j = hr_job_find (c, id);
-  guint64 n = g_ascii_strtoull (slash + 1, NULL, 10);
-  if (j && j->shrunk) {
-    hr_garbage_gone (c, j, n);
-    if (v)
-      hr_garbage_note (c, j, n);
+  hr_garbage_gone (c, j, per_page, page);
+  if (v && (j->shrunk || !per_page))
+    hr_garbage_note (c, j, per_page, page);
+  else if (!j->shrunk && per_page && j->tasks)
+    hr_split_stage (j, per_page, page, v ? stamp : 0, v);
+}
+
+/* per_page: of a page under h/u; 0: one under h/t. */
+static void
+applied_page (HrCore *c, HrJob *j, guint per_page, guint64 n, const json_t *v, guint64 stamp)
+{
+  gboolean in_force = j->resplit ? per_page == j->per_page : per_page == 0;
+  if (j->shrunk || (!in_force && c->speaks)) {
+    applied_spare_page (c, j, per_page, n, v, stamp);
     return;
   }
   const char *tag = hr_json_str (v, "w");
-  if (!v || !j || !j->tasks || !j->per_page || n >= j->npages || stamp <= j->pages[n].stamp)
+  if (!v || !j->tasks || !j->per_page || n >= j->npages || stamp <= j->pages[n].stamp)
     return;
   HrPage *p = &j->pages[n];
   if (p->tag && tag && g_str_equal (p->tag, tag)) {
@@ -146,6 +158,20 @@
   }
 }
 
+/* "ID/PAGE", or "ID/SIZE/PAGE" of a page that carries its size. */
+static void
+applied_page_key (HrCore *c, const char *rest, gboolean sized, const json_t *v, guint64 stamp)
+{
+  g_auto (GStrv) parts = g_strsplit (rest, "/", -1);
+  if (g_strv_length (parts) != (sized ? 3 : 2))
+    return;
+  HrJob *j = hr_job_find (c, parts[0]);
+  guint64 per_page = sized ? g_ascii_strtoull (parts[1], NULL, 10) : 0;
+  guint64 n = g_ascii_strtoull (parts[sized ? 2 : 1], NULL, 10);
+  if (j && per_page <= HR_MAX_TASKS && n <= HR_MAX_TASKS && (!sized || per_page))
+    applied_page (c, j, per_page, n, v, stamp);
+}
+
 static void
 apply (HrCore *c, const char *key, const json_t *v, guint64 stamp)
 {
@@ -162,7 +188,11 @@
     if (v && hr_job_id_valid (key + 4))
       hr_follow_job (c, hr_job_get (c, key + 4), v, stamp);
   } else if (g_str_has_prefix (key, "h/t/"))
-    applied_page (c, key + 4, v, stamp);
+    applied_page_key (c, key + 4, FALSE, v, stamp);
+  else if (c->speaks && g_str_has_prefix (key, "h/u/"))
+    applied_page_key (c, key + 4, TRUE, v, stamp);
+  else if (strcmp (key, "h/format") == 0)
+    hr_format_read (c, v, stamp);
 }
 
 gboolean
@@ -288,7 +318,8 @@
     }
   }
   g_array_set_size (c->open, 0);
-  c->map_stamp = c->leader_stamp = 0;
+  hr_split_reset (c);
+  c->map_stamp = c->leader_stamp = c->format_stamp = 0;
   g_clear_pointer (&c->leader_label, g_free);
   g_clear_pointer (&c->leader_inc, g_free);
   g_clear_pointer (&c->sync_after, g_free);
@@ -346,7 +377,7 @@
   c->watching = FALSE;
   /* Each change ends the watches of all members: opened again at once, they alone would
    * use up the service's requests. A quarter of those is theirs. */
-  c->watch_not_before = c->now + 4.0 * (c->set->members->len + 1) / c->set->state_rps;
+  c->watch_not_before = c->now + 4.0 * (c->set->members->len + 1) / c->limits.rps;
   if (status == 200)
     apply_log (c, body);
   else
@@ -376,7 +407,7 @@
   if (c->sync != HR_SYNC_FOLLOWING)
     return;
   /* All members together take half of the service's allowance for readings. */
-  double gap = c->waiters->len ? 2.0 * (c->set->members->len + 1) / c->set->state_rps
+  double gap = c->waiters->len ? 2.0 * (c->set->members->len + 1) / c->limits.rps
                : c->store_down ? 0.5
                                : 1.0;
   if (!c->reading && c->now - c->read_sent >= gap) {
--- a/src/bookkeeping/garbage.c
+++ b/src/bookkeeping/garbage.c
@@ -7,28 +7,34 @@
 #define AT_A_TIME 4 /* of the changes that a transaction may hold */
 
 void
-hr_garbage_note (HrCore *c, const HrJob *j, guint page)
+hr_garbage_note (HrCore *c, const HrJob *j, guint per_page, guint page)
 {
-  HrDirty d = {j->idx, page};
+  HrGarbage d = {j->idx, page, per_page};
   g_array_append_val (c->garbage, d);
 }
 
-/* The job has become final: so far as we know, these of its pages are in the ledger. */
+/* The job has become final, or its record is split anew: so far as we know, these of its pages
+ * are in the ledger. */
 void
 hr_garbage_job (HrCore *c, const HrJob *j)
 {
   for (guint i = 0; j->per_page && i < j->npages; i++)
     if (j->pages[i].stamp)
-      hr_garbage_note (c, j, i);
+      hr_garbage_note (c, j, j->resplit ? j->per_page : 0, i);
+  for (guint i = 0; j->staged && i < j->staged->len; i++) {
+    const HrStagedPage *p = &g_array_index (j->staged, HrStagedPage, i);
+    if (p->stamp)
+      hr_garbage_note (c, j, p->per_page, p->page);
+  }
 }
 
 /* The page is gone from the ledger. */
 void
-hr_garbage_gone (HrCore *c, const HrJob *j, guint page)
+hr_garbage_gone (HrCore *c, const HrJob *j, guint per_page, guint page)
 {
   for (guint i = 0; i < c->garbage->len; i++) {
-    HrDirty *d = &g_array_index (c->garbage, HrDirty, i);
-    if (d->job == j->idx && d->page == page)
+    HrGarbage *d = &g_array_index (c->garbage, HrGarbage, i);
+    if (d->job == j->idx && d->page == page && d->per_page == per_page)
       g_array_remove_index_fast (c->garbage, i--);
   }
 }
@@ -40,25 +46,26 @@
   c->tidying = FALSE;
   c->tidy_at = c->now + 1;
   for (guint i = 0; i < batch->len && status == 200; i++) {
-    const HrDirty *d = &g_array_index (batch, HrDirty, i);
-    hr_garbage_gone (c, c->jobs->pdata[d->job], d->page);
+    const HrGarbage *d = &g_array_index (batch, HrGarbage, i);
+    hr_garbage_gone (c, c->jobs->pdata[d->job], d->per_page, d->page);
   } /* otherwise it is tried again */
 }
 
 void
 hr_garbage_tick (HrCore *c)
 {
-  guint n = MIN (MIN (c->garbage->len, AT_A_TIME), c->set->txn_ops);
+  guint n = MIN (MIN (c->garbage->len, AT_A_TIME), c->limits.txn_ops);
   /* Only what is left over of the allowance. */
   if (!c->leads || !n || c->tidying || c->now < c->tidy_at || c->dirty->len ||
       !hr_follow_served (c) || c->write_bucket.tokens < c->write_bucket.burst * 0.8)
     return;
   json_t *writes = json_array ();
-  GArray *batch = g_array_new (FALSE, FALSE, sizeof (HrDirty));
+  GArray *batch = g_array_new (FALSE, FALSE, sizeof (HrGarbage));
   g_array_append_vals (batch, c->garbage->data, n);
   for (guint i = 0; i < n; i++) {
-    const HrDirty *d = &g_array_index (batch, HrDirty, i);
-    g_autofree char *key = hr_page_key (c->jobs->pdata[d->job], d->page);
+    const HrGarbage *d = &g_array_index (batch, HrGarbage, i);
+    const HrJob *j = c->jobs->pdata[d->job];
+    g_autofree char *key = hr_page_key_of (j, d->per_page, d->page);
     json_array_append_new (writes, json_pack ("{ss}", "delete", key));
   }
   c->tidying = TRUE;
--- /dev/null
+++ b/src/bookkeeping/layout.c
@@ -0,0 +1,100 @@
+/* How the tasks of a job are spread over records: inline in its main record, or in pages.
+ * The number of tasks a page is chosen once, from what a bound task takes with the longest
+ * machine name known so far; what is written is measured before each write all the same. */
+#include "coordination/state.h"
+#include <string.h>
+
+#define KIB 1024.0
+/* Kept free: how the state service counts a value's bytes is not quite known. */
+#define VALUE_SHARE (63.0 / 64)
+/* ["NAME",session,attempt], with three digits for the one and four for the other. */
+#define TASK_BYTES_AROUND_NAME 14
+#define TASK_BYTES_LEAST 24
+/* {"w":"TAG","x":[]} with the longest tag. */
+#define PAGE_BYTES_AROUND 80
+#define LONGEST_TAG "iiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiii.nnnnnnnnnnnnnnnnnnnn"
+
+gsize
+hr_layout_planned_bytes (const HrCore *c)
+{
+  return c->limits.value_kb * KIB * VALUE_SHARE;
+}
+
+gsize
+hr_layout_most_bytes (const HrCore *c)
+{
+  if (!c->speaks)
+    return G_MAXSIZE; /* production does not look */
+  if (c->format || c->planned_in_force)
+    return hr_layout_planned_bytes (c);
+  return c->set->value_kb * KIB;
+}
+
+/* What a bound task takes at most, with names as long as those known. */
+static guint
+task_bytes (HrCore *c)
+{
+  const HrIntern *names = &c->machine_ids;
+  for (; c->names_measured < names->names->len; c->names_measured++)
+    c->name_longest = MAX (c->name_longest, strlen (hr_intern_name (names, c->names_measured)));
+  return MAX (TASK_BYTES_LEAST, c->name_longest + TASK_BYTES_AROUND_NAME);
+}
+
+/* Bytes of the main record beside its tasks. */
+static gsize
+main_bytes (HrCore *c, const HrJob *j)
+{
+  HrJob without = *j;
+  without.ntasks = 0;
+  without.per_page = 0;
+  g_autofree char *text =
+      hr_record_main (&without, c->names, &c->machine_ids, HR_QUEUED, LONGEST_TAG, FALSE);
+  return strlen (text);
+}
+
+guint
+hr_layout_page_size (HrCore *c, guint32 tasks)
+{
+  double room = (double)hr_layout_planned_bytes (c) - PAGE_BYTES_AROUND;
+  guint most = MAX (1, (gint)(room / task_bytes (c)));
+  guint pages = (tasks + most - 1) / most;
+  return (tasks + pages - 1) / pages; /* pages of equal size: each write is the smaller */
+}
+
+guint
+hr_layout_choose (HrCore *c, const HrJobSpec *spec)
+{
+  if (!c->speaks) {
+    guint per = hr_tasks_per_page (c->limits.value_kb);
+    return spec->tasks <= per ? 0 : per;
+  }
+  HrJob j = {.spec = *spec, .submitted = c->wall};
+  double inline_bytes = main_bytes (c, &j) + (double)spec->tasks * task_bytes (c);
+  return inline_bytes <= hr_layout_planned_bytes (c) ? 0 : hr_layout_page_size (c, spec->tasks);
+}
+
+guint
+hr_layout_smaller (HrCore *c, const HrJob *j)
+{
+  guint per = hr_layout_page_size (c, j->ntasks);
+  return j->per_page ? MIN (per, j->per_page / 2) : per;
+}
+
+gboolean
+hr_layout_oversized (HrCore *c, const HrJob *j)
+{
+  gsize most = hr_layout_planned_bytes (c);
+  if (!j->per_page) {
+    g_autofree char *text =
+        hr_record_main (j, c->names, &c->machine_ids, j->stance, LONGEST_TAG, FALSE);
+    return strlen (text) > most;
+  }
+  if (PAGE_BYTES_AROUND + (gsize)j->per_page * task_bytes (c) <= most)
+    return FALSE; /* whatever its pages hold */
+  for (guint i = 0; i < j->npages; i++) {
+    g_autofree char *text = hr_record_page (j, i, &c->machine_ids, LONGEST_TAG, FALSE);
+    if (strlen (text) > most)
+      return TRUE;
+  }
+  return FALSE;
+}
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -6,6 +6,9 @@
 
 #define WRITE_TIMEOUT 2.0
 #define MAX_WRITES_OUT 8
+/* What the state service refuses is held back so long, then twice as long each time. */
+#define HOLD_BACK_S 0.5
+#define HOLD_BACK_MOST_S 8.0
 
 char *
 hr_job_key (const HrJob *j)
@@ -16,7 +19,14 @@
 char *
 hr_page_key (const HrJob *j, guint page)
 {
-  return g_strdup_printf ("h/t/%s/%u", j->id, page);
+  return hr_page_key_of (j, j->resplit ? j->per_page : 0, page);
+}
+
+char *
+hr_page_key_of (const HrJob *j, guint per_page, guint page)
+{
+  return per_page ? g_strdup_printf ("h/u/%s/%u/%u", j->id, per_page, page)
+                  : g_strdup_printf ("h/t/%s/%u", j->id, page);
 }
 
 json_t *
@@ -91,6 +101,7 @@
   char *tag;
   json_t *when, *writes;
   HrTxnKind kind;
+  gsize bytes; /* of the value */
 } Write;
 
 static void send_write (HrCore *c, Write *w);
@@ -146,6 +157,7 @@
   guint32 from, to;
   page_range (j, p, &from, &to);
   gboolean final = p->final;
+  j->write_at = j->write_pause = 0;
   p->stamp = stamp;
   p->final = FALSE;
   if (!j->per_page || final) {
@@ -201,6 +213,45 @@
   mark_page (c, j, p); /* what is still meant is written anew */
 }
 
+void
+hr_ledger_hold_back (HrCore *c, HrJob *j)
+{
+  j->write_pause = CLAMP (2 * j->write_pause, HOLD_BACK_S, HOLD_BACK_MOST_S);
+  j->write_at = c->now + j->write_pause;
+}
+
+/* What was to be written is larger than the state service takes: it is not sent. Endings wait
+ * for the split; assignments wait too, or are given up where none is possible yet. */
+static void
+too_large (HrCore *c, HrJob *j, HrPage *p, guint32 from, guint32 to)
+{
+  gboolean split = hr_split_possible (c, j);
+  for (guint32 i = from; i < to; i++) {
+    j->tasks[i].inflight = 0;
+    if (!split && j->tasks[i].state == HR_T_ASSIGNING)
+      hr_task_unassign (c, j, i);
+  }
+  if (split) {
+    hr_split_want (c, j, FALSE);
+    return; /* the split marks what is still meant */
+  }
+  if (!j->write_pause)
+    g_warning ("%s: its record is too large, and not every member is known to read a split one",
+               j->id);
+  hr_ledger_hold_back (c, j);
+  j->retry_at = MAX (j->retry_at, j->write_at);
+  mark_page (c, j, p);
+}
+
+/* Tombstones are small: they never wait. */
+static gboolean
+held_back (const HrCore *c, const HrJob *j)
+{
+  if (c->now >= j->write_at)
+    return FALSE;
+  return j->stance == HR_QUEUED ? j->ndone < j->ntasks : j->nlive > 0;
+}
+
 static void
 on_recheck (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
@@ -271,6 +322,10 @@
   } else if (status == 400) {
     g_warning ("%s: the state service refuses the record: %s",
                ((HrJob *)c->jobs->pdata[w->job])->id, hr_json_str (body, "error"));
+    if (c->speaks) {
+      c->planned_in_force |= w->bytes > hr_layout_planned_bytes (c);
+      hr_ledger_hold_back (c, c->jobs->pdata[w->job]);
+    }
     write_lost (c, c->jobs->pdata[w->job], p);
     write_free (w);
   } else
@@ -304,11 +359,22 @@
   gboolean gone = j->stance != HR_QUEUED && j->nlive == 0 && !j->shrunk && n == 0;
   if (!change && !done && !gone)
     return;
+  g_autofree char *tag = hr_new_tag (c);
+  char *text = done || gone   ? hr_record_tombstone (j, done ? HR_DONE : j->stance, tag)
+               : !j->per_page ? hr_record_main (j, c->names, &c->machine_ids, j->stance, tag, TRUE)
+                              : hr_record_page (j, n, &c->machine_ids, tag, TRUE);
+  gsize bytes = strlen (text);
+  if (bytes > hr_layout_most_bytes (c) && !done && !gone) {
+    g_free (text);
+    too_large (c, j, p, from, to);
+    return;
+  }
   Write *w = g_new0 (Write, 1);
   w->job = j->idx;
   w->page = n;
   w->gen = c->sync_gen;
-  w->tag = hr_new_tag (c);
+  w->bytes = bytes;
+  w->tag = g_steal_pointer (&tag);
   w->when = json_array ();
   w->writes = json_array ();
   w->kind = launch ? HR_TXN_LAUNCH : HR_TXN_BOOKS;
@@ -317,15 +383,12 @@
   g_autofree char *key = hr_job_key (j);
   hr_cond (w->when, "h/map", c->map_stamp);
   hr_cond (w->when, key, j->stamp);
-  if (p->final)
-    hr_set (w->writes, key, hr_record_tombstone (j, done ? HR_DONE : j->stance, w->tag), 0);
-  else if (!j->per_page)
-    hr_set (w->writes, key, hr_record_main (j, c->names, &c->machine_ids, j->stance, w->tag, TRUE),
-            0);
+  if (p->final || !j->per_page)
+    hr_set (w->writes, key, text, 0);
   else {
     g_autofree char *pkey = hr_page_key (j, n);
     hr_cond (w->when, pkey, p->stamp);
-    hr_set (w->writes, pkey, hr_record_page (j, n, &c->machine_ids, w->tag, TRUE), 0);
+    hr_set (w->writes, pkey, text, 0);
   }
   send_write (c, w);
 }
@@ -342,7 +405,7 @@
       if (d->page >= j->npages)
         continue;
       HrPage *p = &j->pages[d->page];
-      if (p->tag) { /* one write at a time */
+      if (p->tag || j->splitting || held_back (c, j)) { /* one write at a time */
         g_array_append_val (c->dirty, *d);
         continue;
       }
@@ -350,6 +413,8 @@
       write_page (c, j, p);
     }
   }
+  if (c->leads && !c->raising && c->sync == HR_SYNC_FOLLOWING)
+    hr_split_tick (c);
   if (!c->store_down || c->now - c->write_pause > 0.5) {
     if (c->store_down)
       c->write_pause = c->now; /* an outage: try on, but gently */
--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -26,6 +26,35 @@
   return x;
 }
 
+/* Written back as it was read. */
+static void
+pack_extra (json_t *o, const HrJob *j)
+{
+  if (j->extra)
+    json_object_update_missing (o, j->extra);
+}
+
+/* What stands in a record beside the members that this version knows. */
+static json_t *
+unknown_members (const json_t *v)
+{
+  static const char *const known[] = {"w", "s", "t", "q", "j", "x", "u", "n", "d"};
+  json_t *extra = NULL, *e;
+  const char *key;
+  json_object_foreach ((json_t *)v, key, e)
+  {
+    gboolean is_known = FALSE;
+    for (guint i = 0; i < G_N_ELEMENTS (known) && !is_known; i++)
+      is_known = g_str_equal (key, known[i]);
+    if (is_known)
+      continue;
+    if (!extra)
+      extra = json_object ();
+    json_object_set (extra, key, e);
+  }
+  return extra;
+}
+
 char *
 hr_record_main (const HrJob *j, const HrNames *names, const HrIntern *machines, HrStance stance,
                 const char *tag, gboolean pending)
@@ -34,23 +63,33 @@
                          (int)j->per_page, "j", hr_jobspec_pack (&j->spec, names));
   if (!j->per_page)
     json_object_set_new (o, "x", pack_tasks (j, 0, j->ntasks, machines, pending));
+  else if (j->resplit)
+    json_object_set_new (o, "u", json_integer (1));
+  pack_extra (o, j);
   return hr_json_take_text (o);
 }
 
 char *
 hr_record_tombstone (const HrJob *j, HrStance stance, const char *tag)
 {
-  return hr_json_take_text (json_pack ("{sssisisi}", "w", tag, "s", (int)stance, "n",
-                                       (int)j->ntasks, "d",
-                                       (int)(stance == HR_DONE ? j->ntasks : j->nrdone)));
+  json_t *o = json_pack ("{sssisisi}", "w", tag, "s", (int)stance, "n", (int)j->ntasks, "d",
+                         (int)(stance == HR_DONE ? j->ntasks : j->nrdone));
+  pack_extra (o, j);
+  return hr_json_take_text (o);
 }
 
 char *
 hr_record_page (const HrJob *j, guint page, const HrIntern *machines, const char *tag,
                 gboolean pending)
 {
-  guint32 first = page * j->per_page;
-  json_t *x = pack_tasks (j, first, MIN (j->per_page, j->ntasks - first), machines, pending);
+  return hr_record_page_of (j, page * j->per_page, j->per_page, machines, tag, pending);
+}
+
+char *
+hr_record_page_of (const HrJob *j, guint32 first, guint32 n, const HrIntern *machines,
+                   const char *tag, gboolean pending)
+{
+  json_t *x = pack_tasks (j, first, MIN (n, j->ntasks - first), machines, pending);
   return hr_json_take_text (json_pack ("{ssso}", "w", tag, "x", x));
 }
 
@@ -75,8 +114,10 @@
         !hr_json_count (v, "q", HR_MAX_TASKS, &n))
       return FALSE;
     r->per_page = n;
+    r->resplit = n && json_integer_value (json_object_get (v, "u")) == 1;
     r->ntasks = r->spec.tasks;
     r->tasks = json_object_get (v, "x");
+    r->extra = unknown_members (v);
   }
   r->tag = g_strdup (tag);
   return TRUE;
@@ -86,6 +127,7 @@
 hr_record_clear (HrRecord *r)
 {
   g_clear_pointer (&r->tag, g_free);
+  g_clear_pointer (&r->extra, json_decref);
 }
 
 gboolean
--- a/src/bookkeeping/record.h
+++ b/src/bookkeeping/record.h
@@ -2,6 +2,7 @@
  *   h/j/<id>       {"w":tag,"s":stance,"t":submitted,"q":per page,"j":[spec],"x":[tasks]}
  *   h/j/<id>       {"w":tag,"s":stance,"n":tasks,"d":done}        once final
  *   h/t/<id>/<n>   {"w":tag,"x":[tasks]}                          page n of a large job
+ *   h/u/<id>/<per page>/<n>   the same, where the main record has "u":1 (split.c)
  * A task is 0 (never placed), 1 (done) or [machine, session, attempt]. */
 #pragma once
 #include "bookkeeping/tables.h"
@@ -11,10 +12,12 @@
   HrStance stance;
   double submitted;
   guint per_page;
+  gboolean resplit; /* pages stand under h/u */
   gboolean tombstone;
   guint32 ntasks, ndone;
   HrJobSpec spec;
   json_t *tasks; /* borrowed from the value */
+  json_t *extra; /* members that this version does not know; NULL: none */
 } HrRecord;
 
 /* The main record. pending: with the placements and endings under way. */
@@ -23,6 +26,9 @@
 char *hr_record_tombstone (const HrJob *j, HrStance stance, const char *tag);
 char *hr_record_page (const HrJob *j, guint page, const HrIntern *machines, const char *tag,
                       gboolean pending);
+/* Tasks from `first` on, as a page of `n` would hold them. */
+char *hr_record_page_of (const HrJob *j, guint32 first, guint32 n, const HrIntern *machines,
+                         const char *tag, gboolean pending);
 gboolean hr_record_read (const json_t *v, HrNames *names, HrRecord *out);
 void hr_record_clear (HrRecord *r);
 /* Sets what is recorded of the tasks from `first` on. FALSE when it makes no sense. */
--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -19,6 +19,11 @@
     g_free (j->pages[i].tag);
   g_clear_pointer (&j->pages, g_free);
   j->npages = 0;
+  for (guint i = 0; j->staged && i < j->staged->len; i++)
+    json_decref (g_array_index (j->staged, HrStagedPage, i).value);
+  g_clear_pointer (&j->staged, g_array_unref);
+  g_clear_pointer (&j->extra, json_decref);
+  j->split_wanted = j->splitting = FALSE;
 }
 
 void
@@ -28,6 +33,8 @@
   j->spec = *s;
   j->ntasks = s->tasks;
   j->per_page = per_page;
+  j->resplit = FALSE;
+  j->write_at = j->write_pause = 0;
   j->npages = per_page ? (s->tasks + per_page - 1) / per_page : 1;
   j->pages = g_new0 (HrPage, j->npages);
   j->tasks = g_new0 (HrTask, s->tasks);
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -40,6 +40,13 @@
   gboolean final; /* the write under way is the tombstone */
 } HrPage;
 
+/* A page in the ledger that no main record names yet, or no longer: a page of another size. */
+typedef struct {
+  guint per_page, page;
+  guint64 stamp;
+  json_t *value; /* NULL where only its writer needs it */
+} HrStagedPage;
+
 typedef struct {
   guint32 idx;
   const char *id;
@@ -54,6 +61,9 @@
   guint per_page;                /* 0: tasks stand in the main record */
   HrPage *pages;
   guint npages;
+  gboolean resplit; /* its pages stand under keys that carry their size: h/u in place of h/t */
+  GArray *staged;   /* HrStagedPage; NULL: none */
+  json_t *extra;    /* what this version does not know in its main record; NULL: nothing */
   gboolean shrunk;
   gboolean unreadable; /* what is recorded of its tasks could not be read: they may be anywhere */
   /* The owner's. */
@@ -74,6 +84,8 @@
   gboolean entitled; /* within its team's guarantee, together with the team's earlier jobs */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
+  gboolean split_wanted, splitting; /* in the queue of records to split; under way */
+  double write_at, write_pause;     /* what cannot be written now waits until then, so long */
 } HrJob;
 
 typedef enum { HR_M_BOOTING, HR_M_UP, HR_M_DELETING, HR_M_GONE } HrMachineState;
@@ -164,7 +176,7 @@
 /* Drops what a final job no longer needs. */
 void hr_job_shrink (HrJob *j);
 HrPage *hr_job_page (HrJob *j, guint32 task);
-/* How many tasks a record or page holds. per_page as stored in the record. */
+/* How many tasks a record or page of production holds. */
 guint hr_tasks_per_page (double value_kb);
 /* Counts tasks that use the image; older ones count less and less. */
 void hr_class_use_image (HrClassStat *s, guint32 image, guint tasks);
--- a/src/coordination/command.h
+++ b/src/coordination/command.h
@@ -6,6 +6,8 @@
 typedef enum { HR_TO_STORE, HR_TO_CLOUD, HR_TO_WORKER } HrTarget;
 
 #define HR_MAX_ECHOES 16
+#define HR_MAX_OVERSIZED 4
+#define HR_JOB_ID_MOST 100
 
 /* The clock of a member, as its last hint told it: for that member alone to read. */
 typedef struct {
@@ -26,6 +28,10 @@
   guint64 withdrawn;
   HrEcho echoes[HR_MAX_ECHOES];
   guint nechoes;
+  guint32 format; /* of records, that the sender reads and writes; 0: it says nothing */
+  /* Jobs that it could not withdraw, since their records are too large to be written. */
+  char oversized[HR_MAX_OVERSIZED][HR_JOB_ID_MOST + 1];
+  guint noversized;
 } HrHint;
 
 typedef enum { HR_C_REQUEST, HR_C_RESULT, HR_C_HINT, HR_C_TICK } HrCommandKind;
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -176,14 +176,15 @@
   c->open = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->classes = g_array_new (FALSE, TRUE, sizeof (HrClassStat));
   c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
-  c->garbage = g_array_new (FALSE, TRUE, sizeof (HrDirty));
+  c->garbage = g_array_new (FALSE, TRUE, sizeof (HrGarbage));
+  c->to_split = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->fleet = g_ptr_array_new ();
   c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
   c->team_waits = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
-  c->write_bucket = (HrBucket){set->state_write_rps, set->state_write_rps, set->state_write_rps, 0};
+  hr_core_speak (c, HR_FORMAT);
   c->cloud_bucket = (HrBucket){set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0};
   return c;
 }
@@ -216,6 +217,7 @@
   g_array_unref (c->refused);
   g_array_unref (c->dirty);
   g_array_unref (c->garbage);
+  g_array_unref (c->to_split);
   g_array_unref (c->wants);
   g_array_unref (c->team_waits);
   g_ptr_array_unref (c->fleet);
@@ -262,6 +264,8 @@
   hr_absence_tick (c);
   hr_fleet_tick (c);
   hr_garbage_tick (c);
+  hr_format_tick (c);
+  hr_split_scan (c);
 }
 
 void
@@ -344,9 +348,9 @@
   hr_policy_vars_set (vars, "gang_wait_s", s ? s->gang_wait_s : 30);
   hr_policy_vars_set (vars, "gang_peer_s", s ? s->gang_peer_s : 4);
   hr_policy_vars_set (vars, "cancel_s", s ? s->cancel_s : 40);
-  hr_policy_vars_set (vars, "state_rps", s ? s->state_rps : 100);
-  hr_policy_vars_set (vars, "write_rps", s ? s->state_write_rps : 15);
-  hr_policy_vars_set (vars, "value_kb", s ? s->value_kb : 4);
+  hr_policy_vars_set (vars, "state_rps", s ? s->planned.rps : 100);
+  hr_policy_vars_set (vars, "write_rps", s ? s->planned.write_rps : 15);
+  hr_policy_vars_set (vars, "value_kb", s ? s->planned.value_kb : 4);
   hr_policy_vars_set (vars, "cloud_rps", s ? s->cloud_rps : 8);
   hr_policy_vars_set (vars, "list_lag_s", s ? s->list_lag_s : 3);
   hr_policy_vars_set (vars, "controllers", s ? s->members->len + 1 : 3);
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -12,6 +12,11 @@
 /* now: a steady clock, wall: the time of day, both in seconds. Commands are
  * HrCommand, effects HrEffect. */
 void hr_core_step (HrCore *c, double now, double wall, GPtrArray *commands, GPtrArray *effects);
+/* For tests: be as the version that understood this format of records at most; 0: the one
+ * before there were formats. Before the first step. */
+void hr_core_speak (HrCore *c, guint format);
+/* The newest format of records that this version understands. */
+#define HR_FORMAT 1
 void hr_core_free (HrCore *c);
 /* What no single tunable's range can say: the figures that the rules rest on together. */
 gboolean hr_core_policy_check (const HrPolicy *p, GHashTable *vars, GError **error);
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -284,6 +284,7 @@
   e->hint.clock = c->now;
   e->hint.synced = c->synced_once;
   e->hint.withdrawn = c->withdrawn;
+  hr_format_tell (c, &e->hint);
   for (guint i = 0; i < MIN (c->peers->len, HR_MAX_ECHOES); i++) {
     const HrHint *h = &g_array_index (c->peers, HrPeerView, i).hint;
     HrEcho *o = &e->hint.echoes[e->hint.nechoes++];
@@ -332,6 +333,7 @@
   p->hint = *h;
   p->at = c->now;
   note_statement (c, p);
+  hr_format_heard (c, h);
   /* A member that the state service serves has read a newer map, and we, who
    * think we own it, have not: whoever is refused steps down at once. */
   if (c->leads && h->store_served && h->baton > c->baton && c->now - c->confirmed_at > 1.5) {
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -38,6 +38,12 @@
   guint32 job, page;
 } HrDirty;
 
+/* A page in the ledger that nobody reads any more. */
+typedef struct {
+  guint32 job, page;
+  guint per_page; /* under h/u, of that size; 0: under h/t */
+} HrGarbage;
+
 typedef struct {
   guint32 type, zone;
   gboolean spot;
@@ -86,12 +92,27 @@
   /* Writing to it. */
   GQueue txns[HR_TXN_KINDS];
   GArray *dirty;   /* HrDirty: pages with something to record */
-  GArray *garbage; /* HrDirty: pages of final jobs, still in the ledger */
+  GArray *garbage; /* HrGarbage, of final jobs and of layouts left behind */
   gboolean tidying;
   double tidy_at;
   HrBucket write_bucket, cloud_bucket;
   guint txns_out;
   double write_pause;
+  HrStateLimits limits; /* that this node plans for */
+
+  /* The format of records. */
+  guint speaks;                /* the newest that this node understands; 0: there were none yet */
+  guint format;                /* that the ledger states every member understands */
+  guint64 format_stamp;
+  gboolean format_writing;
+  double format_at;
+  gboolean planned_in_force;   /* the state service refused what only the planned limits forbid */
+  guint names_measured;        /* machine names looked at; the longest of them, bytes */
+  gsize name_longest;
+  GArray *to_split;            /* guint32: jobs whose records are too large, the most urgent first */
+  guint nsplits, split_scan;   /* under way; how far c->open was searched for large records */
+  char oversized[HR_MAX_OVERSIZED][HR_JOB_ID_MOST + 1]; /* see HrHint */
+  guint noversized;
 
   /* The map and the leader's key. */
   guint64 map_stamp, baton, leader_stamp, fenced;
@@ -171,12 +192,47 @@
 void hr_ledger_mark (HrCore *c, HrJob *j, guint32 task);
 void hr_ledger_seen (HrCore *c, HrJob *j, HrPage *p, guint64 stamp);
 char *hr_job_key (const HrJob *j);
+/* Not written again before a while, longer each time. */
+void hr_ledger_hold_back (HrCore *c, HrJob *j);
 char *hr_page_key (const HrJob *j, guint page);
+char *hr_page_key_of (const HrJob *j, guint per_page, guint page); /* of a record that was split */
+
+/* bookkeeping/format.c: which records every member understands */
+void hr_format_read (HrCore *c, const json_t *value, guint64 stamp);
+void hr_format_tick (HrCore *c);
+void hr_format_tell (const HrCore *c, HrHint *h);
+void hr_format_heard (HrCore *c, const HrHint *h);
+/* The job's record is too large to be withdrawn: the leader is to split it first. */
+void hr_format_oversized (HrCore *c, HrJob *j);
+
+/* bookkeeping/layout.c: how tasks are spread over records; sizes in bytes */
+/* What records are planned for, and what is sent at all. */
+gsize hr_layout_planned_bytes (const HrCore *c);
+gsize hr_layout_most_bytes (const HrCore *c);
+/* Tasks a page; 0: all tasks stand in the main record. */
+guint hr_layout_choose (HrCore *c, const HrJobSpec *spec);
+guint hr_layout_page_size (HrCore *c, guint32 tasks);
+/* For a record that has become too large. */
+guint hr_layout_smaller (HrCore *c, const HrJob *j);
+/* Is any record of the job, as it stands in the ledger, beyond what is planned for? */
+gboolean hr_layout_oversized (HrCore *c, const HrJob *j);
+
+/* bookkeeping/split.c: records that have become too large */
+gboolean hr_split_possible (const HrCore *c, const HrJob *j);
+void hr_split_want (HrCore *c, HrJob *j, gboolean urgent);
+void hr_split_rescan (HrCore *c);
+void hr_split_reset (HrCore *c);
+void hr_split_scan (HrCore *c);
+void hr_split_tick (HrCore *c);
+HrStagedPage *hr_split_staged (HrJob *j, guint per_page, guint page);
+/* Takes note of a page that no main record names. stamp 0: it is gone. */
+void hr_split_stage (HrJob *j, guint per_page, guint page, guint64 stamp, const json_t *value);
+void hr_split_apply (HrCore *c, HrJob *j, guint per_page, guint64 stamp);
 
 /* bookkeeping/garbage.c: pages of final jobs */
-void hr_garbage_note (HrCore *c, const HrJob *j, guint page);
+void hr_garbage_note (HrCore *c, const HrJob *j, guint per_page, guint page);
 void hr_garbage_job (HrCore *c, const HrJob *j);
-void hr_garbage_gone (HrCore *c, const HrJob *j, guint page);
+void hr_garbage_gone (HrCore *c, const HrJob *j, guint per_page, guint page);
 void hr_garbage_tick (HrCore *c);
 
 /* bookkeeping/absence.c: proofs that a task is on no machine */
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -377,6 +377,7 @@
    * machines since. What records, reports and the cloud's list name is there. */
   g_ptr_array_set_size (c->fleet, 0);
   g_array_set_size (c->dirty, 0);
+  hr_split_rescan (c);
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
     if (!j->tasks)
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -15,7 +15,9 @@
   HrJobSpec spec;
   double asked;
   guint tries;
-  char *tag; /* of the write under way */
+  char *tag;      /* of the write under way */
+  guint per_page; /* of a submission's record */
+  gsize bytes;    /* of a cancellation's record */
 } UserRequest;
 
 static void
@@ -156,10 +158,7 @@
       j->submitted = request->asked;
       g_free (j->tag);
       j->tag = g_strdup (request->tag);
-      hr_job_set_spec (j, &request->spec,
-                       request->spec.tasks <= hr_tasks_per_page (c->set->value_kb)
-                           ? 0
-                           : hr_tasks_per_page (c->set->value_kb));
+      hr_job_set_spec (j, &request->spec, request->per_page);
       if (!j->per_page)
         j->pages[0].stamp = epoch;
       hr_job_open (c, j);
@@ -181,10 +180,11 @@
 {
   g_autofree char *key = g_strconcat ("h/j/", request->id, NULL);
   HrJob tmp = {.submitted = request->asked};
-  guint per = hr_tasks_per_page (c->set->value_kb);
-  hr_job_set_spec (&tmp, &request->spec, request->spec.tasks <= per ? 0 : per);
-  if (!request->tag)
+  if (!request->tag) {
     request->tag = hr_new_tag (c);
+    request->per_page = hr_layout_choose (c, &request->spec);
+  }
+  hr_job_set_spec (&tmp, &request->spec, request->per_page);
   json_t *when = hr_cond (json_array (), key, 0);
   json_t *writes =
       hr_set (json_array (), key,
@@ -239,6 +239,8 @@
 
 /* ---- cancellations ---- */
 
+static void split_first (HrCore *c, UserRequest *request, HrJob *j);
+
 static void
 on_abort (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
@@ -258,10 +260,22 @@
     answer (c, request, j, 200);
   } else if ((status == 409 || status == 429) && ++request->tries < MAX_TRIES)
     hr_follow_read (c, on_read, request); /* the record moved on: read it and try again */
-  else
+  else if (status == 400 && c->speaks && j && j->tasks) {
+    c->planned_in_force |= request->bytes > hr_layout_planned_bytes (c);
+    split_first (c, request, j);
+  } else
     refuse_later (c, request, 503, "the cancellation is not confirmed; ask again");
 }
 
+/* The record with its tasks is larger than the state service takes. Its user asks again, and
+ * meanwhile the leader splits it. */
+static void
+split_first (HrCore *c, UserRequest *request, HrJob *j)
+{
+  hr_format_oversized (c, j);
+  refuse_later (c, request, 503, "the job's record is being split; ask again");
+}
+
 static void
 send_abort (HrCore *c, UserRequest *request)
 {
@@ -269,10 +283,15 @@
   g_autofree char *key = hr_job_key (j);
   g_free (request->tag);
   request->tag = hr_new_tag (c);
+  char *text = hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, request->tag, FALSE);
+  request->bytes = strlen (text);
+  if (request->bytes > hr_layout_most_bytes (c)) {
+    g_free (text);
+    split_first (c, request, j);
+    return;
+  }
   json_t *when = hr_cond (json_array (), key, j->stamp);
-  json_t *writes =
-      hr_set (json_array (), key,
-              hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, request->tag, FALSE), 0);
+  json_t *writes = hr_set (json_array (), key, text, 0);
   hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_abort, request);
 }
 
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -59,6 +59,38 @@
   return TRUE;
 }
 
+/* An announced limit, which may be missing. */
+static gboolean
+announced (const json_t *next, const char *where, const char *key, double *limit, GError **e)
+{
+  double value;
+  if (!json_object_get (next, key) || json_is_null (json_object_get (next, key)))
+    return TRUE;
+  if (!positive (next, where, key, &value, e))
+    return FALSE;
+  *limit = MIN (*limit, value);
+  return TRUE;
+}
+
+/* Elections change two keys at once. */
+#define TXN_OPS_LEAST 2
+
+static gboolean
+read_planned (HrSettings *s, const json_t *next, GError **e)
+{
+  double ops = s->txn_ops;
+  s->planned = (HrStateLimits){s->state_rps, s->state_write_rps, s->value_kb, s->txn_ops};
+  if (!announced (next, "facts.state.next.rps", "rps", &s->planned.rps, e) ||
+      !announced (next, "facts.state.next.write_rps", "write_rps", &s->planned.write_rps, e) ||
+      !announced (next, "facts.state.next.value_kb", "value_kb", &s->planned.value_kb, e) ||
+      !announced (next, "facts.state.next.txn_ops", "txn_ops", &ops, e))
+    return FALSE;
+  if (ops < TXN_OPS_LEAST)
+    return fail (e, "facts.state.next.txn_ops", "at least 2 changes a transaction");
+  s->planned.txn_ops = ops;
+  return TRUE;
+}
+
 static gboolean
 read_facts (HrSettings *s, const json_t *facts, HrNames *names, GError **e)
 {
@@ -80,6 +112,8 @@
   if (ops < 3)
     return fail (e, "facts.state.txn_ops", "at least 3 changes a transaction");
   s->txn_ops = MIN (ops, 1000);
+  if (!read_planned (s, json_object_get (st, "next"), e))
+    return FALSE;
   double sockets = 1024;
   hr_json_num (json_object_get (facts, "machine_limits"), "fd_limit", &sockets);
   if (sockets < 64)
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -18,6 +18,13 @@
   double within, share; /* within: s; of an UP aim, the time after which it counts */
 } HrAim;
 
+/* What the state service takes: requests and changes a second, KiB a value, changes a
+ * transaction. */
+typedef struct {
+  double rps, write_rps, value_kb;
+  guint txn_ops;
+} HrStateLimits;
+
 typedef struct {
   char *label, *zone, *front, *back, *cloud, *state;
   GArray *members; /* HrMember */
@@ -27,6 +34,9 @@
   double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
   double state_rps, state_write_rps, value_kb;
   guint txn_ops;
+  /* What to plan for: the smaller of the limits in force and of those announced, which come
+   * into force at any moment. */
+  HrStateLimits planned;
   guint sockets; /* of this process; a usual limit when the file has none */
   double cloud_rps, list_lag_s;
 } HrSettings;
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -63,6 +63,10 @@
     g_strlcpy (e->incarnation, m->echoes[i]->incarnation, sizeof e->incarnation);
     e->clock = m->echoes[i]->clock;
   }
+  c->hint.format = m->format;
+  for (gsize i = 0; i < m->n_oversized && c->hint.noversized < HR_MAX_OVERSIZED; i++)
+    if (strlen (m->oversized[i]) <= HR_JOB_ID_MOST)
+      g_strlcpy (c->hint.oversized[c->hint.noversized++], m->oversized[i], HR_JOB_ID_MOST + 1);
   hr__hint__free_unpacked (m, NULL);
   r->owner->sink (c, r->owner->data);
 }
@@ -171,6 +175,12 @@
   }
   m.n_echoes = h->nechoes;
   m.echoes = list;
+  m.format = h->format;
+  char *oversized[HR_MAX_OVERSIZED];
+  for (guint i = 0; i < h->noversized; i++)
+    oversized[i] = (char *)h->oversized[i];
+  m.n_oversized = h->noversized;
+  m.oversized = oversized;
   gsize len = hr__hint__get_packed_size (&m);
   if (len > MAX_FRAME)
     return;
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -150,6 +150,27 @@
   }
 }
 
+static gboolean
+is_record (const char *path)
+{
+  return g_str_has_prefix (path, "h/j/") || g_str_has_prefix (path, "h/t/") ||
+         g_str_has_prefix (path, "h/u/");
+}
+
+/* Tasks a page: in its key, or in the job's main record. */
+static guint
+page_size (World *w, const char *path, const char *id)
+{
+  if (path[2] == 'u')
+    return atoi (path + strlen ("h/u/") + strlen (id) + 1);
+  g_autofree char *main = g_strconcat ("h/j/", id, NULL);
+  SKey *k = g_hash_table_lookup (w->keys, main);
+  json_t *o = k ? json_loads (k->text, 0, NULL) : NULL;
+  guint n = json_integer_value (json_object_get (o, "q"));
+  json_decref (o);
+  return n;
+}
+
 /* Notes which process recorded each assignment first: its tag begins with its incarnation. */
 static void
 note_assignments (World *w, json_t *put)
@@ -158,11 +179,11 @@
   json_t *value = json_object_get (put, "value"), *e;
   const char *tag = json_string_value (json_object_get (value, "w"));
   size_t i;
-  if (!path || !tag || !(g_str_has_prefix (path, "h/j/") || g_str_has_prefix (path, "h/t/")))
+  if (!path || !tag || !is_record (path))
     return;
-  const char *page = path[2] == 't' ? strrchr (path, '/') : NULL;
-  guint first = page ? atoi (page + 1) * hr_tasks_per_page (4) : 0;
-  g_autofree char *id = page ? g_strndup (path + 4, page - path - 4) : g_strdup (path + 4);
+  const char *page = path[2] == 'j' ? NULL : strrchr (path, '/');
+  g_autofree char *id = g_strndup (path + 4, strcspn (path + 4, "/"));
+  guint first = page ? atoi (page + 1) * page_size (w, path, id) : 0;
   json_array_foreach (json_object_get (value, "x"), i, e)
   {
     g_autofree char *key = g_strdup_printf ("%s/%u/%d", id, first + (guint)i,
@@ -184,8 +205,7 @@
   json_t *value = json_object_get (put, "value"), *e, *x = json_object_get (value, "x");
   size_t i;
   gboolean bound = FALSE, fenced = FALSE;
-  if (!path || !(g_str_has_prefix (path, "h/j/") || g_str_has_prefix (path, "h/t/")) ||
-      json_integer_value (json_object_get (value, "s")) == 2)
+  if (!path || !is_record (path) || json_integer_value (json_object_get (value, "s")) == 2)
     return;
   json_array_foreach (x, i, e) bound |= json_is_array (e);
   json_array_foreach (when, i, e) fenced |=
@@ -211,6 +231,61 @@
     }
 }
 
+/* Nothing that production would misread is written while one of its processes may be there. */
+static void
+check_form (World *w, json_t *put)
+{
+  const char *path = json_string_value (json_object_get (put, "set"));
+  gboolean form = path && (g_str_has_prefix (path, "h/u/") || strcmp (path, "h/format") == 0 ||
+                           json_object_get (json_object_get (put, "value"), "u"));
+  for (int k = 0; form && k < w->n; k++)
+    if (!w->nodes[k].speaks)
+      w_broken (w, "form", "%s is written while c%d may be of production", path, k);
+}
+
+static gboolean
+limits_fell (World *w)
+{
+  return w->limits_fall > 0 && w->now >= w->limits_fall;
+}
+
+/* Values beyond the limit are refused; of the new version none is sent again and again. */
+static gboolean
+refuse_size (World *w, Req *r, json_t *put)
+{
+  if (!json_object_get (put, "value"))
+    return FALSE;
+  const char *path = json_string_value (json_object_get (put, "set"));
+  g_autofree char *t = hr_json_take_text (json_incref (json_object_get (put, "value")));
+  if (!w->production && strlen (t) > NEXT_VALUE_KB * 1024)
+    w_broken (w, "limit", "a value of %zu bytes for %s", strlen (t), path);
+  if (strlen (t) <= (limits_fell (w) ? NEXT_VALUE_KB : w->value_kb) * 1024)
+    return FALSE;
+  guint *times = g_hash_table_lookup (w->too_large, path);
+  if (!times) {
+    times = g_new0 (guint, 1);
+    g_hash_table_insert (w->too_large, g_strdup (path), times);
+  }
+  if (++*times > 6 && w->nodes[r->node].speaks)
+    w_broken (w, "spin", "a value of %zu bytes for %s is sent for the %uth time", strlen (t), path,
+              *times);
+  return TRUE;
+}
+
+static gboolean
+refuse_rate (World *w, guint changes)
+{
+  if (!limits_fell (w))
+    return FALSE;
+  w->write_tokens =
+      MIN (NEXT_WRITE_RPS, w->write_tokens + (w->now - w->write_tokens_at) * NEXT_WRITE_RPS);
+  w->write_tokens_at = w->now;
+  if (w->write_tokens < changes)
+    return TRUE;
+  w->write_tokens -= changes;
+  return FALSE;
+}
+
 static void
 commit (World *w, Req *r)
 {
@@ -218,17 +293,26 @@
   json_t *when = json_object_get (o, "when"), *writes = json_object_get (o, "writes");
   json_t *failed = json_array ();
   size_t i;
-  gboolean lease_gone = FALSE;
+  gboolean lease_gone = FALSE, too_large = FALSE;
+  guint changes = json_array_size (writes);
   json_array_foreach (writes, i, e)
   {
     guint64 claim = json_integer_value (json_object_get (e, "claim"));
     check_fence (w, when, e);
     lease_gone |= claim && !g_hash_table_contains (w->leases, &claim);
-    if (json_object_get (e, "value")) {
-      g_autofree char *t = hr_json_take_text (json_incref (json_object_get (e, "value")));
-      if (strlen (t) > 4096)
-        w_broken (w, "limit", "a value of %zu bytes", strlen (t));
-    }
+    check_form (w, e);
+    too_large |= refuse_size (w, r, e);
+  }
+  too_large |= limits_fell (w) && changes > NEXT_TXN_OPS;
+  if (!w->production && changes > NEXT_TXN_OPS)
+    w_broken (w, "limit", "%u changes in a transaction", changes);
+  if (too_large || refuse_rate (w, changes)) {
+    w_answer (w, r, too_large ? 400 : 429,
+              g_strdup (too_large ? "{\"error\":\"the value is too large\"}"
+                                  : "{\"error\":\"too many changes\"}"));
+    json_decref (failed);
+    json_decref (o);
+    return;
   }
   if (lease_gone) {
     w_answer (w, r, 400, g_strdup ("{\"error\":\"no such lease\"}"));
@@ -310,9 +394,10 @@
   guint n = 0;
   g_hash_table_iter_init (&it, w->keys);
   while (g_hash_table_iter_next (&it, &path, NULL)) {
-    if (!g_str_has_prefix (path, "h/t/"))
+    if (!is_record (path) || g_str_has_prefix (path, "h/j/"))
       continue;
-    g_autofree char *id = g_strndup ((char *)path + 4, strrchr (path, '/') - (char *)path - 4);
+    const char *rest = (char *)path + strlen ("h/t/");
+    g_autofree char *id = g_strndup (rest, strcspn (rest, "/"));
     g_autofree char *main = g_strconcat ("h/j/", id, NULL);
     SKey *k = g_hash_table_lookup (w->keys, main);
     n += k && !strstr (k->text, "\"j\":"); /* a tombstone has no description */
@@ -320,6 +405,32 @@
   return n;
 }
 
+guint
+store_large (World *w)
+{
+  GHashTableIter it;
+  gpointer path, k;
+  guint n = 0;
+  g_hash_table_iter_init (&it, w->keys);
+  while (g_hash_table_iter_next (&it, &path, &k))
+    n += is_record (path) && strlen (((SKey *)k)->text) > NEXT_VALUE_KB * 1024;
+  return n;
+}
+
+gboolean
+store_split (World *w, const char *id)
+{
+  g_autofree char *main = g_strconcat ("h/j/", id, NULL);
+  SKey *k = g_hash_table_lookup (w->keys, main);
+  return k && strstr (k->text, "\"u\":1");
+}
+
+gboolean
+store_has (World *w, const char *path)
+{
+  return g_hash_table_contains (w->keys, path);
+}
+
 int
 store_owner (World *w)
 {
@@ -440,6 +551,20 @@
   g_free (c->text);
 }
 
+/* As after an upgrade long ago; an upgrade's own day begins without it. */
+void
+store_format (World *w, gboolean known)
+{
+  if (!known) {
+    g_hash_table_remove (w->keys, "h/format");
+    return;
+  }
+  SKey *k = g_new0 (SKey, 1);
+  k->text = g_strdup_printf ("{\"f\":%d}", HR_FORMAT);
+  k->stamp = ++w->epoch;
+  g_hash_table_replace (w->keys, g_strdup ("h/format"), k);
+}
+
 void
 store_init (World *w)
 {
@@ -448,7 +573,9 @@
   w->log = g_array_new (FALSE, TRUE, sizeof (SChange));
   g_array_set_clear_func (w->log, change_clear);
   w->watches = g_ptr_array_new ();
+  w->too_large = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w->assigned = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  store_format (w, TRUE);
   w_at (w, 0.05, leases_tick, NULL);
 }
 
@@ -466,4 +593,5 @@
   g_hash_table_unref (w->leases);
   g_array_unref (w->log);
   g_hash_table_unref (w->assigned);
+  g_hash_table_unref (w->too_large);
 }
--- /dev/null
+++ b/tests/sim/upgrade.c
@@ -0,0 +1,45 @@
+/* An upgrade: controllers of production come back new one after the other, and some time after
+ * the last the state service has its new limits, without notice. */
+#include "sim/world.h"
+
+/* Down for so long in its turn. */
+#define DOWN_S 5.0
+
+void
+upgrade_init (World *w)
+{
+  w->production = TRUE;
+  store_format (w, FALSE);
+  for (int i = 0; i < w->n; i++)
+    w->nodes[i].speaks = 0;
+  world_restart (w);
+}
+
+static void
+start (World *w, gpointer p)
+{
+  node_start (w, GPOINTER_TO_INT (p));
+}
+
+/* Its process ends, if it is there; from now on it comes back new. */
+static void
+turn (World *w, gpointer p)
+{
+  int i = GPOINTER_TO_INT (p);
+  node_kill (w, i);
+  w->nodes[i].speaks = HR_FORMAT;
+  w_at (w, w->now + DOWN_S, start, p);
+}
+
+void
+upgrade_roll (World *w, double from, double gap)
+{
+  for (int i = 0; i < w->n; i++)
+    w_at (w, from + i * gap, turn, GINT_TO_POINTER ((i + 1) % w->n));
+}
+
+void
+upgrade_limits_fall (World *w, double at)
+{
+  w->limits_fall = at;
+}
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -491,6 +491,26 @@
   send_in (w, batch_of (w, 140, 40));
 }
 
+/* Of the sizes that production writes inline and in pages. */
+static void
+large_array (World *w, gpointer p)
+{
+  guint n = GPOINTER_TO_UINT (p);
+  SJob *j = batch_of (w, n % 2 ? 60 : 140, w_rand (w, 15, 45));
+  j->spot = n % 3 == 0;
+  j->cancel = n % 4 == 3;
+  j->due_cancel = w->now + w_rand (w, 20, 70);
+  send_in (w, j);
+}
+
+void
+users_arrays (World *w, double from, double to)
+{
+  guint n = 0;
+  for (double t = from; t < to; t += 12)
+    w_at (w, t, large_array, GUINT_TO_POINTER (n++));
+}
+
 void
 users_paged (World *w, double at)
 {
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -527,13 +527,14 @@
           members, json_pack ("{ssssss}", "label", l, "area", "z0", "endpoint", "127.0.0.1:9"));
     }
   g_autofree char *label = g_strdup_printf ("c%d", i);
-  json_t *facts =
-      json_pack ("{s[{sssfsfsfsf}]s[{sssssf}]s{sfsfsfsfsf}s{sfsfsfsi}s{sfsf}}", "teams", "name",
-                 "crew", "cpus", 0.0, "cpus_max", 0.0, "gpus", 0.0, "gpus_max", w->quota_gpus,
-                 "objectives", "kind", "finished", "class", "gang", "within_s", 200.0, "workers",
-                 "report_s", w->report_s, "lease_s", w->lease_s, "gang_wait_s", 30.0, "gang_peer_s",
-                 4.0, "cancel_s", w->cancel_s, "state", "rps", 250.0, "write_rps", 60.0, "value_kb",
-                 4.0, "txn_ops", 12, "cloud", "rps", 8.0, "list_lag_s", 3.0);
+  json_t *facts = json_pack (
+      "{s[{sssfsfsfsf}]s[{sssssf}]s{sfsfsfsfsf}s{sfsfsfsis{sfsisf}}s{sfsf}}", "teams", "name",
+      "crew", "cpus", 0.0, "cpus_max", 0.0, "gpus", 0.0, "gpus_max", w->quota_gpus, "objectives",
+      "kind", "finished", "class", "gang", "within_s", 200.0, "workers", "report_s", w->report_s,
+      "lease_s", w->lease_s, "gang_wait_s", 30.0, "gang_peer_s", 4.0, "cancel_s", w->cancel_s,
+      "state", "rps", 250.0, "write_rps", 60.0, "value_kb", w->value_kb, "txn_ops", 12, "next",
+      "value_kb", NEXT_VALUE_KB, "txn_ops", NEXT_TXN_OPS, "write_rps", NEXT_WRITE_RPS, "cloud",
+      "rps", 8.0, "list_lag_s", 3.0);
   if (w->guarantee_gpus > 0)
     json_array_append_new (json_object_get (facts, "teams"),
                            json_pack ("{sssfsfsfsf}", "name", "guests", "cpus",
@@ -564,6 +565,7 @@
   n->store_at = w->now;
   g_autofree char *inc = g_strdup_printf ("%d-%u", i, n->gen);
   n->core = hr_core_new (n->set, &w->pol, &n->names, inc, g_rand_int (w->rand));
+  hr_core_speak (n->core, n->speaks);
   node_tick (w, GINT_TO_POINTER (i + (int)n->gen * MAX_NODES));
 }
 
@@ -609,6 +611,9 @@
   w->loss = 0.002;
   w->dup = 0.004;
   w->late = 60;
+  w->value_kb = 4;
+  for (int i = 0; i < w->n; i++)
+    w->nodes[i].speaks = HR_FORMAT;
   store_init (w);
   cloud_init (w);
   for (int i = 0; i < w->n; i++)
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -31,6 +31,7 @@
   HrSettings *set;
   gboolean up;
   guint gen; /* counts processes */
+  guint speaks; /* the format of records that its next process understands; 0: production */
   GPtrArray *queue;
   gboolean stepping;
   GHashTable *open;  /* request id -> Req */
@@ -120,11 +121,17 @@
   guint64 epoch, claims;
   GPtrArray *watches;
   double outage; /* until when */
+  double value_kb;         /* a value may be so large, as the settings say */
+  gboolean production;     /* its processes are there, or have been */
+  double limits_fall;      /* the announced limits are in force from then on; 0: never */
+  double write_tokens, write_tokens_at;
+  GHashTable *too_large;   /* path -> times that a value for it was refused */
   /* cloud */
   GPtrArray *machines; /* SMachine */
   GHashTable *asks;
   double cloud_outage;
   guint capacity;
+  gboolean long_names; /* of machines */
   /* users */
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
@@ -164,13 +171,32 @@
 void w_answer (World *w, Req *r, int status, char *body);
 void req_unref (Req *r);
 
+/* Announced for the state service in all days. */
+#define NEXT_VALUE_KB 2.0
+#define NEXT_TXN_OPS 4
+#define NEXT_WRITE_RPS 40.0
+
 void node_start (World *w, int i);
 void node_kill (World *w, int i);
 
+/* Large arrays, some of which are withdrawn. */
+void users_arrays (World *w, double from, double to);
+
+/* upgrade.c: controllers of production, which come back new one after the other */
+void upgrade_init (World *w);
+void upgrade_roll (World *w, double from, double gap);
+void upgrade_limits_fall (World *w, double at);
+
 void store_request (World *w, Req *r);
 void store_init (World *w);
+void store_format (World *w, gboolean known);
 gboolean store_names (World *w, const char *machine);
 guint store_garbage (World *w);
+/* Records of open jobs that are larger than the announced limit. */
+guint store_large (World *w);
+/* A record of this job is in pages of a size that it was split into. */
+gboolean store_split (World *w, const char *id);
+gboolean store_has (World *w, const char *path);
 guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
 void store_free (World *w);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -22,17 +22,10 @@
   return broken;
 }
 
+/* No job may have stayed behind. */
 static guint
-play_on (World *w, guint32 seed, guint faults, double quota, double per_part)
+judge_ends (World *w, guint32 seed)
 {
-  w->quota_gpus = quota;
-  w->machines_per_part = per_part;
-  if (quota > 0 || per_part > 0)
-    world_restart (w);
-  users_init (w, 40, 300);
-  users_probe (w);
-  faults_init (w, faults, 30, 320);
-  world_run (w, 1000);
   if (store_garbage (w))
     w_broken (w, "garbage", "%u pages of final jobs are kept", store_garbage (w));
   if (w->starts == 0)
@@ -51,6 +44,20 @@
   return verdict (w, seed);
 }
 
+static guint
+play_on (World *w, guint32 seed, guint faults, double quota, double per_part)
+{
+  w->quota_gpus = quota;
+  w->machines_per_part = per_part;
+  if (quota > 0 || per_part > 0)
+    world_restart (w);
+  users_init (w, 40, 300);
+  users_probe (w);
+  faults_init (w, faults, 30, 320);
+  world_run (w, 1000);
+  return judge_ends (w, seed);
+}
+
 static guint
 play (guint32 seed, guint faults, double quota, double per_part)
 {
@@ -475,6 +482,38 @@
   play_large (1051, 5);
 }
 
+/* Production's processes come back new one after the other, amid troubles; then the limits of
+ * the state service fall. */
+static guint
+play_upgrade (guint32 seed, int nodes, guint faults)
+{
+  World *w = world_new (seed, nodes);
+  w->capacity = 40;
+  w->long_names = TRUE;
+  upgrade_init (w);
+  users_init (w, 20, 300);
+  users_arrays (w, 10, 260);
+  users_probe (w);
+  upgrade_roll (w, 60, seed % 2 ? 12 : 30);
+  upgrade_limits_fall (w, 60 + (seed % 2 ? 12 : 30) * nodes + 6 + seed % 5 * 4);
+  faults_init (w, faults, 30, 320);
+  world_run (w, 1000);
+  if (!store_has (w, "h/format"))
+    w_broken (w, "format", "the new format was never recorded");
+  if (store_large (w))
+    w_broken (w, "large", "%u records are too large", store_large (w));
+  return judge_ends (w, seed);
+}
+
+static void
+days_of_an_upgrade (void **state)
+{
+  guint broken = 0;
+  for (guint s = 1100; s < 1108; s++)
+    broken += play_upgrade (s, s % 4 == 3 ? 5 : 3, s < 1104 ? 0 : 6);
+  assert_int_equal (broken, 0);
+}
+
 /* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
 static GLogWriterOutput
 verbose (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
@@ -529,13 +568,14 @@
       cmocka_unit_test (days_of_unreadable_pages),
       cmocka_unit_test (days_of_a_guarantee),
       cmocka_unit_test (days_of_two_owners),
+      cmocka_unit_test (days_of_an_upgrade),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {
         "quiet",       "one",        "many",      "limit",  "parts",     "copies",      "nodes",
         "stream",      "deaf",       "owners",    "cut",    "gangs",     "attestation", "places",
         "late_orders", "oversized",  "fetch",     "freeze", "unreached", "half",        "large3",
-        "large5",      "unreadable", "guarantee", "two"};
+        "large5",      "unreadable", "guarantee", "two",    "upgrade"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
