--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -425,6 +425,20 @@
   return k && strstr (k->text, "\"u\":1");
 }
 
+void
+store_put (World *w, const char *path, const char *text)
+{
+  w->epoch++;
+  change (w, path, g_strdup (text), 0);
+}
+
+const char *
+store_text (World *w, const char *path)
+{
+  SKey *k = g_hash_table_lookup (w->keys, path);
+  return k ? k->text : NULL;
+}
+
 gboolean
 store_has (World *w, const char *path)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -197,6 +197,9 @@
 /* A record of this job is in pages of a size that it was split into. */
 gboolean store_split (World *w, const char *id);
 gboolean store_has (World *w, const char *path);
+/* As if it had been written before the day began. */
+void store_put (World *w, const char *path, const char *text);
+const char *store_text (World *w, const char *path); /* NULL: not there */
 guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
 void store_free (World *w);
