--- a/src/bookkeeping/layout.c
+++ b/src/bookkeeping/layout.c
@@ -77,7 +77,9 @@
 hr_layout_smaller (HrCore *c, const HrJob *j)
 {
   guint per = hr_layout_page_size (c, j->ntasks);
-  return j->per_page ? MIN (per, j->per_page / 2) : per;
+  if (!j->per_page || per < j->per_page)
+    return per;
+  return MAX (1, j->per_page / 2); /* what was measured is larger than what was reckoned */
 }
 
 gboolean
