--- /dev/null
+++ b/tests/test_follow.c
@@ -0,0 +1,242 @@
+/* A record that is split while a node reads the whole ledger: what the node then answers. The
+ * state service is played by hand, answer by answer. */
+#include "coordination/core.h"
+#include "protocol/jsonx.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define JOB "job-000001"
+#define SPEC                                                                                       \
+  "[\"k\",\"crew\",\"i\",0,2,3,4.0,1.0,30.0,1.0,null,39.0,0.0,0.0,null,false,false,true,88.0]"
+#define MAIN(q, more) "{\"w\":\"a.1\",\"s\":0,\"t\":1.0,\"q\":" q ",\"j\":" SPEC more "}"
+#define PAGE(x) "{\"w\":\"a.2\",\"x\":" x "}"
+
+typedef struct {
+  HrNames names;
+  HrSettings *set;
+  HrPolicy policy;
+  HrCore *core;
+  double now;
+  GPtrArray *out; /* effects not answered yet */
+} Rig;
+
+static void
+rig_init (Rig *r)
+{
+  static const char *const settings =
+      "{\"label\":\"c0\",\"area\":\"z\",\"front\":\"127.0.0.1:1\",\"back\":\"127.0.0.1:2\","
+      "\"members\":[{\"label\":\"c1\",\"area\":\"z\",\"endpoint\":\"127.0.0.1:3\"}],"
+      "\"outside\":{\"cloud\":\"127.0.0.1:4\",\"state\":\"127.0.0.1:5\"},\"facts\":{"
+      "\"teams\":[{\"name\":\"crew\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,\"gpus_max\":0}],"
+      "\"workers\":{\"report_s\":2.5,\"lease_s\":14,\"gang_wait_s\":30,\"gang_peer_s\":4,"
+      "\"cancel_s\":36},\"state\":{\"rps\":100,\"write_rps\":50,\"value_kb\":4,\"txn_ops\":12,"
+      "\"next\":{\"value_kb\":2}},\"cloud\":{\"rps\":8,\"list_lag_s\":3}}}";
+  memset (r, 0, sizeof *r);
+  hr_names_init (&r->names);
+  json_t *root = json_loads (settings, 0, NULL);
+  r->set = hr_settings_parse (root, &r->names, NULL);
+  json_decref (root);
+  assert_non_null (r->set);
+  g_autoptr (GHashTable) vars = hr_policy_vars_new ();
+  hr_core_policy_vars (r->set, vars);
+  assert_true (hr_policy_load (SOURCE_ROOT "/deploy/policy.hop", vars, &r->policy, NULL));
+  r->core = hr_core_new (r->set, &r->policy, &r->names, "0-1", 1);
+  r->out = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
+}
+
+static void
+rig_clear (Rig *r)
+{
+  hr_core_free (r->core);
+  hr_settings_free (r->set);
+  hr_names_clear (&r->names);
+  g_ptr_array_unref (r->out);
+}
+
+static void
+step (Rig *r, HrCommand *command)
+{
+  g_autoptr (GPtrArray) commands = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  g_ptr_array_add (commands, command);
+  r->now += 0.1;
+  hr_core_step (r->core, r->now, 1e9 + r->now, commands, r->out);
+}
+
+/* Answers the first open call whose path begins so. */
+static void
+answer (Rig *r, const char *path, const char *body)
+{
+  for (guint i = 0; i < r->out->len; i++) {
+    HrEffect *e = r->out->pdata[i];
+    if (e->kind != HR_E_CALL || !g_str_has_prefix (e->path, path))
+      continue;
+    HrCommand *c = hr_command_new (HR_C_RESULT);
+    c->id = e->id;
+    c->status = 200;
+    c->body = g_bytes_new (body, strlen (body));
+    g_ptr_array_remove_index (r->out, i);
+    step (r, c);
+    return;
+  }
+  fail_msg ("nothing was asked of %s", path);
+}
+
+/* How many tasks the job's user is told are done. */
+static int
+done (Rig *r, const char *changes)
+{
+  HrCommand *c = hr_command_new (HR_C_REQUEST);
+  c->id = 77;
+  c->method = HR_GET;
+  c->path = g_strdup ("/v1/jobs/" JOB);
+  r->now += 2; /* no reading is out by then */
+  step (r, c);
+  for (guint i = 0; i < r->out->len; i++) { /* the watch stays open */
+    HrEffect *e = r->out->pdata[i];
+    if (e->kind == HR_E_CALL && strstr (e->path, "hold_ms=10000"))
+      g_ptr_array_remove_index (r->out, i--);
+  }
+  answer (r, "/changes", changes);
+  for (guint i = 0; i < r->out->len; i++) {
+    HrEffect *e = r->out->pdata[i];
+    if (e->kind != HR_E_REPLY || e->id != 77)
+      continue;
+    json_t *o = json_loads (e->body, 0, NULL);
+    int n = e->status == 200 ? json_integer_value (json_object_get (o, "done")) : -1;
+    json_decref (o);
+    g_ptr_array_remove_index (r->out, i);
+    return n;
+  }
+  return -2;
+}
+
+#define ROW(path, value, stamp) "{\"path\":\"" path "\",\"value\":" value ",\"stamp\":" stamp "}"
+#define SET(path, value, stamp) "{\"set\":\"" path "\",\"value\":" value ",\"stamp\":" stamp "}"
+#define ROWS(rows, more, epoch) "{\"rows\":[" rows "],\"more\":" more ",\"epoch\":" epoch "}"
+#define LOG(log, epoch) "{\"epoch\":" epoch ",\"log\":[" log "]}"
+
+static void
+begin (Rig *r)
+{
+  rig_init (r);
+  step (r, hr_command_new (HR_C_TICK));
+}
+
+/* The main record is read before the split, and the old pages are deleted before the reading
+ * comes to them: what they held is in the staged ones. */
+static void
+old_pages_are_gone (void **state)
+{
+  Rig r;
+  begin (&r);
+  answer (&r, "/kv?", ROWS (ROW ("h/j/" JOB, MAIN ("2", ""), "10"), "true", "20"));
+  answer (&r, "/kv?",
+          ROWS (ROW ("h/u/" JOB "/1/0", PAGE ("[1]"),
+                     "21") "," ROW ("h/u/" JOB "/1/1", PAGE ("[0]"),
+                                    "21") "," ROW ("h/u/" JOB "/1/2", PAGE ("[1]"), "22"),
+                "false", "25"));
+  assert_int_equal (
+      done (&r, LOG (SET ("h/u/" JOB "/1/0", PAGE ("[1]"), "21") "," SET (
+                         "h/u/" JOB "/1/1", PAGE ("[0]"),
+                         "21") "," SET ("h/u/" JOB "/1/2", PAGE ("[1]"),
+                                        "22") "," SET ("h/j/" JOB, MAIN ("1", ",\"u\":1"), "23"),
+                     "25")),
+      2);
+  rig_clear (&r);
+}
+
+/* A page that the reading shows as it became after the split counts as that. */
+static void
+a_page_changes_after_the_split (void **state)
+{
+  Rig r;
+  begin (&r);
+  answer (&r, "/kv?", ROWS (ROW ("h/j/" JOB, MAIN ("0", ",\"x\":[1,0,0]"), "10"), "true", "20"));
+  answer (&r, "/kv?",
+          ROWS (ROW ("h/u/" JOB "/2/0", PAGE ("[1,1]"), "24") "," ROW ("h/u/" JOB "/2/1",
+                                                                       PAGE ("[0]"), "21"),
+                "false", "25"));
+  assert_int_equal (
+      done (&r, LOG (SET ("h/u/" JOB "/2/0", PAGE ("[1,0]"), "21") "," SET (
+                         "h/u/" JOB "/2/1", PAGE ("[0]"),
+                         "21") "," SET ("h/j/" JOB, MAIN ("2", ",\"u\":1"),
+                                        "23") "," SET ("h/u/" JOB "/2/0", PAGE ("[1,1]"), "24"),
+                     "25")),
+      2);
+  rig_clear (&r);
+}
+
+/* Until the main record names them, staged pages are no facts. */
+static void
+staged_pages_are_no_facts (void **state)
+{
+  Rig r;
+  begin (&r);
+  answer (&r, "/kv?",
+          ROWS (ROW ("h/j/" JOB, MAIN ("0", ",\"x\":[1,0,0]"), "10") "," ROW ("h/u/" JOB "/2/0",
+                                                                              PAGE ("[1,1]"), "11"),
+                "false", "20"));
+  assert_int_equal (done (&r, LOG (SET ("h/u/" JOB "/2/1", PAGE ("[1]"), "21"), "21")), 1);
+  rig_clear (&r);
+}
+
+/* All of it in one transaction, the main record first or last. */
+static void
+one_transaction (void **state)
+{
+  static const char *const logs[] = {
+      LOG (SET ("h/j/" JOB, MAIN ("2", ",\"u\":1"),
+                "21") "," SET ("h/u/" JOB "/2/0", PAGE ("[1,1]"),
+                               "21") "," SET ("h/u/" JOB "/2/1", PAGE ("[0]"), "21"),
+           "21"),
+      LOG (SET ("h/u/" JOB "/2/0", PAGE ("[1,1]"),
+                "21") "," SET ("h/u/" JOB "/2/1", PAGE ("[0]"),
+                               "21") "," SET ("h/j/" JOB, MAIN ("2", ",\"u\":1"), "21"),
+           "21")};
+  for (guint i = 0; i < G_N_ELEMENTS (logs); i++) {
+    Rig r;
+    begin (&r);
+    answer (&r, "/kv?", ROWS (ROW ("h/j/" JOB, MAIN ("0", ",\"x\":[1,1,0]"), "10"), "false", "20"));
+    assert_int_equal (done (&r, logs[i]), 2);
+    assert_int_equal (done (&r, LOG (SET ("h/u/" JOB "/2/1", PAGE ("[1]"), "22"), "22")), 3);
+    rig_clear (&r);
+  }
+}
+
+/* Production takes pages of another size for its own: such a record is not written beside it. */
+static void
+production_misreads (void **state)
+{
+  Rig r;
+  rig_init (&r);
+  hr_core_speak (r.core, 0);
+  step (&r, hr_command_new (HR_C_TICK));
+  answer (&r, "/kv?", ROWS (ROW ("h/j/" JOB, MAIN ("0", ",\"x\":[1,1,0]"), "10"), "false", "20"));
+  assert_int_equal (done (&r, LOG (SET ("h/u/" JOB "/2/0", PAGE ("[1,1]"), "21") "," SET (
+                                       "h/u/" JOB "/2/1", PAGE ("[0]"),
+                                       "21") "," SET ("h/j/" JOB, MAIN ("2", ",\"u\":1"), "21"),
+                                   "21")),
+                    2);
+  assert_int_equal (done (&r, LOG (SET ("h/u/" JOB "/2/1", PAGE ("[1]"), "22"), "22")), 2);
+  rig_clear (&r);
+}
+
+static GLogWriterOutput
+silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
+{
+  return level & G_LOG_FLAG_FATAL ? g_log_writer_default (level, f, n, d) : G_LOG_WRITER_HANDLED;
+}
+
+int
+main (void)
+{
+  g_log_set_writer_func (silent, NULL, NULL);
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (old_pages_are_gone), cmocka_unit_test (a_page_changes_after_the_split),
+      cmocka_unit_test (staged_pages_are_no_facts), cmocka_unit_test (one_transaction),
+      cmocka_unit_test (production_misreads)};
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
