After a 429 the owner's records stand back longer than users' writes

At 15 changes a second the owner alone uses up the service's allowance, and the other members' submissions were refused.

--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -69,6 +69,8 @@
   c->txns_out--;
   if (status == 429) /* the allowance is shared: step back a little, out of step */
     c->write_pause = c->now + g_rand_double_range (c->rand, 0.05, 0.15);
+  if (status == 429) /* users of other members come first, whose writes we do not see */
+    c->books_pause = c->now + g_rand_double_range (c->rand, 0.3, 0.6);
   t->fn (c, status, body, sent, t->data);
   json_decref (t->when);
   json_decref (t->writes);
@@ -81,7 +83,7 @@
   static const double keep[HR_TXN_KINDS] = {0, 0.05, 0.3};
   for (int k = 0; k < HR_TXN_KINDS; k++)
     while (!g_queue_is_empty (&c->txns[k]) && c->txns_out < MAX_WRITES_OUT &&
-           c->now >= c->write_pause) {
+           c->now >= (k == HR_TXN_USER ? c->write_pause : MAX (c->write_pause, c->books_pause))) {
       HrTxn *t = g_queue_peek_head (&c->txns[k]);
       if (!hr_bucket_take (&c->write_bucket, c->now, t->changes, keep[k] * c->write_bucket.burst))
         break;
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -97,7 +97,7 @@
   double tidy_at;
   HrBucket write_bucket, cloud_bucket;
   guint txns_out;
-  double write_pause;
+  double write_pause, books_pause;
   HrStateLimits limits; /* that this node plans for */
 
   /* The format of records. */
