--- a/src/coordination/mtedf.c
+++ b/src/coordination/mtedf.c
@@ -145,7 +145,7 @@
   if (order->len < j->ntasks)
     return; /* one slot in each list: there are too few */
   g_autofree double *start = g_new (double, order->len + 1),
-                    *fetch = g_new (double, order->len + 1);
+                    *fetch = g_new0 (double, order->len + 1);
   g_autofree gboolean *used = g_new0 (gboolean, order->len + 1);
   for (guint k = 0; k < order->len; k++) {
     HrMachine *m = order->pdata[k];
--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -111,8 +111,8 @@
     else if (a->klass == klass && a->kind == HR_AIM_DEADLINE)
       boots = MAX (boots, c->pol.headroom_deadlines);
   }
-  return (s->shape == HR_SERVICE ? c->pol.headroom_base : 0) +
-         hr_class_arrivals (c, s, 0) * boot_time (c) * boots + 0.5;
+  double base = s->shape == HR_SERVICE ? c->pol.headroom_base : 0;
+  return lround (base + hr_class_arrivals (c, s, 0) * boot_time (c) * boots);
 }
 
 void
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -3,6 +3,9 @@
 #include <math.h>
 #include <string.h>
 
+/* A class's correction is the mean of about this many samples' effect at the most. */
+#define CORRECTION_WINDOW 40
+
 static HrMachine *
 machine_of (HrCore *c, const HrTask *t)
 {
@@ -214,7 +217,8 @@
     return;
   double ratio = CLAMP (ran / j->spec.estimate, c->pol.correction_least, c->pol.correction_most);
   /* One task counts little: jobs differ far more than a class drifts. */
-  double k = 1.0 / MIN (++s->samples + 1, 40);
+  s->samples++;
+  double k = 1.0 / MIN (2 * s->samples + 1, CORRECTION_WINDOW);
   s->correction += k * (ratio - s->correction);
 }
 
--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -70,7 +70,7 @@
 poll_in_batches (GPollFD *fds, guint n, gint timeout)
 {
   if (timeout < 0 || timeout > GATHER_MS) {
-    g_usleep (GATHER_MS * 1000);
+    g_usleep ((gulong)GATHER_MS * 1000);
     if (timeout > 0)
       timeout -= GATHER_MS;
   }
--- a/src/protocol/jobspec.c
+++ b/src/protocol/jobspec.c
@@ -79,6 +79,29 @@
   return TRUE;
 }
 
+/* TRUE also for what is no array at all. */
+static gboolean
+only_strings (const json_t *array)
+{
+  for (size_t i = 0; i < json_array_size (array); i++)
+    if (!json_is_string (json_array_get (array, i)))
+      return FALSE;
+  return TRUE;
+}
+
+/* Types that the cloud does not offer are dropped; if none is left, the top bit, which no type
+ * has, makes the job fit nothing. No types: any (0). */
+static guint64
+type_bits (const json_t *types, HrNames *names)
+{
+  guint64 bits = 0;
+  for (size_t i = 0; i < json_array_size (types); i++) {
+    guint32 type = hr_intern_find (&names->types, json_string_value (json_array_get (types, i)));
+    bits |= (guint64)1 << MIN (type, 63);
+  }
+  return bits;
+}
+
 gboolean
 hr_jobspec_parse (const json_t *o, HrNames *names, HrJobSpec *s, const char **id, char **reason)
 {
@@ -120,23 +143,15 @@
     return bad (reason, "hulls", "expected an array of machine types, or null");
   if (zone && !json_is_null (zone) && (!json_is_string (zone) || !json_string_length (zone)))
     return bad (reason, "quarry", "expected the name of a zone, or null");
-  size_t i;
-  json_t *t;
-  json_array_foreach (types, i, t) if (!json_is_string (t)) return bad (
-      reason, "hulls", "expected an array of machine types, or null");
+  if (!only_strings (types))
+    return bad (reason, "hulls", "expected an array of machine types, or null");
   if (types && json_is_array (types) && json_array_size (types) == 0)
     return bad (reason, "hulls", "an empty list allows no machine");
   if (!text_field (o, "jobclass", &names->classes, &s->klass, reason) ||
       !text_field (o, "crew", &names->teams, &s->team, reason) ||
       !text_field (o, "bundle", &names->images, &s->image, reason))
     return FALSE;
-  json_array_foreach (types, i, t)
-  {
-    /* Types that the cloud does not offer are dropped; if none is left, the
-     * top bit, which no type has, makes the job fit nothing. */
-    guint32 k = hr_intern_find (&names->types, json_string_value (t));
-    s->types |= k < 63 ? (guint64)1 << k : (guint64)1 << 63;
-  }
+  s->types = type_bits (types, names);
   s->zone = json_is_string (zone) ? hr_intern (&names->zones, json_string_value (zone)) : HR_NONE;
   return TRUE;
 }
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* An answer larger than this is not read: no peer of ours has cause to send it. */
-#define MAX_ANSWER (8 * 1024 * 1024)
+#define MAX_ANSWER ((gsize)8 * 1024 * 1024)
 /* Calls that may wait longer are watches. */
 #define WATCH_S 10
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -113,7 +113,7 @@
   MHD_destroy_response (r);
   gint64 now = g_get_monotonic_time ();
   s->shed++;
-  if (now - s->shed_at > SHED_LOG_S * G_USEC_PER_SEC) {
+  if (now - s->shed_at > (gint64)SHED_LOG_S * G_USEC_PER_SEC) {
     g_warning ("nearly all of %u connections are in use: %u users' requests sent away",
                s->connections, s->shed);
     s->shed_at = now;
