--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -452,6 +452,13 @@
   w_at (w, 0.05, leases_tick, NULL);
 }
 
+const char *
+store_text (World *w, const char *key)
+{
+  const SKey *k = g_hash_table_lookup (w->keys, key);
+  return k ? k->text : "";
+}
+
 void
 store_free (World *w)
 {
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -498,6 +498,29 @@
   w_at (w, at, paged_job, NULL);
 }
 
+typedef struct {
+  guint tasks;
+  double run, cancel_at;
+} ArrayWanted;
+
+static void
+array_wanted (World *w, gpointer p)
+{
+  g_autofree ArrayWanted *a = p;
+  SJob *j = batch_of (w, a->tasks, a->run);
+  j->cancel = a->cancel_at > 0;
+  j->due_cancel = a->cancel_at;
+  send_in (w, j);
+}
+
+void
+users_array (World *w, guint tasks, double run, double at, double cancel_at)
+{
+  ArrayWanted *a = g_new (ArrayWanted, 1);
+  *a = (ArrayWanted){tasks, run, cancel_at};
+  w_at (w, at, array_wanted, a);
+}
+
 static void
 borrower (World *w, gpointer p)
 {
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -183,7 +183,7 @@
     }
     t = cut + delay (w);
   }
-  if (!w->calm && w_rand (w, 0, 1) < w->loss) {
+  if (r->answer_lost || (!w->calm && w_rand (w, 0, 1) < w->loss)) {
     g_free (body);
     return;
   }
@@ -268,6 +268,10 @@
       return;
     t = cut + delay (w);
   }
+  if (w->choose) {
+    w_meet_fate (w, r, w->choose (w, r, w->choose_data), t, arrive);
+    return;
+  }
   if (!w->calm && worker && w->late_orders > 0 && w_rand (w, 0, 1) < w->late_orders) {
     r->refs++;
     w_at (w, t + w_rand (w, 30, 75), arrive, r);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -8,6 +8,18 @@
 typedef struct World World;
 typedef void (*WFn) (World *w, gpointer data);
 
+/* What becomes of one request, where a search decides it instead of the drawn losses. */
+typedef enum {
+  FATE_DELIVERED,
+  FATE_LOST,        /* never carried out */
+  FATE_ANSWER_LOST, /* carried out at once; its answer is lost */
+  FATE_LATE,        /* carried out seconds after its sender gave up */
+  FATE_COPIED,      /* carried out at once, and again later */
+  FATE_ENDS_BACK,   /* carried out; the controller concerned ends then, and is back at once */
+  FATE_ENDS_AWAY,   /* the same, and it stays away for longer than a leader's lease */
+  FATE_COUNT
+} WFate;
+
 /* A request on its way, to any server of the world, and its way back. */
 typedef struct {
   int node; /* asking controller, or -1: a worker or user asks a controller */
@@ -19,6 +31,7 @@
   char *addr, *path, *body;
   double timeout;
   gboolean answered;
+  gboolean answer_lost;
   int refs;
   int machine; /* of the asking worker, or -1 */
   void (*done) (World *w, int status, json_t *body, gpointer data);
@@ -141,6 +154,9 @@
   gboolean calm;      /* no more faults */
   double calm_at;
   guint invented_asked;
+  /* A search's choice for each request; NULL: losses are drawn. */
+  WFate (*choose) (World *w, const Req *r, gpointer data);
+  gpointer choose_data;
 };
 
 /* Who is at work, for logs. */
@@ -164,12 +180,17 @@
 void w_answer (World *w, Req *r, int status, char *body);
 void req_unref (Req *r);
 
+/* fate.c: lets the request meet that fate at time t; `arrive` hands it to its receiver. */
+void w_meet_fate (World *w, Req *r, WFate fate, double t, WFn arrive);
+
 void node_start (World *w, int i);
 void node_kill (World *w, int i);
 
 void store_request (World *w, Req *r);
 void store_init (World *w);
 gboolean store_names (World *w, const char *machine);
+/* The value of a key, as text. */
+const char *store_text (World *w, const char *key);
 guint store_garbage (World *w);
 guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
@@ -190,6 +211,9 @@
 /* Gangs of which one task has its image at once, and others after more than gang_wait_s.
  * fickle: one more is withdrawn while it fetches. */
 void users_long_fetches (World *w, gboolean fickle);
+/* One array of equal tasks of `run` seconds each, sent in at `at`; withdrawn at `cancel_at` (0:
+ * never). */
+void users_array (World *w, guint tasks, double run, double at, double cancel_at);
 /* Services that run until the end, of small images. */
 void users_services (World *w, guint n, guint tasks, double at);
 /* The first team fills the fleet with long work; later the second one wants what it is
--- /dev/null
+++ b/tests/test_exhaustive.c
@@ -0,0 +1,239 @@
+/* Bounded exhaustive search over the fates of single requests, on a small cluster: two controllers,
+ * one machine, one job at a time. The default schedule delivers everything; a schedule of depth d
+ * gives d requests of the window another fate (lost, answer lost, late, copied, a controller ends).
+ * All schedules up to the depth are played through the real hr_core_step, and every rule of the
+ * protocol is asserted at every event.
+ *
+ *   test_exhaustive SCENARIO DEPTH [STRIDE]   plays every STRIDE-th schedule of the last depth
+ *   test_exhaustive SCENARIO replay P:F ...   one schedule: fate F for the request number P
+ */
+#include "sim/world.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_DEPTH 4
+#define SEED 7
+#define END_S 190.0
+
+typedef struct {
+  guint point; /* number of the request within the window */
+  WFate fate;
+} Deviation;
+
+typedef struct {
+  Deviation deviations[MAX_DEPTH];
+  guint depth;
+} Schedule;
+
+typedef struct {
+  const char *name;
+  double from, to; /* the window, s */
+  guint tasks;
+  double run, at, cancel_at;
+} Scenario;
+
+/* An earlier array has a machine up by 40 s. */
+static const Scenario scenarios[] = {
+    {"accept", 39.9, 42.0, 1, 4, 40, 0},
+    {"end", 43.0, 47.0, 1, 4, 40, 0},
+    {"cancel", 41.5, 46.0, 2, 30, 40, 42},
+    {"cancel_at_end", 43.5, 47.0, 1, 4, 40, 44.6},
+};
+
+typedef struct {
+  const Scenario *scenario;
+  const Schedule *schedule;
+  guint points;
+  GHashTable *states; /* text digests of the outside world at the requests of the window */
+} Play;
+
+typedef struct {
+  GHashTable *states;
+  guint64 schedules, broken;
+} Totals;
+
+/* Fates that make sense for the request: readings and renewals always reach. */
+static gboolean
+is_point (const Req *r)
+{
+  if (r->node < 0)
+    return strcmp (r->path, "/ready") != 0;
+  return r->method == HR_POST && (r->target == HR_TO_WORKER ||
+                                  (r->target == HR_TO_STORE && strcmp (r->path, "/commit") == 0));
+}
+
+/* What is recorded, what is on the machines and what users were told: not the cores' memory, so
+ * equal digests do not end a search, they are only counted. */
+static char *
+digest (World *w)
+{
+  g_autoptr (GChecksum) sum = g_checksum_new (G_CHECKSUM_SHA256);
+  g_autoptr (GList) keys = g_list_sort (g_hash_table_get_keys (w->keys), (GCompareFunc)strcmp);
+  for (GList *k = keys; k; k = k->next) {
+    const char *text = store_text (w, k->data);
+    g_checksum_update (sum, k->data, -1);
+    g_checksum_update (sum, (const guchar *)text, -1);
+  }
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    for (guint t = 0; t < m->tasks->len; t++) {
+      const STask *task = &g_array_index (m->tasks, STask, t);
+      guint32 facts[] = {i, m->tenure, task->job, task->task, task->try, task->state};
+      g_checksum_update (sum, (const guchar *)facts, sizeof facts);
+    }
+  }
+  for (guint i = 0; i < w->jobs->len; i++) {
+    const SJob *j = w->jobs->pdata[i];
+    guint32 told[] = {j->accepted, j->told_done > 0, j->told_withdrawn > 0};
+    g_checksum_update (sum, (const guchar *)told, sizeof told);
+  }
+  return g_strdup (g_checksum_get_string (sum));
+}
+
+static WFate
+choose (World *w, const Req *r, gpointer data)
+{
+  Play *play = data;
+  if (w->now < play->scenario->from || w->now > play->scenario->to || !is_point (r))
+    return FATE_DELIVERED;
+  guint point = play->points++;
+  g_hash_table_add (play->states, digest (w));
+  for (guint i = 0; i < play->schedule->depth; i++)
+    if (play->schedule->deviations[i].point == point)
+      return play->schedule->deviations[i].fate;
+  return FATE_DELIVERED;
+}
+
+static void
+show (const Scenario *scenario, const Schedule *schedule, const World *w)
+{
+  fprintf (stderr, "%s replay", scenario->name);
+  for (guint i = 0; i < schedule->depth; i++)
+    fprintf (stderr, " %u:%d", schedule->deviations[i].point, schedule->deviations[i].fate);
+  for (guint i = 0; i < MIN (w->broken->len, 4); i++)
+    fprintf (stderr, "\n    %s", (char *)w->broken->pdata[i]);
+  fprintf (stderr, "\n");
+}
+
+static void
+check_ends (World *w)
+{
+  for (guint i = 0; i < w->jobs->len; i++) {
+    const SJob *j = w->jobs->pdata[i];
+    if (!j->accepted)
+      w_broken (w, "liveness", "%s was never accepted", j->id);
+    else if (!j->told_done && !j->told_withdrawn)
+      w_broken (w, "liveness", "%s came to no end", j->id);
+  }
+}
+
+/* Plays one schedule; gives the number of requests in the window. */
+static guint
+play_schedule (const Scenario *scenario, const Schedule *schedule, Totals *totals)
+{
+  Play play = {scenario, schedule, 0, totals->states};
+  World *w = world_new (SEED, 2);
+  w->loss = w->dup = 0;
+  w->capacity = 1;
+  w->choose = choose;
+  w->choose_data = &play;
+  users_init (w, 0, 0);
+  users_probe (w);
+  users_array (w, 1, 8, 1, 0);
+  users_array (w, scenario->tasks, scenario->run, scenario->at, scenario->cancel_at);
+  world_run (w, END_S);
+  check_ends (w);
+  if (w->broken->len)
+    show (scenario, schedule, w);
+  totals->broken += w->broken->len > 0;
+  totals->schedules++;
+  world_free (w);
+  return play.points;
+}
+
+/* All schedules that begin as this one does and go to `depth`; of the deepest each stride-th. */
+static void
+search (const Scenario *scenario, const Schedule *schedule, guint depth, guint stride,
+        Totals *totals, guint64 *number)
+{
+  guint points = play_schedule (scenario, schedule, totals);
+  if (schedule->depth == depth)
+    return;
+  Schedule next = *schedule;
+  Deviation *last = &next.deviations[next.depth++];
+  guint first = schedule->depth ? schedule->deviations[schedule->depth - 1].point + 1 : 0;
+  for (last->point = first; last->point < points; last->point++)
+    for (guint fate = FATE_DELIVERED + 1; fate < FATE_COUNT; fate++) {
+      last->fate = fate;
+      if (next.depth == depth && (*number)++ % stride)
+        continue;
+      search (scenario, &next, depth, stride, totals, number);
+    }
+}
+
+static gboolean
+parse_schedule (char **words, Schedule *schedule)
+{
+  for (; *words; words++) {
+    guint point, fate;
+    if (schedule->depth == MAX_DEPTH || sscanf (*words, "%u:%u", &point, &fate) != 2 ||
+        fate >= FATE_COUNT)
+      return FALSE;
+    schedule->deviations[schedule->depth++] = (Deviation){point, fate};
+  }
+  return TRUE;
+}
+
+static GLogWriterOutput
+no_log (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
+{
+  return G_LOG_WRITER_HANDLED;
+}
+
+static GLogWriterOutput
+log_with_time (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
+{
+  for (gsize i = 0; i < n; i++)
+    if (strcmp (fields[i].key, "MESSAGE") == 0)
+      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (char *)fields[i].value);
+  return G_LOG_WRITER_HANDLED;
+}
+
+static int
+usage (void)
+{
+  fprintf (stderr, "usage: test_exhaustive SCENARIO DEPTH [STRIDE] | SCENARIO replay P:F ...\n");
+  return 2;
+}
+
+int
+main (int argc, char **argv)
+{
+  const Scenario *scenario = NULL;
+  for (guint i = 0; argc >= 3 && i < G_N_ELEMENTS (scenarios); i++)
+    if (strcmp (scenarios[i].name, argv[1]) == 0)
+      scenario = &scenarios[i];
+  if (!scenario)
+    return usage ();
+  g_log_set_writer_func (g_getenv ("HR_SIM_VERBOSE") ? log_with_time : no_log, NULL, NULL);
+  g_autoptr (GHashTable) states = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  Totals totals = {states, 0, 0};
+  Schedule schedule = {0};
+  gint64 began = g_get_monotonic_time ();
+  guint depth = 0;
+  if (strcmp (argv[2], "replay") == 0) {
+    if (!parse_schedule (argv + 3, &schedule))
+      return usage ();
+    play_schedule (scenario, &schedule, &totals);
+  } else {
+    guint64 number = 0;
+    depth = CLAMP (atoi (argv[2]), 0, MAX_DEPTH);
+    search (scenario, &schedule, depth, argc > 3 ? MAX (1, atoi (argv[3])) : 1, &totals, &number);
+  }
+  printf ("%s: depth %u, %" G_GUINT64_FORMAT " schedules, %u states, %.1f s, %" G_GUINT64_FORMAT
+          " broken\n",
+          scenario->name, depth, totals.schedules, g_hash_table_size (states),
+          (g_get_monotonic_time () - began) / (double)G_USEC_PER_SEC, totals.broken);
+  return totals.broken != 0;
+}
