Simulated troubles as typed switches; answers checked by one clock

answers.c checks went_back and forgotten by one clock of questions and answers over all controllers, and that done and withdrawn exclude one another in whatever order.

--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -86,7 +86,7 @@
     m->tasks = g_array_new (FALSE, TRUE, sizeof (STask));
     m->images = g_hash_table_new (g_direct_hash, g_direct_equal);
     double b = w_rand (w, 0, 1) < 0.05 ? 1 : w_rand (w, 12, 30);
-    m->boots = w_rand (w, 0, 1) < 0.04 ? 1e9 : w->now + b;
+    m->boots = troubles_boots (w, w_rand (w, 0, 1) < 0.04 ? 1e9 : w->now + b);
     g_ptr_array_add (w->machines, m);
     json_array_append_new (names, json_string (m->name));
     if (m->boots < 1e8)
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -527,9 +527,11 @@
     w_at (w, t, change_owner, NULL);
 }
 
-static void
-calm (World *w, gpointer p)
+void
+world_calm (World *w, gpointer unused)
 {
+  if (w->now < MAX (w->faults_to, w->troubles.over_at))
+    return;
   w->calm = TRUE;
   w->calm_at = w->now;
 }
@@ -539,5 +541,6 @@
 {
   for (guint i = 0; i < n; i++)
     w_at (w, w_rand (w, from, to), fault, NULL);
-  w_at (w, to, calm, NULL);
+  w->faults_to = to;
+  w_at (w, to, world_calm, NULL);
 }
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -260,6 +260,8 @@
     const char *set = json_string_value (json_object_get (e, "set"));
     note_assignments (w, e);
     note_decision (w, r, e);
+    if (g_strcmp0 (set, "h/map") == 0)
+      troubles_map (w, json_object_get (e, "value"));
     if (set)
       change (w, set, hr_json_take_text (json_incref (json_object_get (e, "value"))),
               json_integer_value (json_object_get (e, "claim")));
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -13,135 +13,119 @@
   return w->jobs->pdata[v - 1];
 }
 
-typedef struct {
-  SJob *j;
-  double sent;
-} Ask;
-
 static void submit (World *w, gpointer p);
 static void poll (World *w, gpointer p);
 static void cancel (World *w, gpointer p);
 
-static Ask *
-ask (World *w, SJob *j)
-{
-  Ask *a = g_new (Ask, 1);
-  *a = (Ask){j, w->now};
-  return a;
-}
-
 static int
 any_node (World *w)
 {
   return g_rand_int_range (w->rand, 0, w->n);
 }
 
-static gboolean
-all_done (const SJob *j)
-{
-  for (guint i = 0; i < j->tasks; i++)
-    if (!j->done[i])
-      return FALSE;
-  return TRUE;
-}
+/* ---- one question each ---- */
 
-/* What a user is told must never go back. sent: when he asked. */
 static void
-told (World *w, SJob *j, json_t *body, double sent)
+on_poll (World *w, int status, json_t *body, gpointer p)
 {
-  const char *st = json_string_value (json_object_get (body, "stance"));
-  if (!st)
-    return;
-  if (!json_object_get (body, "reason"))
-    w_broken (w, "reason", "%s: an answer without a reason", j->id);
-  gboolean done = strcmp (st, "done") == 0, gone = strcmp (st, "withdrawn") == 0;
-  if (done && (j->shape == HR_SERVICE || !all_done (j)))
-    w_broken (w, "not_done", "%s is called done", j->id);
-  if (gone && !j->asked_cancel)
-    w_broken (w, "went_back", "%s is called withdrawn, nobody asked for that", j->id);
-  if ((j->told_done && j->told_done < sent && !done) ||
-      (j->told_withdrawn && j->told_withdrawn < sent && !gone))
-    w_broken (w, "went_back", "%s is called %s", j->id, st);
-  if (done && !j->told_done)
-    j->told_done = w->now;
-  if (gone && !j->told_withdrawn)
-    j->told_withdrawn = w->now;
-  j->ok_at = w->now;
+  Question *q = p;
+  if (status == 200)
+    answer_check (w, q, status, body);
+  else if (status == 404)
+    answer_unknown (w, q, "a question", status);
+  g_free (q);
 }
 
 static void
-on_poll (World *w, int status, json_t *body, gpointer p)
+on_regular_poll (World *w, int status, json_t *body, gpointer p)
 {
-  Ask *a = p;
-  SJob *j = a->j;
-  if (status == 200)
-    told (w, j, body, a->sent);
-  else if (status == 404 && j->accepted)
-    w_broken (w, "forgotten", "%s gets 404", j->id);
+  SJob *j = ((Question *)p)->job;
+  on_poll (w, status, body, p);
   if (!w->calm && w_rand (w, 0, 1) < 0.02)
     w_at (w, w->now + w_rand (w, 1, 20), submit, j); /* a late retry of the submission */
   w_at (w, w->now + (j->told_done || j->told_withdrawn ? 15 : 5), poll, j);
-  g_free (a);
 }
 
 static void
-poll (World *w, gpointer p)
+ask_at (World *w, SJob *j, int node, void (*done) (World *, int, json_t *, gpointer))
 {
-  SJob *j = p;
   g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, NULL);
-  w_ask (w, any_node (w), -1, HR_GET, path, NULL, 2, on_poll, ask (w, j));
+  w_ask (w, node, -1, HR_GET, path, NULL, 2, done, question_new (w, j));
+}
+
+void
+user_poll_at (World *w, SJob *j, int node)
+{
+  ask_at (w, j, node < 0 ? any_node (w) : node, on_poll);
+}
+
+static void
+poll (World *w, gpointer p)
+{
+  ask_at (w, p, any_node (w), on_regular_poll);
 }
 
 static void
 on_submit (World *w, int status, json_t *body, gpointer p)
 {
-  Ask *a = p;
-  SJob *j = a->j;
+  Question *q = p;
+  SJob *j = q->job;
   if (status == 201 || status == 200) {
     if (!j->accepted) {
       w_at (w, w->now + 1, poll, j);
       if (j->cancel)
         w_at (w, j->due_cancel, cancel, j);
-    }
-    if (!j->accepted)
       j->accepted_at = w->now;
+    }
     j->accepted = TRUE;
-    told (w, j, body, a->sent);
+    answer_check (w, q, status, body);
   } else if (status == 400 || status == 422) {
-    w_broken (w, j->accepted ? "forgotten" : "status", "%s gets %d", j->id, status);
+    answer_unknown (w, q, "its submission", status);
   } else if (!j->accepted)
     w_at (w, w->now + 1, submit, j);
-  g_free (a);
+  g_free (q);
+}
+
+void
+user_submit_at (World *w, SJob *j, int node)
+{
+  j->submitted = TRUE;
+  w_ask (w, node < 0 ? any_node (w) : node, -1, HR_POST, "/v1/jobs", g_strdup (j->body), 5,
+         on_submit, question_new (w, j));
 }
 
 static void
 submit (World *w, gpointer p)
 {
-  SJob *j = p;
-  j->submitted = TRUE;
-  w_ask (w, any_node (w), -1, HR_POST, "/v1/jobs", g_strdup (j->body), 5, on_submit, ask (w, j));
+  user_submit_at (w, p, -1);
 }
 
 static void
 on_cancel (World *w, int status, json_t *body, gpointer p)
 {
-  Ask *a = p;
+  Question *q = p;
   if (status == 200)
-    told (w, a->j, body, a->sent);
+    answer_check (w, q, status, body);
   else if (status == 404)
-    w_broken (w, "forgotten", "cancelling %s gets 404", a->j->id);
+    answer_unknown (w, q, "its cancellation", status);
   else
-    w_at (w, w->now + 1, cancel, a->j);
-  g_free (a);
+    w_at (w, w->now + 1, cancel, q->job);
+  g_free (q);
 }
 
-static void
-cancel (World *w, gpointer p)
+void
+user_cancel_at (World *w, SJob *j, int node)
 {
-  SJob *j = p;
   j->asked_cancel = TRUE;
   g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, "/abort", NULL);
-  w_ask (w, any_node (w), -1, HR_POST, path, NULL, 5, on_cancel, ask (w, j));
+  w_ask (w, node < 0 ? any_node (w) : node, -1, HR_POST, path, NULL, 5, on_cancel,
+         question_new (w, j));
+}
+
+static void
+cancel (World *w, gpointer p)
+{
+  user_cancel_at (w, p, -1);
 }
 
 void
@@ -151,9 +135,8 @@
     SJob *j = w->jobs->pdata[i];
     if (j->shape != HR_SERVICE || !j->started || j->cancel)
       continue;
-    j->cancel = j->asked_cancel = TRUE;
-    g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, "/abort", NULL);
-    w_ask (w, node, -1, HR_POST, path, NULL, 5, on_cancel, ask (w, j));
+    j->cancel = TRUE;
+    user_cancel_at (w, j, node);
     return;
   }
 }
@@ -206,6 +189,7 @@
   j->started = w->now;
   if (!j->first && j->shape != HR_GANG) /* a gang begins when all its tasks run */
     j->first = w->now;
+  w->started_withdrawn += j->heard_withdrawn > 0;
   if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
     w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
   if (m->spot && !j->spot)
--- a/tests/sim/worker.c
+++ b/tests/sim/worker.c
@@ -225,6 +225,8 @@
       }
     j->done[t->task] = TRUE;
     end (w, m, t, "done");
+    if (job_all_done (j))
+      troubles_job_ended (w, j);
   } else if (t->state == S_SAVE && w->now >= t->until) {
     j->progress[j->shape == HR_GANG ? 0 : t->task] = t->base;
     t->kept = TRUE;
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -144,6 +144,14 @@
   Node *n = &w->nodes[r->node >= 0 ? r->node : r->to];
   double t = 0;
   *hold = n->hold;
+  SMachine *worker = r->machine >= 0                             ? w->machines->pdata[r->machine]
+                     : r->target == HR_TO_WORKER && r->node >= 0 ? machine_at (w, r->addr)
+                                                                 : NULL;
+  double zone = troubles_zone_cut (w, r, worker);
+  if (zone > w->now) {
+    *hold = w->troubles.zone_hold;
+    return zone;
+  }
   if (r->node < 0) {
     t = r->machine >= 0 ? n->cut_workers : n->cut_users;
     if (r->machine >= 0) {
@@ -170,9 +178,9 @@
 w_answer (World *w, Req *r, int status, char *body)
 {
   gboolean hold;
-  double cut = cut_until (w, r, &hold), t = w->now + delay (w);
-  if (r->node < 0 && r->machine >= 0 &&
-      ((SMachine *)w->machines->pdata[r->machine])->deaf > w->now) {
+  double cut = cut_until (w, r, &hold), t = w->now + delay (w) + troubles_delay (w, r);
+  if (r->answer_lost || (r->node < 0 && r->machine >= 0 &&
+                         ((SMachine *)w->machines->pdata[r->machine])->deaf > w->now)) {
     g_free (body);
     return;
   }
@@ -195,8 +203,8 @@
 
 /* ---- requests ---- */
 
-static void
-arrive (World *w, gpointer p)
+void
+req_arrive (World *w, gpointer p)
 {
   Req *r = p;
   if (r->node >= 0) {
@@ -235,20 +243,26 @@
   deliver_answer (w, a); /* no answer came; drops the reference too */
 }
 
-/* A copy of a report comes seconds to well over a lease later. Nobody waits for its answer. */
-static void
-late_copy (World *w, Req *r)
+Req *
+req_copy (const Req *r, int to)
 {
   Req *c = g_new0 (Req, 1);
   c->node = -1;
-  c->to = r->to;
+  c->to = to;
   c->machine = r->machine;
   c->method = r->method;
   c->path = g_strdup (r->path);
   c->body = g_strdup (r->body);
   c->answered = TRUE;
   c->refs = 1;
-  w_at (w, w->now + w_rand (w, 1, 90), arrive, c);
+  return c;
+}
+
+/* A copy of a report comes seconds to well over a lease later. Nobody waits for its answer. */
+static void
+late_copy (World *w, Req *r)
+{
+  w_at (w, w->now + w_rand (w, 1, 90), req_arrive, req_copy (r, r->to));
 }
 
 static void
@@ -268,24 +282,26 @@
       return;
     t = cut + delay (w);
   }
+  if (troubles_take (w, r, t))
+    return;
   if (!w->calm && worker && w->late_orders > 0 && w_rand (w, 0, 1) < w->late_orders) {
     r->refs++;
-    w_at (w, t + w_rand (w, 30, 75), arrive, r);
+    w_at (w, t + w_rand (w, 30, 75), req_arrive, r);
     return;
   }
   if (!w->calm && w_rand (w, 0, 1) < w->loss) {
     if (r->node >= 0 && w_rand (w, 0, 1) < 0.5) { /* no answer, but carried out later */
       r->refs++;
-      w_at (w, t + w_rand (w, 3, w->late), arrive, r);
+      w_at (w, t + w_rand (w, 3, w->late), req_arrive, r);
     }
     return;
   }
   r->refs++;
-  w_at (w, t, arrive, r);
+  w_at (w, t, req_arrive, r);
   /* Late copies: what was sent once may be carried out again, minutes later. */
   if (!w->calm && r->node >= 0 && w_rand (w, 0, 1) < w->dup) {
     r->refs++;
-    w_at (w, t + w_rand (w, 0.05, w->late), arrive, r);
+    w_at (w, t + w_rand (w, 0.05, w->late), req_arrive, r);
   }
 }
 
@@ -393,6 +409,7 @@
       if (e->status == 200 && strcmp (r->path, "/hello") == 0) {
         check_launches (w, i, e->body);
         check_order (w, i, r->body, e->body);
+        troubles_reply (w, i, e->body);
       }
       /* An owner that has not read what others decided may have been replaced, or keep a
        * withdrawn job's tasks alive for ever. */
@@ -609,6 +626,7 @@
   w->loss = 0.002;
   w->dup = 0.004;
   w->late = 60;
+  troubles_init (w, seed);
   store_init (w);
   cloud_init (w);
   for (int i = 0; i < w->n; i++)
@@ -648,6 +666,7 @@
 {
   for (int i = 0; i < w->n; i++)
     node_kill (w, i);
+  troubles_free (w);
   store_free (w);
   cloud_free (w);
   if (w->jobs)
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -3,9 +3,9 @@
  * same seed plays the same day. Every rule of the protocol is checked. */
 #pragma once
 #include "coordination/core.h"
+#include "sim/troubles.h"
 #include <jansson.h>
 
-typedef struct World World;
 typedef void (*WFn) (World *w, gpointer data);
 
 /* A request on its way, to any server of the world, and its way back. */
@@ -19,6 +19,7 @@
   char *addr, *path, *body;
   double timeout;
   gboolean answered;
+  gboolean answer_lost; /* whatever it is answered does not arrive */
   int refs;
   int machine; /* of the asking worker, or -1 */
   void (*done) (World *w, int status, json_t *body, gpointer data);
@@ -77,6 +78,7 @@
   double report_sent, token_told;
   double cut, hang; /* until when */
   double deaf;      /* until when answers and commands do not reach it; reports leave */
+  double mute;      /* until when it reaches no controller; commands reach it */
   gboolean hold;
   double warned; /* taken at; 0: no notice */
   gboolean faulty, through_cut;
@@ -94,6 +96,8 @@
   gboolean cancel, asked_cancel;
   double due_cancel, told_withdrawn, told_done, started, first, done_at;
   double poll_at, ok_at;
+  /* By the clock of answers (World.answers), 0: not yet: when a user first heard that it is */
+  guint64 heard_accepted, heard_done, heard_withdrawn;
   double accepted_at;
   gboolean large, forgotten, lost_place;
   const char *team; /* NULL: the first one */
@@ -139,7 +143,10 @@
                          late */
   double copies;      /* share of reports of which a copy comes late */
   gboolean calm;      /* no more faults */
-  double calm_at;
+  double calm_at, faults_to;
+  HrTroubles troubles;
+  guint64 answers;         /* counts what users ask and hear: the one clock of answers */
+  guint started_withdrawn; /* starts after a confirmed cancellation */
   guint invented_asked;
 };
 
@@ -183,6 +190,51 @@
 void worker_boot (World *w, SMachine *m);
 void machine_stop_all (World *w, SMachine *m, const char *why);
 void users_init (World *w, guint jobs, double span);
+/* This user polls, submits again or cancels now, at that node (-1: any). */
+void user_poll_at (World *w, SJob *j, int node);
+void user_submit_at (World *w, SJob *j, int node);
+void user_cancel_at (World *w, SJob *j, int node);
+gboolean job_all_done (const SJob *j);
+/* A request of a worker or user that has left arrives at its controller now, or if it has left
+ * one at the server it asks. Takes a reference. */
+void req_arrive (World *w, gpointer req);
+/* A copy of a worker's report, for whose answer nobody waits. */
+Req *req_copy (const Req *r, int to);
+
+/* ---- answers.c: what users are told, by one clock of answers ---- */
+
+/* The newest fact about a job that any user had heard when a question left. */
+typedef struct {
+  SJob *job;
+  guint64 sent; /* World.answers then */
+} Question;
+Question *question_new (World *w, SJob *j);
+/* An answer of 200 or 201 to this question: nothing older than was heard before it was sent. */
+void answer_check (World *w, const Question *q, int status, json_t *body);
+/* 404, 400 or 422. */
+void answer_unknown (World *w, const Question *q, const char *what, int status);
+
+/* ---- troubles.c: where the stand-ins meet them ---- */
+
+void troubles_init (World *w, guint32 seed);
+void troubles_free (World *w);
+double trouble_rand (World *w, double lo, double hi);
+/* Takes over a request on its way (t: when it would arrive). FALSE: it goes on as always. */
+gboolean troubles_take (World *w, Req *r, double t);
+/* Until when a cut zone parts the two ends of this request; 0: it does not. m: the worker. */
+double troubles_zone_cut (World *w, const Req *r, const SMachine *m);
+/* How much later than usual this request's answer leaves. */
+double troubles_delay (World *w, const Req *r);
+/* When a machine rented now is up. at: as the cloud has drawn it. */
+double troubles_boots (World *w, double at);
+/* The map is written: who leads, and the token. */
+void troubles_map (World *w, json_t *map);
+/* A controller answers a worker with 200. */
+void troubles_reply (World *w, int node, const char *answer);
+/* The last task of this job has ended. */
+void troubles_job_ended (World *w, SJob *j);
+/* Users were first told that it is accepted, done or withdrawn. */
+void troubles_told (World *w, SJob *j, gboolean accepted);
 /* Probes every controller as a load balancer does. */
 void users_probe (World *w);
 /* The user of a running service withdraws it, at this node. */
@@ -211,6 +263,8 @@
 void judge_tick (World *w);
 SJob *job_by_id (World *w, const char *id, guint32 *index);
 void faults_init (World *w, guint n, double from, double to);
+/* No trouble begins any more, unless one is planned for later. */
+void world_calm (World *w, gpointer unused);
 /* All controllers are behind a cut for 30 s that holds packets back. */
 void faults_held_cut (World *w, double at);
 /* The state service answers no controller for 50 s; they hear one another, and workers. */
