Jobs that await others: form, submission, derived withdrawal, readiness, urgency

A submission may name jobs that have to be done first (`awaits`). Kept in the main record as "a", beside the description, and only where there are any. A job that waits has no place among the open jobs; a withdrawal is derived at every node from the ledger as followed; deadline and rank flow up to the jobs that are needed.

--- /dev/null
+++ b/src/bookkeeping/dependencies.c
@@ -0,0 +1,145 @@
+/* Jobs that await others. A job is withdrawn when its record says so, or when one that it
+ * awaits is: that is derived here from the ledger as followed, at every node alike, and rests on
+ * no further write. Tombstones are kept for ever, so what was derived once is derived again.
+ *
+ * Edges are kept both ways. A record may be read before those of the jobs that it names; their
+ * rows are unknown until then, and an unknown job counts as not done.
+ *
+ * No recursion: chains may be hundreds of jobs long, and thousands may await one. */
+#include "coordination/state.h"
+
+/* Tombstones of derived withdrawals that are begun in one tick. */
+#define TOMBSTONES_A_TICK 2
+
+static gboolean
+final (const HrJob *j)
+{
+  return j->known && j->stance != HR_QUEUED;
+}
+
+static void
+name_awaited (HrCore *c, HrJob *j, const char *const *ids)
+{
+  guint n = ids ? g_strv_length ((GStrv)ids) : 0;
+  if (j->nawaits || !n)
+    return; /* what a job awaits never changes */
+  j->awaits = g_new0 (HrJob *, n);
+  for (guint i = 0; i < n; i++) {
+    HrJob *awaited = hr_job_get (c, ids[i]);
+    j->awaits[i] = awaited;
+    if (final (awaited))
+      continue;
+    if (!awaited->dependents)
+      awaited->dependents = g_ptr_array_new ();
+    g_ptr_array_add (awaited->dependents, j);
+  }
+  j->nawaits = n;
+}
+
+/* The cancelled job that takes this one along, or NULL. */
+static HrJob *
+cancelled_before (const HrJob *j)
+{
+  for (guint i = 0; i < j->nawaits; i++) {
+    HrJob *awaited = j->awaits[i];
+    if (final (awaited) && awaited->stance == HR_WITHDRAWN)
+      return awaited->withdrawn_with ? awaited->withdrawn_with : awaited;
+  }
+  return NULL;
+}
+
+/* Its record is to become a tombstone, when the allowance for changes has nothing else to do. */
+static void
+note_for_tombstone (HrCore *c, const HrJob *j)
+{
+  g_array_append_val (c->tombstones, j->idx);
+}
+
+static void
+derive_withdrawn (HrCore *c, HrJob *j, HrJob *root)
+{
+  j->stance = HR_WITHDRAWN;
+  j->withdrawn_with = root;
+  g_debug ("%s is withdrawn with %s", j->id, root->id);
+  if (c->leads && j->nlive)
+    hr_job_withdrawn (c, j); /* it cannot have a task; should it, that is stopped */
+  else
+    note_for_tombstone (c, j);
+}
+
+static void
+become_ready (HrCore *c, HrJob *j)
+{
+  g_debug ("%s waits for no other job any more", j->id);
+  hr_job_open (c, j);
+  c->plan_dirty = TRUE;
+}
+
+void
+hr_dependencies_final (HrCore *c, HrJob *j)
+{
+  g_autoptr (GPtrArray) todo = g_ptr_array_new ();
+  g_autoptr (GPtrArray) withdrawn = g_ptr_array_new ();
+  g_ptr_array_add (todo, j);
+  while (todo->len) {
+    HrJob *over = g_ptr_array_steal_index_fast (todo, todo->len - 1);
+    g_autoptr (GPtrArray) dependents = g_steal_pointer (&over->dependents);
+    if (over->stance == HR_WITHDRAWN)
+      g_ptr_array_add (withdrawn, over);
+    for (guint i = 0; dependents && i < dependents->len; i++) {
+      HrJob *d = dependents->pdata[i];
+      if (d->stance != HR_QUEUED)
+        continue;
+      if (over->stance == HR_WITHDRAWN) {
+        derive_withdrawn (c, d, over->withdrawn_with ? over->withdrawn_with : over);
+        g_ptr_array_add (todo, d);
+      } else if (!hr_job_waits (d))
+        become_ready (c, d);
+    }
+  }
+  hr_urgency_withdrawn (c, withdrawn);
+}
+
+void
+hr_dependencies_read (HrCore *c, HrJob *j, const char *const *ids)
+{
+  name_awaited (c, j, ids);
+  HrJob *root = j->stance == HR_QUEUED ? cancelled_before (j) : NULL;
+  if (root)
+    derive_withdrawn (c, j, root);
+  else if (j->stance == HR_WITHDRAWN && hr_job_waits (j))
+    note_for_tombstone (c, j); /* it never was in the list of open jobs */
+  if (j->stance == HR_WITHDRAWN)
+    hr_dependencies_final (c, j);
+  hr_urgency_read (c, j);
+}
+
+void
+hr_dependencies_forget (HrCore *c)
+{
+  g_array_set_size (c->tombstones, 0);
+  for (guint i = 0; i < c->jobs->len; i++) {
+    HrJob *j = c->jobs->pdata[i];
+    g_clear_pointer (&j->dependents, g_ptr_array_unref);
+    g_clear_pointer (&j->awaits, g_free);
+    j->nawaits = 0;
+  }
+}
+
+void
+hr_dependencies_tick (HrCore *c)
+{
+  /* Only what is left over of the allowance: thousands may have been taken along at once. */
+  if (!c->leads || c->dirty->len || !hr_follow_served (c) ||
+      c->write_bucket.tokens < c->write_bucket.burst * 0.8)
+    return;
+  for (guint n = 0; n < TOMBSTONES_A_TICK && c->tombstones->len;) {
+    guint32 last = g_array_index (c->tombstones, guint32, c->tombstones->len - 1);
+    HrJob *j = c->jobs->pdata[last];
+    g_array_set_size (c->tombstones, c->tombstones->len - 1);
+    if (j->shrunk || !j->pages)
+      continue;
+    hr_ledger_mark (c, j, 0);
+    n++;
+  }
+}
--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -65,8 +65,10 @@
     return TRUE; /* known already: our own write, or a change read twice */
   if (!hr_record_read (v, c->names, &r)) {
     g_warning ("%s: its record makes no sense", j->id);
+    hr_record_clear (&r);
     return FALSE;
   }
+  g_auto (GStrv) awaits = g_steal_pointer (&r.awaits);
   HrPage *p = j->pages;
   if (p && p->tag && g_str_equal (p->tag, r.tag)) {
     hr_record_clear (&r);
@@ -85,9 +87,12 @@
     j->ntasks = r.ntasks;
     j->nrdone = r.ndone;
     j->shrunk = TRUE;
+    if (r.withdrawn_with)
+      j->withdrawn_with = hr_job_get (c, r.withdrawn_with);
     hr_garbage_job (c, j);
     if (!c->leads || !j->nlive)
       hr_job_shrink (j);
+    hr_dependencies_final (c, j);
     return TRUE;
   }
   if (fresh || !j->tasks) {
@@ -104,7 +109,9 @@
   if (!r.per_page)
     j->pages[0].stamp = stamp;
   HrStance before = j->stance;
-  j->stance = r.stance;
+  if (before != HR_WITHDRAWN) /* derived perhaps; what was told stays */
+    j->stance = r.stance;
+  hr_dependencies_read (c, j, (const char *const *)awaits);
   hr_job_open (c, j);
   if (c->leads && r.stance == HR_WITHDRAWN && before != HR_WITHDRAWN)
     hr_job_withdrawn (c, j);
@@ -288,6 +295,7 @@
     }
   }
   g_array_set_size (c->open, 0);
+  hr_dependencies_forget (c);
   c->map_stamp = c->leader_stamp = 0;
   g_clear_pointer (&c->leader_label, g_free);
   g_clear_pointer (&c->leader_inc, g_free);
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -177,6 +177,7 @@
     j->shrunk = TRUE;
     hr_garbage_job (c, j);
     hr_job_shrink (j);
+    hr_dependencies_final (c, j);
   } else if (j->stance == HR_QUEUED && j->nrdone == j->ntasks)
     mark_page (c, j, j->pages);
   c->plan_dirty = TRUE;
@@ -293,7 +294,8 @@
   page_range (j, p, &from, &to);
   for (guint32 i = from; i < to; i++) {
     HrTask *t = &j->tasks[i];
-    gboolean assign = t->state == HR_T_ASSIGNING && j->stance == HR_QUEUED;
+    /* A job that waits for others has no task: the last guard, here and before launches. */
+    gboolean assign = t->state == HR_T_ASSIGNING && j->stance == HR_QUEUED && !hr_job_waits (j);
     t->inflight = assign || (t->state == HR_T_DONE && !t->rdone);
     launch |= assign;
     change |= t->inflight;
@@ -311,7 +313,9 @@
   w->tag = hr_new_tag (c);
   w->when = json_array ();
   w->writes = json_array ();
-  w->kind = launch ? HR_TXN_LAUNCH : HR_TXN_BOOKS;
+  /* Those that await the job start once its end is recorded. */
+  gboolean awaited = j->dependents && j->stance == HR_QUEUED && j->ndone == j->ntasks;
+  w->kind = launch || awaited ? HR_TXN_LAUNCH : HR_TXN_BOOKS;
   p->tag = g_strdup (w->tag);
   p->final = done || gone;
   g_autofree char *key = hr_job_key (j);
--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -26,6 +26,15 @@
   return x;
 }
 
+static json_t *
+pack_awaits (const HrJob *j)
+{
+  json_t *a = json_array ();
+  for (guint i = 0; i < j->nawaits; i++)
+    json_array_append_new (a, json_string (j->awaits[i]->id));
+  return a;
+}
+
 char *
 hr_record_main (const HrJob *j, const HrNames *names, const HrIntern *machines, HrStance stance,
                 const char *tag, gboolean pending)
@@ -34,15 +43,19 @@
                          (int)j->per_page, "j", hr_jobspec_pack (&j->spec, names));
   if (!j->per_page)
     json_object_set_new (o, "x", pack_tasks (j, 0, j->ntasks, machines, pending));
+  if (j->nawaits)
+    json_object_set_new (o, "a", pack_awaits (j));
   return hr_json_take_text (o);
 }
 
 char *
 hr_record_tombstone (const HrJob *j, HrStance stance, const char *tag)
 {
-  return hr_json_take_text (json_pack ("{sssisisi}", "w", tag, "s", (int)stance, "n",
-                                       (int)j->ntasks, "d",
-                                       (int)(stance == HR_DONE ? j->ntasks : j->nrdone)));
+  json_t *o = json_pack ("{sssisisi}", "w", tag, "s", (int)stance, "n", (int)j->ntasks, "d",
+                         (int)(stance == HR_DONE ? j->ntasks : j->nrdone));
+  if (stance == HR_WITHDRAWN && j->withdrawn_with)
+    json_object_set_new (o, "c", json_string (j->withdrawn_with->id));
+  return hr_json_take_text (o);
 }
 
 char *
@@ -70,6 +83,8 @@
     r->tombstone = TRUE;
     r->ntasks = n;
     r->ndone = d;
+    const char *root = hr_json_str (v, "c");
+    r->withdrawn_with = hr_job_id_valid (root) ? root : NULL;
   } else {
     if (!hr_jobspec_unpack (spec, names, &r->spec) || !hr_json_num (v, "t", &r->submitted) ||
         !hr_json_count (v, "q", HR_MAX_TASKS, &n))
@@ -77,6 +92,10 @@
     r->per_page = n;
     r->ntasks = r->spec.tasks;
     r->tasks = json_object_get (v, "x");
+    /* A job whose awaited ones cannot be read must not start: it makes no sense as a whole. */
+    const json_t *awaits = json_object_get (v, "a");
+    if (awaits && !(r->awaits = hr_job_ids_read (awaits)))
+      return FALSE;
   }
   r->tag = g_strdup (tag);
   return TRUE;
@@ -86,6 +105,7 @@
 hr_record_clear (HrRecord *r)
 {
   g_clear_pointer (&r->tag, g_free);
+  g_clear_pointer (&r->awaits, g_strfreev);
 }
 
 gboolean
--- a/src/bookkeeping/record.h
+++ b/src/bookkeeping/record.h
@@ -1,6 +1,8 @@
 /* Records of the ledger: how a job stands in the state service.
  *   h/j/<id>       {"w":tag,"s":stance,"t":submitted,"q":per page,"j":[spec],"x":[tasks]}
+ *                  ... "a":[ids]} as well where the job awaits others
  *   h/j/<id>       {"w":tag,"s":stance,"n":tasks,"d":done}        once final
+ *                  ... "c":id} as well where a cancelled job took it along
  *   h/t/<id>/<n>   {"w":tag,"x":[tasks]}                          page n of a large job
  * A task is 0 (never placed), 1 (done) or [machine, session, attempt]. */
 #pragma once
@@ -14,7 +16,9 @@
   gboolean tombstone;
   guint32 ntasks, ndone;
   HrJobSpec spec;
-  json_t *tasks; /* borrowed from the value */
+  json_t *tasks;              /* borrowed from the value */
+  GStrv awaits;               /* ids of the jobs that it awaits, or NULL */
+  const char *withdrawn_with; /* of a tombstone; borrowed from the value; NULL: none */
 } HrRecord;
 
 /* The main record. pending: with the placements and endings under way. */
--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -7,6 +7,9 @@
 hr_job_free (HrJob *j)
 {
   hr_job_shrink (j);
+  g_free (j->awaits);
+  if (j->dependents)
+    g_ptr_array_unref (j->dependents);
   g_free (j->tag);
   g_free (j);
 }
@@ -26,6 +29,7 @@
 {
   hr_job_shrink (j);
   j->spec = *s;
+  j->rank = s->rank;
   j->ntasks = s->tasks;
   j->per_page = per_page;
   j->npages = per_page ? (s->tasks + per_page - 1) / per_page : 1;
@@ -38,6 +42,21 @@
   j->bad_machine = HR_NONE;
 }
 
+gboolean
+hr_job_waits (const HrJob *j)
+{
+  for (guint i = 0; i < j->nawaits; i++)
+    if (j->awaits[i]->stance != HR_DONE)
+      return TRUE;
+  return FALSE;
+}
+
+double
+hr_job_since (const HrJob *j)
+{
+  return j->nawaits ? j->ready_since : j->submitted;
+}
+
 HrPage *
 hr_job_page (HrJob *j, guint32 task)
 {
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -40,7 +40,8 @@
   gboolean final; /* the write under way is the tombstone */
 } HrPage;
 
-typedef struct {
+typedef struct HrJob HrJob;
+struct HrJob {
   guint32 idx;
   const char *id;
   gboolean known; /* the record has been read or written */
@@ -48,7 +49,8 @@
   HrJobSpec spec;
   guint64 stamp;                 /* of the main record */
   char *tag;                     /* writer's tag of the main record */
-  double submitted, deadline;    /* time of day */
+  double submitted;              /* time of day */
+  double deadline;               /* time of day, with what those that need it ask (urgency.c) */
   guint32 ntasks, nrdone, ndone; /* ndone: as meant */
   HrTask *tasks;                 /* NULL once final and shrunk */
   guint per_page;                /* 0: tasks stand in the main record */
@@ -56,6 +58,13 @@
   guint npages;
   gboolean shrunk;
   gboolean unreadable; /* what is recorded of its tasks could not be read: they may be anywhere */
+  /* Jobs that await others (dependencies.c). Rows live as long as the tables. */
+  HrJob **awaits;
+  guint nawaits;
+  GPtrArray *dependents; /* HrJob whose records name this one; NULL: none, or this one is final */
+  HrJob *withdrawn_with; /* the cancelled job that took this one along; NULL: none did */
+  double ready_since;    /* time of day when its last awaited job was seen done; 0: not yet */
+  HrRank rank;           /* the highest of its own and of those that need it (urgency.c) */
   /* The owner's. */
   gboolean listed;    /* in the owner's list of open jobs */
   guint32 nlive;      /* tasks assigning or bound */
@@ -74,7 +83,7 @@
   gboolean entitled; /* within its team's guarantee, together with the team's earlier jobs */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
-} HrJob;
+};
 
 typedef enum { HR_M_BOOTING, HR_M_UP, HR_M_DELETING, HR_M_GONE } HrMachineState;
 
@@ -163,6 +172,10 @@
 void hr_job_set_spec (HrJob *j, const HrJobSpec *s, guint per_page);
 /* Drops what a final job no longer needs. */
 void hr_job_shrink (HrJob *j);
+/* Is some job that it awaits not recorded as done? One that was not read yet is not. */
+gboolean hr_job_waits (const HrJob *j);
+/* Time of day from which its times other than `due_s` count. */
+double hr_job_since (const HrJob *j);
 HrPage *hr_job_page (HrJob *j, guint32 task);
 /* How many tasks a record or page holds. per_page as stored in the record. */
 guint hr_tasks_per_page (double value_kb);
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -177,6 +177,7 @@
   c->classes = g_array_new (FALSE, TRUE, sizeof (HrClassStat));
   c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
   c->garbage = g_array_new (FALSE, TRUE, sizeof (HrDirty));
+  c->tombstones = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->fleet = g_ptr_array_new ();
   c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
   c->team_waits = g_array_new (FALSE, TRUE, sizeof (guint32));
@@ -216,6 +217,7 @@
   g_array_unref (c->refused);
   g_array_unref (c->dirty);
   g_array_unref (c->garbage);
+  g_array_unref (c->tombstones);
   g_array_unref (c->wants);
   g_array_unref (c->team_waits);
   g_ptr_array_unref (c->fleet);
@@ -262,6 +264,7 @@
   hr_absence_tick (c);
   hr_fleet_tick (c);
   hr_garbage_tick (c);
+  hr_dependencies_tick (c);
 }
 
 void
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -37,7 +37,7 @@
 static double
 start_left (const HrCore *c, const HrJob *j)
 {
-  double left = INFINITY, waited = c->wall - j->submitted;
+  double left = INFINITY, waited = c->wall - hr_job_since (j);
   for (guint i = 0; i < c->set->aims->len; i++) {
     const HrAim *a = &g_array_index (c->set->aims, HrAim, i);
     if (a->klass == j->spec.klass && (a->kind == HR_AIM_WAIT || a->kind == HR_AIM_UP) &&
@@ -324,8 +324,8 @@
 by_rank (gconstpointer a, gconstpointer b)
 {
   const HrJob *x = *(HrJob *const *)a, *y = *(HrJob *const *)b;
-  if (x->spec.rank != y->spec.rank)
-    return x->spec.rank < y->spec.rank ? -1 : 1;
+  if (x->rank != y->rank)
+    return x->rank < y->rank ? -1 : 1;
   if (x->submitted != y->submitted)
     return x->submitted < y->submitted ? -1 : 1;
   return x->idx < y->idx ? -1 : x->idx > y->idx;
--- a/src/coordination/preempt.c
+++ b/src/coordination/preempt.c
@@ -16,7 +16,7 @@
 static gboolean
 may_stop (HrCore *c, const HrJob *victim, const HrJob *j)
 {
-  if (victim->spec.rank > j->spec.rank)
+  if (victim->rank > j->rank)
     return TRUE;
   return victim->spec.team != j->spec.team && hr_team_beyond (c, victim, 0) &&
          !hr_team_beyond (c, j, 1);
--- a/src/coordination/project.c
+++ b/src/coordination/project.c
@@ -219,6 +219,17 @@
   }
 }
 
+void
+hr_job_unplan (HrCore *c, HrJob *j)
+{
+  for (guint32 i = 0; j->tasks && j->planned && i < j->ntasks; i++) {
+    if (!j->tasks[i].planned)
+      continue;
+    hr_list_remove (c->machines->pdata[j->tasks[i].list], (HrRef){j->idx, i});
+    hr_unplan (j, i);
+  }
+}
+
 /* Is the machine ruled out by where the job's other tasks are, or stand? */
 gboolean
 hr_zone_ok (HrCore *c, HrJob *j, HrMachine *m)
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -85,8 +85,9 @@
 
   /* Writing to it. */
   GQueue txns[HR_TXN_KINDS];
-  GArray *dirty;   /* HrDirty: pages with something to record */
-  GArray *garbage; /* HrDirty: pages of final jobs, still in the ledger */
+  GArray *dirty;      /* HrDirty: pages with something to record */
+  GArray *garbage;    /* HrDirty: pages of final jobs, still in the ledger */
+  GArray *tombstones; /* guint32: withdrawn jobs that still wait; their record may be shortened */
   gboolean tidying;
   double tidy_at;
   HrBucket write_bucket, cloud_bucket;
@@ -179,6 +180,21 @@
 void hr_garbage_gone (HrCore *c, const HrJob *j, guint page);
 void hr_garbage_tick (HrCore *c);
 
+/* bookkeeping/dependencies.c: jobs that await others */
+/* The job's record was read or written, at the stance now in j; `ids`: what it awaits, or NULL. */
+void hr_dependencies_read (HrCore *c, HrJob *j, const char *const *ids);
+/* The job is done or withdrawn: those that await it become ready, or are withdrawn with it. */
+void hr_dependencies_final (HrCore *c, HrJob *j);
+/* Before everything is read anew. */
+void hr_dependencies_forget (HrCore *c);
+void hr_dependencies_tick (HrCore *c);
+
+/* urgency.c: deadline and rank of jobs that others need */
+/* The job is known, or has become ready. */
+void hr_urgency_read (HrCore *c, HrJob *j);
+/* These jobs (HrJob) need what they awaited no more. */
+void hr_urgency_withdrawn (HrCore *c, const GPtrArray *jobs);
+
 /* bookkeeping/absence.c: proofs that a task is on no machine */
 /* A lease and its margin: the longest that a worker may keep tasks unanswered. */
 double hr_absence_lease (const HrCore *c);
@@ -263,6 +279,8 @@
 void hr_project (HrCore *c, HrMachine *m, double *starts);
 void hr_list_remove (HrMachine *m, HrRef r);
 void hr_unplan (HrJob *j, guint32 task);
+/* Takes all its tasks out of the lists: the next pass places them anew. */
+void hr_job_unplan (HrCore *c, HrJob *j);
 
 /* teams.c */
 gboolean hr_team_allows (HrCore *c, const HrJob *j, guint n);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -310,24 +310,21 @@
   return s->weight > 0 ? s->sum / s->weight : MIN (s->bucket, 2) / BUCKET_S;
 }
 
-/* Keeps the list of jobs that the owner has to look at. */
+/* Keeps the list of jobs that the owner has to look at. One that waits for others has no task
+ * and takes no room, limit or guarantee: it comes in when the last of them is done. */
 void
 hr_job_open (HrCore *c, HrJob *j)
 {
-  if (j->listed || j->shrunk)
+  if (j->listed || j->shrunk || hr_job_waits (j))
     return;
   j->listed = TRUE;
   g_array_append_val (c->open, j->idx);
-  j->deadline = j->submitted + j->spec.deadline;
-  if (j->spec.deadline < 0) {
-    j->deadline = j->submitted + c->pol.default_deadline * MAX (j->spec.estimate, 10);
-    for (guint i = 0; i < c->set->aims->len; i++) {
-      HrAim *a = &g_array_index (c->set->aims, HrAim, i);
-      if (a->klass == j->spec.klass && a->kind == HR_AIM_FINISHED && a->within > 0)
-        j->deadline = MIN (j->deadline, j->submitted + a->within);
-    }
-  }
-  if (j->counted || c->wall - j->submitted > 30)
+  if (j->nawaits && !j->ready_since)
+    j->ready_since = c->wall;
+  hr_urgency_read (c, j);
+  /* When a job of which the end of the last awaited one was not seen became ready nobody knows. */
+  gboolean unknown = j->nawaits && (c->sync != HR_SYNC_FOLLOWING || j->stance != HR_QUEUED);
+  if (j->counted || unknown || c->wall - hr_job_since (j) > 30)
     return;
   j->counted = TRUE;
   g_debug ("%s arrives: %s, %u tasks, estimate %.0f s, image %s of %.1f GB", j->id,
@@ -342,7 +339,7 @@
   s->mem += k * (j->spec.mem - s->mem);
   hr_class_use_image (s, j->spec.image, j->ntasks);
   s->shape = j->spec.shape;
-  s->rank = j->spec.rank;
+  s->rank = j->spec.rank; /* its own: what it is needed for differs from job to job */
   s->spot = j->spec.spot;
   s->types = j->spec.types;
 }
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -4,6 +4,12 @@
 #include <string.h>
 
 #define MAX_TRIES 6
+/* Awaited jobs that `reason` names; of the others it says how many. */
+#define NAMED_IN_REASON 3
+/* Longer than any writer's tag: with it a main record is at its largest. */
+#define LONGEST_TAG "................................................................"
+/* A placed task in its record, with a long name of its machine. */
+#define PLACED_TASK_BYTES 48
 
 static const char *const stances[] = {"queued", "done", "withdrawn"};
 
@@ -13,6 +19,8 @@
   RequestKind kind;
   char *id;
   HrJobSpec spec;
+  GStrv awaits;   /* ids, or NULL */
+  guint per_page; /* tasks per page of its record; 0: they stand in the main record */
   double asked;
   guint tries;
   char *tag; /* of the write under way */
@@ -23,6 +31,7 @@
 {
   g_free (request->id);
   g_free (request->tag);
+  g_strfreev (request->awaits);
   g_free (request);
 }
 
@@ -33,14 +42,37 @@
   request_free (request);
 }
 
+/* Which jobs it waits for: the first few by name, and how many there are. */
+static char *
+waits_for (const HrJob *j)
+{
+  guint n = 0;
+  g_autoptr (GString) names = g_string_new (NULL);
+  for (guint i = 0; i < j->nawaits; i++) {
+    if (j->awaits[i]->stance == HR_DONE)
+      continue;
+    if (++n <= NAMED_IN_REASON)
+      g_string_append_printf (names, "%s%s", n > 1 ? ", " : "", j->awaits[i]->id);
+  }
+  if (n > NAMED_IN_REASON)
+    g_string_append_printf (names, " and %u more", n - NAMED_IN_REASON);
+  return g_strdup_printf ("waits for %u job%s to be done: %s", n, n > 1 ? "s" : "", names->str);
+}
+
 /* Why the job is where it is, for the person who waits for it. */
 static char *
 reason (HrCore *c, HrJob *j)
 {
   if (j->stance == HR_DONE)
     return g_strdup ("all tasks are done");
+  if (j->stance == HR_WITHDRAWN && j->withdrawn_with)
+    return g_strdup_printf ("withdrawn with %s, which it awaits, directly or through others, and "
+                            "which its user withdrew",
+                            j->withdrawn_with->id);
   if (j->stance == HR_WITHDRAWN)
     return g_strdup ("withdrawn by its user");
+  if (hr_job_waits (j))
+    return waits_for (j);
   if (!c->leads)
     return g_strdup_printf ("%s plans this job", c->map_owner ? c->map_owner : "no controller yet");
   if (j->errors && j->retry_at > c->now)
@@ -156,12 +188,10 @@
       j->submitted = request->asked;
       g_free (j->tag);
       j->tag = g_strdup (request->tag);
-      hr_job_set_spec (j, &request->spec,
-                       request->spec.tasks <= hr_tasks_per_page (c->set->value_kb)
-                           ? 0
-                           : hr_tasks_per_page (c->set->value_kb));
+      hr_job_set_spec (j, &request->spec, request->per_page);
       if (!j->per_page)
         j->pages[0].stamp = epoch;
+      hr_dependencies_read (c, j, (const char *const *)request->awaits);
       hr_job_open (c, j);
       c->plan_dirty = TRUE;
     }
@@ -176,23 +206,87 @@
                                 : "the state service did not confirm the job; submit again");
 }
 
+/* The job's first main record. */
+static char *
+first_record (HrCore *c, const UserRequest *request, guint per_page, const char *tag)
+{
+  HrJob tmp = {.submitted = request->asked};
+  guint n = request->awaits ? g_strv_length (request->awaits) : 0;
+  g_autofree HrJob *rows = g_new0 (HrJob, n + 1);
+  g_autofree HrJob **awaits = g_new0 (HrJob *, n + 1);
+  for (guint i = 0; i < n; i++) {
+    rows[i].id = request->awaits[i];
+    awaits[i] = &rows[i];
+  }
+  tmp.awaits = awaits;
+  tmp.nawaits = n;
+  hr_job_set_spec (&tmp, &request->spec, per_page);
+  char *text = hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, tag, FALSE);
+  hr_job_shrink (&tmp);
+  return text;
+}
+
+/* Where the job's tasks stand. FALSE: what it awaits is more than a value of the state service
+ * holds, now or at its next limits; the main record is written many times, and has to fit. */
+static gboolean
+lay_out (HrCore *c, UserRequest *request)
+{
+  double limit_kb = c->set->value_kb;
+  guint per_page = hr_tasks_per_page (limit_kb);
+  if (!request->awaits) {
+    request->per_page = request->spec.tasks <= per_page ? 0 : per_page;
+    return TRUE;
+  }
+  limit_kb = MIN (limit_kb, c->set->next_value_kb);
+  per_page = hr_tasks_per_page (limit_kb);
+  g_autofree char *text = first_record (c, request, per_page, LONGEST_TAG);
+  double room = limit_kb * 1024 - strlen (text);
+  request->per_page = request->spec.tasks * PLACED_TASK_BYTES <= room ? 0 : per_page;
+  return room >= 0;
+}
+
 static void
 send_submit (HrCore *c, UserRequest *request)
 {
   g_autofree char *key = g_strconcat ("h/j/", request->id, NULL);
-  HrJob tmp = {.submitted = request->asked};
-  guint per = hr_tasks_per_page (c->set->value_kb);
-  hr_job_set_spec (&tmp, &request->spec, request->spec.tasks <= per ? 0 : per);
   if (!request->tag)
     request->tag = hr_new_tag (c);
   json_t *when = hr_cond (json_array (), key, 0);
   json_t *writes =
-      hr_set (json_array (), key,
-              hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, request->tag, FALSE), 0);
-  hr_job_shrink (&tmp);
+      hr_set (json_array (), key, first_record (c, request, request->per_page, request->tag), 0);
   hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, request);
 }
 
+/* The first job that it awaits and that this node knows nothing of, or NULL. */
+static const char *
+unknown_awaited (HrCore *c, const UserRequest *request)
+{
+  for (guint i = 0; request->awaits && request->awaits[i]; i++)
+    if (!hr_job_find (c, request->awaits[i]))
+      return request->awaits[i];
+  return NULL;
+}
+
+/* A reading sent after the submission came: what is unknown now was never accepted. */
+static void
+on_awaits_read (HrCore *c, gboolean ok, gpointer data)
+{
+  UserRequest *request = data;
+  const char *unknown = unknown_awaited (c, request);
+  HrJob *j = hr_job_find (c, request->id);
+  if (!ok)
+    refuse_later (c, request, 503, "the jobs that it awaits cannot be looked up; submit again");
+  else if (j)
+    answer (c, request, j, 200); /* an earlier try of this submission */
+  else if (!unknown)
+    send_submit (c, request);
+  else {
+    g_autofree char *why = g_strdup_printf ("it awaits %s, which was never accepted", unknown);
+    hr_refuse (c, request->reply_id, 422, 0, why);
+    request_free (request);
+  }
+}
+
 static void
 submit (HrCore *c, HrCommand *cmd)
 {
@@ -201,8 +295,11 @@
   g_autofree char *why = NULL;
   const char *id = NULL;
   HrJobSpec spec;
+  GStrv awaits = NULL;
   json_t *o = hr_json_parse (data, len, &why);
-  if (!o || !hr_jobspec_parse (o, c->names, &spec, &id, &why)) {
+  if (!o || !hr_jobspec_awaits (o, &awaits, &why) ||
+      !hr_jobspec_parse (o, c->names, &spec, &id, &why)) {
+    g_strfreev (awaits);
     hr_refuse (c, cmd->id, 400, 0, why);
     json_decref (o);
     return;
@@ -212,6 +309,7 @@
   request->kind = REQUEST_SUBMIT;
   request->id = g_strdup (id);
   request->spec = spec;
+  request->awaits = awaits;
   request->asked = c->wall;
   json_decref (o);
   if (answer_final (c, request))
@@ -230,11 +328,21 @@
     request_free (request);
     return;
   }
+  if (!lay_out (c, request)) {
+    hr_refuse (c, request->reply_id, 400, 0,
+               "field awaits: more jobs than the job's record can hold");
+    request_free (request);
+    return;
+  }
   if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
     refuse_later (c, request, 503, "the state service does not answer; submit again");
     return;
   }
-  send_submit (c, request);
+  /* Known jobs never vanish; what is not known may have been accepted elsewhere just now. */
+  if (unknown_awaited (c, request))
+    hr_follow_read (c, on_awaits_read, request);
+  else
+    send_submit (c, request);
 }
 
 /* ---- cancellations ---- */
@@ -254,6 +362,7 @@
         j->pages[0].stamp = epoch;
       if (c->leads)
         hr_job_withdrawn (c, j);
+      hr_dependencies_final (c, j);
     }
     answer (c, request, j, 200);
   } else if ((status == 409 || status == 429) && ++request->tries < MAX_TRIES)
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -27,7 +27,7 @@
 {
   /* What an earlier owner recorded is not launched: it may have ended and made
    * place for others since. It is seen on its machine, or proven gone. */
-  return j->stance == HR_QUEUED && !t->kill && !t->inherited &&
+  return j->stance == HR_QUEUED && !hr_job_waits (j) && !t->kill && !t->inherited &&
          (j->spec.shape != HR_GANG ||
           (!j->gang_over && hr_gang_ready (j) && !hr_gang_holds_back (c, j, t)));
 }
--- a/src/protocol/jobspec.c
+++ b/src/protocol/jobspec.c
@@ -141,6 +141,41 @@
   return TRUE;
 }
 
+GStrv
+hr_job_ids_read (const json_t *a)
+{
+  size_t i;
+  json_t *e;
+  if (!json_is_array (a))
+    return NULL;
+  g_autoptr (GStrvBuilder) ids = g_strv_builder_new ();
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+  json_array_foreach (a, i, e)
+  {
+    const char *id = json_string_value (e);
+    if (!hr_job_id_valid (id))
+      return NULL;
+    if (g_hash_table_add (seen, (gpointer)id))
+      g_strv_builder_add (ids, id);
+  }
+  return g_strv_builder_end (ids);
+}
+
+gboolean
+hr_jobspec_awaits (const json_t *o, GStrv *out, char **reason)
+{
+  const json_t *a = json_object_get (o, "awaits");
+  *out = NULL;
+  if (!a || json_is_null (a))
+    return TRUE;
+  *out = hr_job_ids_read (a);
+  if (!*out)
+    return bad (reason, "awaits", "expected an array of job ids such as job-000398, or null");
+  if (!**out)
+    g_clear_pointer (out, g_strfreev);
+  return TRUE;
+}
+
 json_t *
 hr_jobspec_pack (const HrJobSpec *s, const HrNames *names)
 {
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -77,6 +77,11 @@
       !positive (cl, "facts.cloud.rps", "rps", &s->cloud_rps, e) ||
       !amount (cl, "facts.cloud.list_lag_s", "list_lag_s", &s->list_lag_s, e))
     return FALSE;
+  s->next_value_kb = s->value_kb;
+  const json_t *next = json_object_get (st, "next");
+  if (json_object_get (next, "value_kb") &&
+      !positive (next, "facts.state.next.value_kb", "value_kb", &s->next_value_kb, e))
+    return FALSE;
   if (ops < 3)
     return fail (e, "facts.state.txn_ops", "at least 3 changes a transaction");
   s->txn_ops = MIN (ops, 1000);
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -26,6 +26,7 @@
   guint32 home;    /* the zone that all controllers are in; HR_NONE: they are in several */
   double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
   double state_rps, state_write_rps, value_kb;
+  double next_value_kb; /* of state.next: the limit that may come; value_kb when none is named */
   guint txn_ops;
   guint sockets; /* of this process; a usual limit when the file has none */
   double cloud_rps, list_lag_s;
