--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -73,6 +73,77 @@
   }
 }
 
+static gboolean
+awaits (const char *value, GStrv *ids, char **why)
+{
+  json_t *o = json_object ();
+  if (value)
+    json_object_set_new (o, "awaits", json_loads (value, JSON_DECODE_ANY, NULL));
+  gboolean ok = hr_jobspec_awaits (o, ids, why);
+  json_decref (o);
+  return ok;
+}
+
+/* Each id once, in the order given; none at all is no array to keep. */
+static void
+awaited_jobs (void **state)
+{
+  static const char *const none[] = {NULL, "null", "[]"};
+  static const char *const bad[] = {"\"job-1\"", "7",           "{}",      "[7]",
+                                    "[null]",    "[\"\"]",      "[\"1\"]", "[\"job-\"]",
+                                    "[[]]",      "[\"job 1\"]", "true",    "[\"job-1\",\"job-/\"]"};
+  for (gsize i = 0; i < G_N_ELEMENTS (none); i++) {
+    g_auto (GStrv) ids = NULL;
+    g_autofree char *why = NULL;
+    assert_true (awaits (none[i], &ids, &why));
+    assert_null (ids);
+  }
+  for (gsize i = 0; i < G_N_ELEMENTS (bad); i++) {
+    g_auto (GStrv) ids = NULL;
+    g_autofree char *why = NULL;
+    if (awaits (bad[i], &ids, &why) || ids || !why || !strstr (why, "awaits"))
+      fail_msg ("awaits = %s: %s", bad[i], why ? why : "accepted");
+  }
+  g_auto (GStrv) ids = NULL;
+  g_autofree char *why = NULL;
+  assert_true (awaits ("[\"job-2\",\"job-1\",\"job-2\"]", &ids, &why));
+  assert_int_equal (g_strv_length (ids), 2);
+  assert_string_equal (ids[0], "job-2");
+  assert_string_equal (ids[1], "job-1");
+}
+
+/* Of generated lists exactly those of well-formed ids are taken, with all that they name. */
+static void
+generated_awaits (void **state)
+{
+  static const char *const parts[] = {
+      "\"job-000398\"", "\"job-a.b_c-d\"", "\"job-\"", "\"x\"", "null", "12", "[]", "\"job-é\""};
+  const guint good = 2;
+  g_autoptr (GRand) r = g_rand_new_with_seed (17);
+  guint taken = 0;
+  for (guint n = 0; n < 3000; n++) {
+    g_autoptr (GString) text = g_string_new ("[");
+    gboolean fine = TRUE, named[2] = {FALSE, FALSE};
+    for (int k = g_rand_int_range (r, 0, 4); k > 0; k--) {
+      guint pick = g_rand_int_range (r, 0, g_rand_boolean (r) ? good : G_N_ELEMENTS (parts));
+      g_string_append_printf (text, "%s%s", text->len > 1 ? "," : "", parts[pick]);
+      fine = fine && pick < good;
+      if (pick < good)
+        named[pick] = TRUE;
+    }
+    g_string_append_c (text, ']');
+    g_auto (GStrv) ids = NULL;
+    g_autofree char *why = NULL;
+    assert_int_equal (awaits (text->str, &ids, &why), fine);
+    if (!fine)
+      assert_non_null (why);
+    else
+      assert_int_equal (ids ? g_strv_length (ids) : 0, named[0] + named[1]);
+    taken += fine;
+  }
+  assert_true (taken > 500 && taken < 2900);
+}
+
 static void
 wrong_bodies (void **state)
 {
@@ -227,6 +298,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (a_submission),  cmocka_unit_test (wrong_fields),
       cmocka_unit_test (wrong_bodies),  cmocka_unit_test (generated_bodies),
+      cmocka_unit_test (awaited_jobs),  cmocka_unit_test (generated_awaits),
       cmocka_unit_test (reports),       cmocka_unit_test (orders),
       cmocka_unit_test (machine_types), cmocka_unit_test (settings_files),
   };
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -109,6 +109,60 @@
   }
 }
 
+/* What a job awaits stands beside its description, and only where there is any: every other
+ * record stays as the versions before wrote it. The tombstone drops it, and names the cancelled
+ * job that took this one along. */
+static void
+awaited_jobs (void **state)
+{
+  g_autoptr (GRand) r = g_rand_new_with_seed (5);
+  HrNames names;
+  HrIntern machines;
+  hr_names_init (&names);
+  hr_intern_init (&machines);
+  HrJobSpec s = any_spec (r, &names, 1);
+  HrJob first = {.id = "job-1"}, second = {.id = "job-2"};
+  HrJob *both[] = {&first, &second};
+  HrJob *j = g_new0 (HrJob, 1);
+  hr_job_set_spec (j, &s, 0);
+  g_autofree char *plain = hr_record_main (j, &names, &machines, HR_QUEUED, "w.1", FALSE);
+  assert_null (strstr (plain, "\"a\":"));
+  j->awaits = g_memdup2 (both, sizeof both);
+  j->nawaits = 2;
+  g_autofree char *main = hr_record_main (j, &names, &machines, HR_QUEUED, "w.1", FALSE);
+  json_t *v = json_loads (main, 0, NULL);
+  HrRecord rec;
+  assert_true (hr_record_read (v, &names, &rec));
+  assert_same_spec (&rec.spec, &s);
+  assert_int_equal (g_strv_length (rec.awaits), 2);
+  assert_string_equal (rec.awaits[0], "job-1");
+  assert_string_equal (rec.awaits[1], "job-2");
+  hr_record_clear (&rec);
+  /* But for that one member the record is the same. */
+  json_object_del (v, "a");
+  g_autofree char *rest = hr_json_take_text (v);
+  assert_string_equal (rest, plain);
+  g_autofree char *own = hr_record_tombstone (j, HR_WITHDRAWN, "w.2");
+  assert_null (strstr (own, "\"c\":"));
+  j->withdrawn_with = &first;
+  g_autofree char *derived = hr_record_tombstone (j, HR_WITHDRAWN, "w.2");
+  v = json_loads (derived, 0, NULL);
+  assert_true (hr_record_read (v, &names, &rec));
+  assert_true (rec.tombstone && !rec.awaits);
+  assert_string_equal (rec.withdrawn_with, "job-1");
+  hr_record_clear (&rec);
+  json_decref (v);
+  hr_job_free (j);
+  hr_intern_clear (&machines);
+  hr_names_clear (&names);
+}
+
+/* A whole record, but what it awaits makes no sense: the job must not start. */
+#define NOBODY_AWAITED                                                                             \
+  "{\"w\":\"a\",\"s\":0,\"t\":1.0,\"q\":0,\"j\":[\"k\",\"t\",\"i\",0,2,1,1.0,0.0,1.0,1.0,null,1."  \
+  "0,0.0,"                                                                                         \
+  "0.0,null,false,false,false,-1.0],\"x\":[0],\"a\":[7]}"
+
 static void
 nonsense (void **state)
 {
@@ -117,9 +171,16 @@
                                     "7",
                                     "{\"w\":\"a\",\"s\":9}",
                                     "{\"w\":\"a\",\"s\":0,\"j\":[]}",
-                                    "{\"w\":\"a\",\"s\":1,\"n\":-1,\"d\":0}"};
+                                    "{\"w\":\"a\",\"s\":1,\"n\":-1,\"d\":0}",
+                                    NOBODY_AWAITED};
   HrNames names;
   hr_names_init (&names);
+  json_t *whole = json_loads (NOBODY_AWAITED, 0, NULL);
+  json_object_del (whole, "a");
+  HrRecord good;
+  assert_true (hr_record_read (whole, &names, &good));
+  hr_record_clear (&good);
+  json_decref (whole);
   for (gsize i = 0; i < G_N_ELEMENTS (bad); i++) {
     json_t *v = json_loads (bad[i], JSON_DECODE_ANY, NULL);
     HrRecord r;
@@ -134,6 +195,6 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {cmocka_unit_test (there_and_back),
-                                     cmocka_unit_test (nonsense)};
+                                     cmocka_unit_test (awaited_jobs), cmocka_unit_test (nonsense)};
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
