--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -1,5 +1,5 @@
 /* Users, and the judge of the protocol's rules. */
-#include "sim/world.h"
+#include "sim/pipeline.h"
 #include "protocol/jsonx.h"
 #include <string.h>
 
@@ -57,11 +57,12 @@
   gboolean done = strcmp (st, "done") == 0, gone = strcmp (st, "withdrawn") == 0;
   if (done && (j->shape == HR_SERVICE || !all_done (j)))
     w_broken (w, "not_done", "%s is called done", j->id);
-  if (gone && !j->asked_cancel)
+  if (gone && !pipeline_cancel_asked (j))
     w_broken (w, "went_back", "%s is called withdrawn, nobody asked for that", j->id);
   if ((j->told_done && j->told_done < sent && !done) ||
       (j->told_withdrawn && j->told_withdrawn < sent && !gone))
     w_broken (w, "went_back", "%s is called %s", j->id, st);
+  pipeline_told (w, j, st, sent);
   if (done && !j->told_done)
     j->told_done = w->now;
   if (gone && !j->told_withdrawn)
@@ -203,6 +204,7 @@
   SJob *j = w->jobs->pdata[t->job];
   guint here = 0;
   w->starts++;
+  pipeline_start (w, j, t->task);
   j->started = w->now;
   if (!j->first && j->shape != HR_GANG) /* a gang begins when all its tasks run */
     j->first = w->now;
@@ -261,6 +263,7 @@
         g_string_append_printf (who, " %s/%u.%u@%s", j->id, t->task, t->try, m->name);
       if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
         w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
+      pipeline_on_machine (w, j, t->task);
     }
   }
   if (w->quota_gpus > 0 && gpus > w->quota_gpus + 1e-6)
@@ -273,7 +276,7 @@
 job_new (World *w)
 {
   SJob *j = g_new0 (SJob, 1);
-  j->id = g_strdup_printf ("job-%06u", 7919 * (w->jobs->len + 1) % 1000000);
+  j->id = g_strdup_printf ("job-%06u", 7919 * ++w->named % 1000000);
   return j;
 }
 
@@ -295,7 +298,13 @@
                  "quarry", "together", j->one_zone, "apart", j->spread, "loaners", j->spot,
                  "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
                  j->checkpoint, "stash_s", j->save);
-  if (j->shape == HR_BATCH)
+  for (guint i = 0; j->awaits && i < j->awaits->len; i++) {
+    if (!i)
+      json_object_set_new (o, "awaits", json_array ());
+    json_array_append_new (json_object_get (o, "awaits"),
+                           json_string (((SJob *)j->awaits->pdata[i])->id));
+  }
+  if (j->shape == HR_BATCH && !j->no_deadline)
     json_object_set_new (o, "due_s", json_real (j->run * 2 + 30));
   j->body = hr_json_take_text (o);
   g_ptr_array_add (w->jobs, j);
@@ -303,6 +312,18 @@
   submit (w, j);
 }
 
+SJob *
+users_new_job (World *w)
+{
+  return job_new (w);
+}
+
+void
+users_submit (World *w, SJob *j)
+{
+  send_in (w, j);
+}
+
 static void
 new_job (World *w, gpointer p)
 {
@@ -568,6 +589,8 @@
   SJob *j = p;
   g_free (j->id);
   g_free (j->body);
+  if (j->awaits)
+    g_ptr_array_unref (j->awaits);
   g_free (j->done);
   g_free (j->progress);
   g_free (j);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -96,8 +96,10 @@
   double poll_at, ok_at;
   double accepted_at;
   gboolean large, forgotten, lost_place;
-  const char *team; /* NULL: the first one */
-  guint *done;      /* per task */
+  const char *team;     /* NULL: the first one */
+  GPtrArray *awaits;    /* SJob, or NULL */
+  gboolean no_deadline; /* also as an array */
+  guint *done;          /* per task */
   double *progress;
 } SJob;
 
@@ -128,9 +130,13 @@
   /* users */
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
+  guint named; /* jobs that have a name, submitted or not */
   guint streamed;
-  gboolean fickle;   /* users withdraw most jobs soon after they submit them */
-  double gang_image; /* GB, of the gangs of two */
+  gboolean fickle;            /* users withdraw most jobs soon after they submit them */
+  double gang_image;          /* GB, of the gangs of two */
+  double pipelines_cancelled; /* share of pipelines of which some job is withdrawn */
+  gboolean shock;             /* a withdrawal that was told is followed by the end of all nodes */
+  double shocked_at;
   /* judge */
   GPtrArray *broken; /* texts */
   guint starts;
@@ -207,6 +213,9 @@
  */
 void users_stream (World *w, HrShape large, double from, double to);
 void users_free (World *w);
+/* A job that has only its name, and its submission once it is complete. */
+SJob *users_new_job (World *w);
+void users_submit (World *w, SJob *j);
 void judge_start (World *w, SMachine *m, STask *t);
 void judge_tick (World *w);
 SJob *job_by_id (World *w, const char *id, guint32 *index);
--- /dev/null
+++ b/tests/test_pipelines.c
@@ -0,0 +1,157 @@
+/* Days of a simulated cluster whose users submit pipelines of jobs that await one another, some
+ * late, some withdrawn, some after that. The stand-ins check `too_early` and `orphaned` at every
+ * start, answer and half second, beside all other rules. */
+#include "sim/pipeline.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define CALM_AT 320
+#define DAY_ENDS 800
+
+static guint
+verdict (World *w, guint32 seed)
+{
+  for (guint i = 0; i < MIN (w->broken->len, 12); i++)
+    fprintf (stderr, "seed %u: %s\n", seed, (char *)w->broken->pdata[i]);
+  if (g_getenv ("HR_SIM_VERBOSE"))
+    fprintf (stderr, "seed %u: %u jobs, %u starts, %u machines\n", seed, w->jobs->len, w->starts,
+             w->machines->len);
+  guint broken = w->broken->len;
+  world_free (w);
+  return broken;
+}
+
+static guint
+play (World *w, guint32 seed, guint faults, gboolean shock)
+{
+  const PipelineDay day = {25, 3, 250, 0.6, shock};
+  users_pipelines (w, &day);
+  users_probe (w);
+  faults_init (w, faults, 20, CALM_AT);
+  world_run (w, DAY_ENDS);
+  guint withdrawn = 0, done = 0;
+  for (guint i = 0; i < w->jobs->len; i++) {
+    const SJob *j = w->jobs->pdata[i];
+    withdrawn += j->told_withdrawn && !j->asked_cancel;
+    done += j->told_done && j->awaits->len;
+  }
+  /* A day on which nothing was taken along, or nothing came after another, shows nothing. */
+  if (withdrawn < 4 || done < 20)
+    w_broken (w, "day", "%u jobs were taken along, %u are done after others", withdrawn, done);
+  pipelines_verdict (w);
+  if (store_garbage (w))
+    w_broken (w, "garbage", "%u pages of final jobs are kept", store_garbage (w));
+  return verdict (w, seed);
+}
+
+static void
+quiet_days (void **state)
+{
+  guint broken = 0;
+  for (guint s = 2000; s < 2003; s++)
+    broken += play (world_new (s, 3), s, 0, FALSE);
+  assert_int_equal (broken, 0);
+}
+
+static void
+days_with_troubles (void **state)
+{
+  guint broken = 0;
+  for (guint s = 2010; s < 2026; s++)
+    broken += play (world_new (s, 3), s, 6, FALSE);
+  assert_int_equal (broken, 0);
+}
+
+/* Again and again another node leads, which knows what it read alone. */
+static void
+days_of_new_owners (void **state)
+{
+  guint broken = 0;
+  for (guint s = 2030; s < 2036; s++) {
+    World *w = world_new (s, 3);
+    faults_owners (w, 25, CALM_AT);
+    broken += play (w, s, 0, FALSE);
+  }
+  assert_int_equal (broken, 0);
+}
+
+/* All controllers end right after a withdrawal was told, and the state service goes away. */
+static void
+days_of_shocks (void **state)
+{
+  guint broken = 0;
+  for (guint s = 2040; s < 2050; s++)
+    broken += play (world_new (s, 3), s, s % 2 ? 3 : 0, TRUE);
+  assert_int_equal (broken, 0);
+}
+
+static void
+days_with_a_team_limit (void **state)
+{
+  guint broken = 0;
+  for (guint s = 2050; s < 2054; s++) {
+    World *w = world_new (s, 3);
+    w->quota_gpus = 3;
+    world_restart (w);
+    broken += play (w, s, 3, FALSE);
+  }
+  assert_int_equal (broken, 0);
+}
+
+static void
+days_with_one_or_five_controllers (void **state)
+{
+  guint broken = 0;
+  for (guint s = 2060; s < 2066; s++)
+    broken += play (world_new (s, s % 2 ? 5 : 1), s, 4, s % 3 == 0);
+  assert_int_equal (broken, 0);
+}
+
+/* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
+static GLogWriterOutput
+writer (GLogLevelFlags level, const GLogField *f, gsize n, gpointer verbose)
+{
+  if (!verbose)
+    return level & G_LOG_FLAG_FATAL ? g_log_writer_default (level, f, n, NULL)
+                                    : G_LOG_WRITER_HANDLED;
+  for (gsize i = 0; i < n; i++)
+    if (g_str_equal (f[i].key, "MESSAGE"))
+      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *)f[i].value);
+  return G_LOG_WRITER_HANDLED;
+}
+
+int
+main (int argc, char **argv)
+{
+  g_log_set_writer_func (writer, (gpointer)g_getenv ("HR_SIM_VERBOSE"), NULL);
+  if (argc == 4) { /* a sweep by hand: test_pipelines FROM TO FAULTS */
+    guint broken = 0;
+    for (int s = atoi (argv[1]); s < atoi (argv[2]); s++)
+      broken += play (world_new (s, 3), s, atoi (argv[3]), s % 3 == 0);
+    return broken != 0;
+  }
+  static const char *const parts[] = {"quiet", "troubles", "owners", "shock", "limit", "nodes"};
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (quiet_days),
+      cmocka_unit_test (days_with_troubles),
+      cmocka_unit_test (days_of_new_owners),
+      cmocka_unit_test (days_of_shocks),
+      cmocka_unit_test (days_with_a_team_limit),
+      cmocka_unit_test (days_with_one_or_five_controllers),
+  };
+  for (guint i = 0; argc == 2 && i < G_N_ELEMENTS (parts); i++)
+    if (g_str_equal (parts[i], argv[1])) {
+      const struct CMUnitTest part[] = {tests[i]};
+      return cmocka_run_group_tests_name (argv[1], part, NULL, NULL);
+    }
+  if (argc == 2) {
+    fprintf (stderr, "no part %s\n", argv[1]);
+    return 2;
+  }
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
