--- a/src/bookkeeping/dependencies.c
+++ b/src/bookkeeping/dependencies.c
@@ -8,6 +8,8 @@
  * No recursion: chains may be hundreds of jobs long, and thousands may await one. */
 #include "coordination/state.h"
 
+/* Awaited jobs that a reason names; of the others it says how many. */
+#define NAMED_IN_REASON 3
 /* Tombstones of derived withdrawals that are begun in one tick. */
 #define TOMBSTONES_A_TICK 2
 
@@ -143,3 +145,34 @@
     n++;
   }
 }
+
+const char *
+hr_dependencies_unknown (HrCore *c, GStrv ids)
+{
+  for (guint i = 0; ids && ids[i]; i++)
+    if (!hr_job_find (c, ids[i]))
+      return ids[i];
+  return NULL;
+}
+
+char *
+hr_dependencies_reason (const HrJob *j)
+{
+  if (j->stance == HR_WITHDRAWN && j->withdrawn_with)
+    return g_strdup_printf ("withdrawn with %s, which it awaits, directly or through others, and "
+                            "which its user withdrew",
+                            j->withdrawn_with->id);
+  if (j->stance != HR_QUEUED || !hr_job_waits (j))
+    return NULL;
+  guint n = 0;
+  g_autoptr (GString) names = g_string_new (NULL);
+  for (guint i = 0; i < j->nawaits; i++) {
+    if (j->awaits[i]->stance == HR_DONE)
+      continue;
+    if (++n <= NAMED_IN_REASON)
+      g_string_append_printf (names, "%s%s", n > 1 ? ", " : "", j->awaits[i]->id);
+  }
+  if (n > NAMED_IN_REASON)
+    g_string_append_printf (names, " and %u more", n - NAMED_IN_REASON);
+  return g_strdup_printf ("waits for %u job%s to be done: %s", n, n > 1 ? "s" : "", names->str);
+}
--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -48,6 +48,24 @@
   return hr_json_take_text (o);
 }
 
+char *
+hr_record_first (const HrJobSpec *spec, const char *const *awaits, const HrNames *names,
+                 double submitted, guint per_page, const char *tag)
+{
+  guint n = awaits ? g_strv_length ((GStrv)awaits) : 0;
+  g_autofree HrJob *rows = g_new0 (HrJob, n + 1);
+  g_autofree HrJob **named = g_new0 (HrJob *, n + 1);
+  for (guint i = 0; i < n; i++) {
+    rows[i].id = awaits[i];
+    named[i] = &rows[i];
+  }
+  HrJob job = {.submitted = submitted, .awaits = named, .nawaits = n};
+  hr_job_set_spec (&job, spec, per_page);
+  char *text = hr_record_main (&job, names, NULL, HR_QUEUED, tag, FALSE);
+  hr_job_shrink (&job);
+  return text;
+}
+
 char *
 hr_record_tombstone (const HrJob *j, HrStance stance, const char *tag)
 {
--- a/src/bookkeeping/record.h
+++ b/src/bookkeeping/record.h
@@ -21,6 +21,12 @@
   const char *withdrawn_with; /* of a tombstone; borrowed from the value; NULL: none */
 } HrRecord;
 
+/* Longer than any writer's tag: with it a main record is at its largest. */
+#define HR_LONGEST_TAG "................................................................"
+
+/* The first main record of a job. awaits: ids, or NULL; submitted: time of day. */
+char *hr_record_first (const HrJobSpec *spec, const char *const *awaits, const HrNames *names,
+                       double submitted, guint per_page, const char *tag);
 /* The main record. pending: with the placements and endings under way. */
 char *hr_record_main (const HrJob *j, const HrNames *names, const HrIntern *machines,
                       HrStance stance, const char *tag, gboolean pending);
--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -66,10 +66,9 @@
 guint
 hr_tasks_per_page (double value_kb)
 {
-  /* A bound task takes a machine's name, a session and an attempt: 48 bytes
-   * leave room for long names; 1 KiB for the job's description. */
+  /* 1 KiB is for the job's description. */
   double room = value_kb * 1024 - 1024;
-  return MAX (1, (gint)(room / 48));
+  return MAX (1, (gint)(room / HR_PLACED_TASK_BYTES));
 }
 
 void
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -177,6 +177,8 @@
 /* Time of day from which its times other than `due_s` count. */
 double hr_job_since (const HrJob *j);
 HrPage *hr_job_page (HrJob *j, guint32 task);
+/* A placed task takes a machine's name, a session and an attempt: room for long names. */
+#define HR_PLACED_TASK_BYTES 48
 /* How many tasks a record or page holds. per_page as stored in the record. */
 guint hr_tasks_per_page (double value_kb);
 /* Counts tasks that use the image; older ones count less and less. */
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -185,6 +185,10 @@
 void hr_dependencies_read (HrCore *c, HrJob *j, const char *const *ids);
 /* The job is done or withdrawn: those that await it become ready, or are withdrawn with it. */
 void hr_dependencies_final (HrCore *c, HrJob *j);
+/* The first of these jobs that this node knows nothing of, or NULL. */
+const char *hr_dependencies_unknown (HrCore *c, GStrv ids);
+/* Which jobs it waits for, or which cancelled one took it along; NULL: neither. */
+char *hr_dependencies_reason (const HrJob *j);
 /* Before everything is read anew. */
 void hr_dependencies_forget (HrCore *c);
 void hr_dependencies_tick (HrCore *c);
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -4,12 +4,6 @@
 #include <string.h>
 
 #define MAX_TRIES 6
-/* Awaited jobs that `reason` names; of the others it says how many. */
-#define NAMED_IN_REASON 3
-/* Longer than any writer's tag: with it a main record is at its largest. */
-#define LONGEST_TAG "................................................................"
-/* A placed task in its record, with a long name of its machine. */
-#define PLACED_TASK_BYTES 48
 
 static const char *const stances[] = {"queued", "done", "withdrawn"};
 
@@ -42,37 +36,17 @@
   request_free (request);
 }
 
-/* Which jobs it waits for: the first few by name, and how many there are. */
-static char *
-waits_for (const HrJob *j)
-{
-  guint n = 0;
-  g_autoptr (GString) names = g_string_new (NULL);
-  for (guint i = 0; i < j->nawaits; i++) {
-    if (j->awaits[i]->stance == HR_DONE)
-      continue;
-    if (++n <= NAMED_IN_REASON)
-      g_string_append_printf (names, "%s%s", n > 1 ? ", " : "", j->awaits[i]->id);
-  }
-  if (n > NAMED_IN_REASON)
-    g_string_append_printf (names, " and %u more", n - NAMED_IN_REASON);
-  return g_strdup_printf ("waits for %u job%s to be done: %s", n, n > 1 ? "s" : "", names->str);
-}
-
 /* Why the job is where it is, for the person who waits for it. */
 static char *
 reason (HrCore *c, HrJob *j)
 {
   if (j->stance == HR_DONE)
     return g_strdup ("all tasks are done");
-  if (j->stance == HR_WITHDRAWN && j->withdrawn_with)
-    return g_strdup_printf ("withdrawn with %s, which it awaits, directly or through others, and "
-                            "which its user withdrew",
-                            j->withdrawn_with->id);
+  char *others = hr_dependencies_reason (j);
+  if (others)
+    return others;
   if (j->stance == HR_WITHDRAWN)
     return g_strdup ("withdrawn by its user");
-  if (hr_job_waits (j))
-    return waits_for (j);
   if (!c->leads)
     return g_strdup_printf ("%s plans this job", c->map_owner ? c->map_owner : "no controller yet");
   if (j->errors && j->retry_at > c->now)
@@ -174,6 +148,33 @@
 
 static void send_submit (HrCore *c, UserRequest *request);
 
+/* The job's first main record. */
+static char *
+first_record (HrCore *c, const UserRequest *request, guint per_page, const char *tag)
+{
+  return hr_record_first (&request->spec, (const char *const *)request->awaits, c->names,
+                          request->asked, per_page, tag);
+}
+
+/* Where the job's tasks stand. FALSE: what it awaits is more than a value of the state service
+ * holds, now or at its next limits; the main record is written many times, and has to fit. */
+static gboolean
+lay_out (HrCore *c, UserRequest *request)
+{
+  double limit_kb = c->set->value_kb;
+  guint per_page = hr_tasks_per_page (limit_kb);
+  if (!request->awaits) {
+    request->per_page = request->spec.tasks <= per_page ? 0 : per_page;
+    return TRUE;
+  }
+  limit_kb = MIN (limit_kb, c->set->next_value_kb);
+  per_page = hr_tasks_per_page (limit_kb);
+  g_autofree char *text = first_record (c, request, per_page, HR_LONGEST_TAG);
+  double room = limit_kb * 1024 - strlen (text);
+  request->per_page = request->spec.tasks * HR_PLACED_TASK_BYTES <= room ? 0 : per_page;
+  return room >= 0;
+}
+
 static void
 on_submit (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
@@ -206,45 +207,6 @@
                                 : "the state service did not confirm the job; submit again");
 }
 
-/* The job's first main record. */
-static char *
-first_record (HrCore *c, const UserRequest *request, guint per_page, const char *tag)
-{
-  HrJob tmp = {.submitted = request->asked};
-  guint n = request->awaits ? g_strv_length (request->awaits) : 0;
-  g_autofree HrJob *rows = g_new0 (HrJob, n + 1);
-  g_autofree HrJob **awaits = g_new0 (HrJob *, n + 1);
-  for (guint i = 0; i < n; i++) {
-    rows[i].id = request->awaits[i];
-    awaits[i] = &rows[i];
-  }
-  tmp.awaits = awaits;
-  tmp.nawaits = n;
-  hr_job_set_spec (&tmp, &request->spec, per_page);
-  char *text = hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, tag, FALSE);
-  hr_job_shrink (&tmp);
-  return text;
-}
-
-/* Where the job's tasks stand. FALSE: what it awaits is more than a value of the state service
- * holds, now or at its next limits; the main record is written many times, and has to fit. */
-static gboolean
-lay_out (HrCore *c, UserRequest *request)
-{
-  double limit_kb = c->set->value_kb;
-  guint per_page = hr_tasks_per_page (limit_kb);
-  if (!request->awaits) {
-    request->per_page = request->spec.tasks <= per_page ? 0 : per_page;
-    return TRUE;
-  }
-  limit_kb = MIN (limit_kb, c->set->next_value_kb);
-  per_page = hr_tasks_per_page (limit_kb);
-  g_autofree char *text = first_record (c, request, per_page, LONGEST_TAG);
-  double room = limit_kb * 1024 - strlen (text);
-  request->per_page = request->spec.tasks * PLACED_TASK_BYTES <= room ? 0 : per_page;
-  return room >= 0;
-}
-
 static void
 send_submit (HrCore *c, UserRequest *request)
 {
@@ -257,22 +219,12 @@
   hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, request);
 }
 
-/* The first job that it awaits and that this node knows nothing of, or NULL. */
-static const char *
-unknown_awaited (HrCore *c, const UserRequest *request)
-{
-  for (guint i = 0; request->awaits && request->awaits[i]; i++)
-    if (!hr_job_find (c, request->awaits[i]))
-      return request->awaits[i];
-  return NULL;
-}
-
 /* A reading sent after the submission came: what is unknown now was never accepted. */
 static void
 on_awaits_read (HrCore *c, gboolean ok, gpointer data)
 {
   UserRequest *request = data;
-  const char *unknown = unknown_awaited (c, request);
+  const char *unknown = hr_dependencies_unknown (c, request->awaits);
   HrJob *j = hr_job_find (c, request->id);
   if (!ok)
     refuse_later (c, request, 503, "the jobs that it awaits cannot be looked up; submit again");
@@ -339,7 +291,7 @@
     return;
   }
   /* Known jobs never vanish; what is not known may have been accepted elsewhere just now. */
-  if (unknown_awaited (c, request))
+  if (hr_dependencies_unknown (c, request->awaits))
     hr_follow_read (c, on_awaits_read, request);
   else
     send_submit (c, request);
--- /dev/null
+++ b/tests/sim/lone_node.c
@@ -0,0 +1,239 @@
+#include "sim/lone_node.h"
+#include "protocol/jsonx.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define TYPES                                                                                      \
+  "{\"hulls\":[{\"sku\":\"g8\",\"vcpus\":12,\"accelerators\":2,\"memory_gb\":96,"                  \
+  "\"cache_gb\":100,\"fetch_gb_per_s\":1.0,\"hourly\":4.0,\"low_price\":2.0,\"startup_s\":20,"     \
+  "\"quarries\":[\"z0\"]}]}"
+#define SETTINGS                                                                                   \
+  "{\"label\":\"a\",\"area\":\"z0\",\"front\":\"10.0.0.1:80\",\"back\":\"10.0.0.1:81\","           \
+  "\"outside\":{\"cloud\":\"10.2.0.2:84\",\"state\":\"10.2.0.1:23\"},\"members\":[],"              \
+  "\"facts\":{\"teams\":[{\"name\":\"crew\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,"                 \
+  "\"gpus_max\":0}],\"objectives\":[],\"workers\":{\"report_s\":2.5,\"lease_s\":14,"               \
+  "\"gang_wait_s\":30,\"gang_peer_s\":4,\"cancel_s\":36},\"state\":{\"rps\":5000,"                 \
+  "\"write_rps\":5000,\"value_kb\":4,\"txn_ops\":12%s},\"cloud\":{\"rps\":8,\"list_lag_s\":3}}}"
+
+/* ---- the state service ---- */
+
+static void
+change_clear (gpointer p)
+{
+  Change *change = p;
+  g_free (change->path);
+  g_free (change->text);
+}
+
+Ledger *
+ledger_new (void)
+{
+  Ledger *l = g_new0 (Ledger, 1);
+  l->log = g_array_new (FALSE, TRUE, sizeof (Change));
+  g_array_set_clear_func (l->log, change_clear);
+  l->stamp = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return l;
+}
+
+void
+ledger_free (Ledger *l)
+{
+  g_array_unref (l->log);
+  g_hash_table_unref (l->stamp);
+  g_free (l);
+}
+
+void
+ledger_set (Ledger *l, const char *path, const char *text)
+{
+  Change change = {g_strdup (path), g_strdup (text), l->epoch};
+  g_array_append_val (l->log, change);
+  g_hash_table_replace (l->stamp, g_strdup (path), g_memdup2 (&l->epoch, sizeof l->epoch));
+}
+
+static guint64
+stamp_of (const Ledger *l, const char *path)
+{
+  const guint64 *stamp = g_hash_table_lookup (l->stamp, path);
+  return stamp ? *stamp : 0;
+}
+
+/* The record as it stands, or NULL. */
+const char *
+ledger_job (const Ledger *l, const char *id)
+{
+  g_autofree char *path = g_strconcat ("h/j/", id, NULL);
+  for (guint i = l->log->len; i > 0; i--) {
+    const Change *change = &g_array_index (l->log, Change, i - 1);
+    if (strcmp (change->path, path) == 0)
+      return change->text;
+  }
+  return NULL;
+}
+
+/* The changes after an epoch, or (as rows of a reading) the latest of each record. */
+static char *
+changes (const Ledger *l, guint64 after, gboolean rows)
+{
+  json_t *list = json_array ();
+  for (guint i = 0; i < l->log->len; i++) {
+    const Change *change = &g_array_index (l->log, Change, i);
+    if (change->stamp <= after || (rows && stamp_of (l, change->path) != change->stamp))
+      continue;
+    json_t *o = json_pack ("{sssosI}", rows ? "path" : "set", change->path, "value",
+                           json_loads (change->text, JSON_DECODE_ANY, NULL), "stamp",
+                           (json_int_t)change->stamp);
+    if (rows && l->backwards)
+      json_array_insert_new (list, 0, o);
+    else
+      json_array_append_new (list, o);
+  }
+  return hr_json_take_text (
+      json_pack ("{sosbsI}", rows ? "rows" : "log", list, "more", FALSE, "epoch", l->epoch));
+}
+
+static int
+commit (Ledger *l, const char *body, char **text)
+{
+  json_t *o = json_loads (body, 0, NULL), *e;
+  size_t i;
+  int status = 200;
+  json_array_foreach (json_object_get (o, "when"), i, e)
+  {
+    guint64 want = json_integer_value (json_object_get (e, "stamp"));
+    if (stamp_of (l, hr_json_str (e, "path")) != want)
+      status = 409;
+  }
+  l->epoch += status == 200;
+  json_array_foreach (json_object_get (o, "writes"), i, e)
+  {
+    if (status != 200 || !hr_json_str (e, "set"))
+      continue;
+    g_autofree char *value = json_dumps (json_object_get (e, "value"), JSON_COMPACT);
+    assert_true (strlen (value) <= 4096);
+    ledger_set (l, hr_json_str (e, "set"), value);
+  }
+  json_decref (o);
+  *text = g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT ",\"failed\":[]}", l->epoch);
+  return status;
+}
+
+/* ---- a node ---- */
+
+LoneNode *
+node_new (Ledger *l, const char *state_more)
+{
+  LoneNode *n = g_new0 (LoneNode, 1);
+  g_autoptr (GError) error = NULL;
+  g_autofree char *text = g_strdup_printf (SETTINGS, state_more);
+  json_t *root = json_loads (text, 0, NULL);
+  hr_names_init (&n->names);
+  n->set = hr_settings_parse (root, &n->names, &error);
+  json_decref (root);
+  assert_non_null (n->set);
+  g_autoptr (GHashTable) vars = hr_policy_vars_new ();
+  HrPolicy policy;
+  hr_core_policy_vars (n->set, vars);
+  assert_true (hr_policy_load (SOURCE_ROOT "/deploy/policy.hop", vars, &policy, &error));
+  n->ledger = l;
+  n->now = 100;
+  n->core = hr_core_new (n->set, &policy, &n->names, "inc", 7);
+  n->inbox = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  n->answers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  return n;
+}
+
+void
+node_free (LoneNode *n)
+{
+  hr_core_free (n->core);
+  hr_settings_free (n->set);
+  hr_names_clear (&n->names);
+  g_ptr_array_unref (n->inbox);
+  g_hash_table_unref (n->answers);
+  json_decref (n->body);
+  g_free (n);
+}
+
+static void
+result (LoneNode *n, guint64 id, int status, char *text)
+{
+  HrCommand *cmd = hr_command_new (HR_C_RESULT);
+  cmd->id = id;
+  cmd->status = status;
+  cmd->body = g_bytes_new_take (text, strlen (text));
+  g_ptr_array_add (n->inbox, cmd);
+}
+
+static void
+call (LoneNode *n, const HrEffect *e)
+{
+  Ledger *l = n->ledger;
+  char *text = NULL;
+  if (e->target == HR_TO_CLOUD)
+    result (n, e->id, strcmp (e->path, "/machine_types") == 0 ? 200 : 503, g_strdup (TYPES));
+  else if (l->down)
+    result (n, e->id, 503, g_strdup ("{}"));
+  else if (g_str_has_prefix (e->path, "/kv?"))
+    result (n, e->id, 200, changes (l, 0, TRUE));
+  else if (g_str_has_prefix (e->path, "/leases"))
+    result (n, e->id, 200, g_strdup ("{\"claim\":1}"));
+  else if (strcmp (e->path, "/commit") == 0) {
+    int status = commit (l, e->body, &text);
+    result (n, e->id, status, text);
+  } else if (g_str_has_suffix (e->path, "hold_ms=0")) {
+    const char *after = strstr (e->path, "after=") + strlen ("after=");
+    result (n, e->id, 200, changes (l, g_ascii_strtoull (after, NULL, 10), FALSE));
+  } /* a watch stays open */
+}
+
+static void
+step (LoneNode *n)
+{
+  g_autoptr (GPtrArray) batch = n->inbox;
+  g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
+  n->inbox = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  g_ptr_array_add (batch, hr_command_new (HR_C_TICK));
+  hr_core_step (n->core, n->now, 1e9 + n->now, batch, out);
+  for (guint i = 0; i < out->len; i++) {
+    const HrEffect *e = out->pdata[i];
+    if (e->kind == HR_E_CALL)
+      call (n, e);
+    else if (e->kind == HR_E_REPLY) {
+      g_hash_table_insert (n->answers, g_memdup2 (&e->id, sizeof e->id),
+                           GINT_TO_POINTER (e->status));
+      json_decref (n->body);
+      n->body = e->body ? json_loads (e->body, 0, NULL) : NULL;
+    }
+  }
+  n->now += 0.1;
+}
+
+void
+node_run (LoneNode *n, double for_s)
+{
+  for (double until = n->now + for_s; n->now < until;)
+    step (n);
+}
+
+/* Asks the node, and gives its answer's status; 0 when none came within a minute. */
+int
+node_ask (LoneNode *n, HrMethod method, const char *path, char *body)
+{
+  HrCommand *cmd = hr_command_new (HR_C_REQUEST);
+  guint64 id = ++n->next;
+  gpointer status = NULL;
+  cmd->id = id;
+  cmd->method = method;
+  cmd->path = g_strdup (path);
+  cmd->body = body ? g_bytes_new_take (body, strlen (body)) : NULL;
+  g_ptr_array_add (n->inbox, cmd);
+  for (guint i = 0; i < 600 && !status; i++) {
+    step (n);
+    status = g_hash_table_lookup (n->answers, &id);
+  }
+  return GPOINTER_TO_INT (status);
+}
--- /dev/null
+++ b/tests/sim/lone_node.h
@@ -0,0 +1,43 @@
+/* One node on a state service played here, without users, workers or other nodes: for tests that
+ * ask the core itself. */
+#pragma once
+#include "coordination/state.h"
+
+typedef struct {
+  char *path, *text;
+  guint64 stamp;
+} Change;
+
+/* All records, as the changes that made them. */
+typedef struct {
+  GArray *log;       /* Change */
+  GHashTable *stamp; /* path -> guint64: the latest change */
+  guint64 epoch;
+  gboolean down, backwards; /* backwards: a full reading gives the newest record first */
+} Ledger;
+
+Ledger *ledger_new (void);
+void ledger_free (Ledger *l);
+/* A change at the present epoch. */
+void ledger_set (Ledger *l, const char *path, const char *text);
+/* The job's main record as it stands, or NULL. */
+const char *ledger_job (const Ledger *l, const char *id);
+
+typedef struct {
+  Ledger *ledger;
+  HrCore *core;
+  HrNames names;
+  HrSettings *set;
+  double now;
+  GPtrArray *inbox;
+  guint64 next;
+  GHashTable *answers; /* request id -> status */
+  json_t *body;        /* of the latest answer */
+} LoneNode;
+
+/* state_more: more members of the settings' `state`, with a comma before them. */
+LoneNode *node_new (Ledger *l, const char *state_more);
+void node_free (LoneNode *n);
+void node_run (LoneNode *n, double for_s);
+/* Asks the node, and gives its answer's status; 0 when none came within a minute. */
+int node_ask (LoneNode *n, HrMethod method, const char *path, char *body);
--- a/tests/test_awaits.c
+++ b/tests/test_awaits.c
@@ -1,6 +1,6 @@
 /* Jobs that await others, at nodes whose state service is played here: what is refused and why,
  * what is derived from the records alone, in any order of reading, and when a job gets work. */
-#include "coordination/state.h"
+#include "sim/lone_node.h"
 #include "protocol/jsonx.h"
 #include <math.h>
 #include <setjmp.h>
@@ -10,268 +10,11 @@
 #include <string.h>
 #include <cmocka.h>
 
-#define TYPES                                                                                      \
-  "{\"hulls\":[{\"sku\":\"g8\",\"vcpus\":12,\"accelerators\":2,\"memory_gb\":96,"                  \
-  "\"cache_gb\":100,\"fetch_gb_per_s\":1.0,\"hourly\":4.0,\"low_price\":2.0,\"startup_s\":20,"     \
-  "\"quarries\":[\"z0\"]}]}"
-#define SETTINGS                                                                                   \
-  "{\"label\":\"a\",\"area\":\"z0\",\"front\":\"10.0.0.1:80\",\"back\":\"10.0.0.1:81\","           \
-  "\"outside\":{\"cloud\":\"10.2.0.2:84\",\"state\":\"10.2.0.1:23\"},\"members\":[],"              \
-  "\"facts\":{\"teams\":[{\"name\":\"crew\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,"                 \
-  "\"gpus_max\":0}],\"objectives\":[],\"workers\":{\"report_s\":2.5,\"lease_s\":14,"               \
-  "\"gang_wait_s\":30,\"gang_peer_s\":4,\"cancel_s\":36},\"state\":{\"rps\":5000,"                 \
-  "\"write_rps\":5000,\"value_kb\":4,\"txn_ops\":12%s},\"cloud\":{\"rps\":8,\"list_lag_s\":3}}}"
-
-/* ---- the state service ---- */
-
-typedef struct {
-  char *path, *text;
-  guint64 stamp;
-} Change;
-
-/* All records, as the changes that made them. */
-typedef struct {
-  GArray *log;       /* Change */
-  GHashTable *stamp; /* path -> guint64: the latest change */
-  guint64 epoch;
-  gboolean down, backwards; /* backwards: a full reading gives the newest record first */
-} Ledger;
-
-static void
-change_clear (gpointer p)
-{
-  Change *change = p;
-  g_free (change->path);
-  g_free (change->text);
-}
-
-static Ledger *
-ledger_new (void)
-{
-  Ledger *l = g_new0 (Ledger, 1);
-  l->log = g_array_new (FALSE, TRUE, sizeof (Change));
-  g_array_set_clear_func (l->log, change_clear);
-  l->stamp = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  return l;
-}
-
-static void
-ledger_free (Ledger *l)
-{
-  g_array_unref (l->log);
-  g_hash_table_unref (l->stamp);
-  g_free (l);
-}
-
-static void
-ledger_set (Ledger *l, const char *path, const char *text)
-{
-  Change change = {g_strdup (path), g_strdup (text), l->epoch};
-  g_array_append_val (l->log, change);
-  g_hash_table_replace (l->stamp, g_strdup (path), g_memdup2 (&l->epoch, sizeof l->epoch));
-}
-
-static guint64
-stamp_of (const Ledger *l, const char *path)
-{
-  const guint64 *stamp = g_hash_table_lookup (l->stamp, path);
-  return stamp ? *stamp : 0;
-}
-
-/* The record as it stands, or NULL. */
-static const char *
-record (const Ledger *l, const char *id)
-{
-  g_autofree char *path = g_strconcat ("h/j/", id, NULL);
-  for (guint i = l->log->len; i > 0; i--) {
-    const Change *change = &g_array_index (l->log, Change, i - 1);
-    if (strcmp (change->path, path) == 0)
-      return change->text;
-  }
-  return NULL;
-}
-
-/* The changes after an epoch, or (as rows of a reading) the latest of each record. */
-static char *
-changes (const Ledger *l, guint64 after, gboolean rows)
-{
-  json_t *list = json_array ();
-  for (guint i = 0; i < l->log->len; i++) {
-    const Change *change = &g_array_index (l->log, Change, i);
-    if (change->stamp <= after || (rows && stamp_of (l, change->path) != change->stamp))
-      continue;
-    json_t *o = json_pack ("{sssosI}", rows ? "path" : "set", change->path, "value",
-                           json_loads (change->text, JSON_DECODE_ANY, NULL), "stamp",
-                           (json_int_t)change->stamp);
-    if (rows && l->backwards)
-      json_array_insert_new (list, 0, o);
-    else
-      json_array_append_new (list, o);
-  }
-  return hr_json_take_text (
-      json_pack ("{sosbsI}", rows ? "rows" : "log", list, "more", FALSE, "epoch", l->epoch));
-}
-
-static int
-commit (Ledger *l, const char *body, char **text)
-{
-  json_t *o = json_loads (body, 0, NULL), *e;
-  size_t i;
-  int status = 200;
-  json_array_foreach (json_object_get (o, "when"), i, e)
-  {
-    guint64 want = json_integer_value (json_object_get (e, "stamp"));
-    if (stamp_of (l, hr_json_str (e, "path")) != want)
-      status = 409;
-  }
-  l->epoch += status == 200;
-  json_array_foreach (json_object_get (o, "writes"), i, e)
-  {
-    if (status != 200 || !hr_json_str (e, "set"))
-      continue;
-    g_autofree char *value = json_dumps (json_object_get (e, "value"), JSON_COMPACT);
-    assert_true (strlen (value) <= 4096);
-    ledger_set (l, hr_json_str (e, "set"), value);
-  }
-  json_decref (o);
-  *text = g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT ",\"failed\":[]}", l->epoch);
-  return status;
-}
-
-/* ---- a node ---- */
-
-typedef struct {
-  Ledger *ledger;
-  HrCore *core;
-  HrNames names;
-  HrSettings *set;
-  double now;
-  GPtrArray *inbox;
-  guint64 next;
-  GHashTable *answers; /* request id -> status */
-  json_t *body;        /* of the latest answer */
-} Node;
-
-static Node *
-node_with (Ledger *l, const char *state_more)
-{
-  Node *n = g_new0 (Node, 1);
-  g_autoptr (GError) error = NULL;
-  g_autofree char *text = g_strdup_printf (SETTINGS, state_more);
-  json_t *root = json_loads (text, 0, NULL);
-  hr_names_init (&n->names);
-  n->set = hr_settings_parse (root, &n->names, &error);
-  json_decref (root);
-  assert_non_null (n->set);
-  g_autoptr (GHashTable) vars = hr_policy_vars_new ();
-  HrPolicy policy;
-  hr_core_policy_vars (n->set, vars);
-  assert_true (hr_policy_load (SOURCE_ROOT "/deploy/policy.hop", vars, &policy, &error));
-  n->ledger = l;
-  n->now = 100;
-  n->core = hr_core_new (n->set, &policy, &n->names, "inc", 7);
-  n->inbox = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
-  n->answers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  return n;
-}
-
-static void
-node_free (Node *n)
-{
-  hr_core_free (n->core);
-  hr_settings_free (n->set);
-  hr_names_clear (&n->names);
-  g_ptr_array_unref (n->inbox);
-  g_hash_table_unref (n->answers);
-  json_decref (n->body);
-  g_free (n);
-}
-
-static void
-result (Node *n, guint64 id, int status, char *text)
-{
-  HrCommand *cmd = hr_command_new (HR_C_RESULT);
-  cmd->id = id;
-  cmd->status = status;
-  cmd->body = g_bytes_new_take (text, strlen (text));
-  g_ptr_array_add (n->inbox, cmd);
-}
-
-static void
-call (Node *n, const HrEffect *e)
-{
-  Ledger *l = n->ledger;
-  char *text = NULL;
-  if (e->target == HR_TO_CLOUD)
-    result (n, e->id, strcmp (e->path, "/machine_types") == 0 ? 200 : 503, g_strdup (TYPES));
-  else if (l->down)
-    result (n, e->id, 503, g_strdup ("{}"));
-  else if (g_str_has_prefix (e->path, "/kv?"))
-    result (n, e->id, 200, changes (l, 0, TRUE));
-  else if (g_str_has_prefix (e->path, "/leases"))
-    result (n, e->id, 200, g_strdup ("{\"claim\":1}"));
-  else if (strcmp (e->path, "/commit") == 0) {
-    int status = commit (l, e->body, &text);
-    result (n, e->id, status, text);
-  } else if (g_str_has_suffix (e->path, "hold_ms=0")) {
-    const char *after = strstr (e->path, "after=") + strlen ("after=");
-    result (n, e->id, 200, changes (l, g_ascii_strtoull (after, NULL, 10), FALSE));
-  } /* a watch stays open */
-}
-
-static void
-step (Node *n)
-{
-  g_autoptr (GPtrArray) batch = n->inbox;
-  g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
-  n->inbox = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
-  g_ptr_array_add (batch, hr_command_new (HR_C_TICK));
-  hr_core_step (n->core, n->now, 1e9 + n->now, batch, out);
-  for (guint i = 0; i < out->len; i++) {
-    const HrEffect *e = out->pdata[i];
-    if (e->kind == HR_E_CALL)
-      call (n, e);
-    else if (e->kind == HR_E_REPLY) {
-      g_hash_table_insert (n->answers, g_memdup2 (&e->id, sizeof e->id),
-                           GINT_TO_POINTER (e->status));
-      json_decref (n->body);
-      n->body = e->body ? json_loads (e->body, 0, NULL) : NULL;
-    }
-  }
-  n->now += 0.1;
-}
-
-static void
-run (Node *n, double for_s)
-{
-  for (double until = n->now + for_s; n->now < until;)
-    step (n);
-}
-
-/* Asks the node, and gives its answer's status; 0 when none came within a minute. */
-static int
-ask (Node *n, HrMethod method, const char *path, char *body)
-{
-  HrCommand *cmd = hr_command_new (HR_C_REQUEST);
-  guint64 id = ++n->next;
-  gpointer status = NULL;
-  cmd->id = id;
-  cmd->method = method;
-  cmd->path = g_strdup (path);
-  cmd->body = body ? g_bytes_new_take (body, strlen (body)) : NULL;
-  g_ptr_array_add (n->inbox, cmd);
-  for (guint i = 0; i < 600 && !status; i++) {
-    step (n);
-    status = g_hash_table_lookup (n->answers, &id);
-  }
-  return GPOINTER_TO_INT (status);
-}
-
 /* Submits a job with these fields beside the usual ones. */
 static int
-submit (Node *n, const char *id, const char *awaits, const char *more)
+submit (LoneNode *n, const char *id, const char *awaits, const char *more)
 {
-  return ask (
+  return node_ask (
       n, HR_POST, "/v1/jobs",
       g_strdup_printf ("{\"name_id\":\"%s\",\"jobclass\":\"k\",\"crew\":\"crew\","
                        "\"shape\":\"batch\",\"pieces\":2,\"vcpus\":1,\"accelerators\":0,"
@@ -283,31 +26,31 @@
 }
 
 static const char *
-poll (Node *n, const char *id)
+poll (LoneNode *n, const char *id)
 {
   g_autofree char *path = g_strconcat ("/v1/jobs/", id, NULL);
-  int status = ask (n, HR_GET, path, NULL);
+  int status = node_ask (n, HR_GET, path, NULL);
   return status == 200 ? hr_json_str (n->body, "stance") : status == 404 ? "unknown" : "none";
 }
 
 static int
-cancel (Node *n, const char *id)
+cancel (LoneNode *n, const char *id)
 {
   g_autofree char *path = g_strconcat ("/v1/jobs/", id, "/abort", NULL);
-  return ask (n, HR_POST, path, NULL);
+  return node_ask (n, HR_POST, path, NULL);
 }
 
-static Node *
+static LoneNode *
 node_up (Ledger *l)
 {
-  Node *n = node_with (l, "");
-  run (n, 5);
+  LoneNode *n = node_new (l, "");
+  node_run (n, 5);
   assert_true (n->core->leads);
   return n;
 }
 
 static gboolean
-open_here (Node *n, const char *id)
+open_here (LoneNode *n, const char *id)
 {
   const HrJob *j = hr_job_find (n->core, id);
   for (guint i = 0; j && i < n->core->open->len; i++)
@@ -331,19 +74,19 @@
 named_jobs_are_checked (void **state)
 {
   Ledger *l = ledger_new ();
-  Node *n = node_up (l);
+  LoneNode *n = node_up (l);
   assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
   assert_int_equal (submit (n, "job-2", "[]", NULL), 201);
   assert_int_equal (submit (n, "job-3", "null", NULL), 201);
-  assert_null (strstr (record (l, "job-2"), "\"a\":"));
+  assert_null (strstr (ledger_job (l, "job-2"), "\"a\":"));
   assert_int_equal (submit (n, "job-4", "[\"job-9\"]", NULL), 422);
   assert_non_null (strstr (hr_json_str (n->body, "error"), "job-9"));
   assert_int_equal (submit (n, "job-4", "[\"job-1\",\"job-4\"]", NULL), 422);
-  assert_null (record (l, "job-4"));
+  assert_null (ledger_job (l, "job-4"));
   assert_string_equal (poll (n, "job-4"), "unknown");
   assert_string_equal (poll (n, "job-9"), "unknown");
   assert_int_equal (submit (n, "job-5", "[\"job-1\",\"job-2\",\"job-1\"]", NULL), 201);
-  assert_non_null (strstr (record (l, "job-5"), "\"a\":[\"job-1\",\"job-2\"]"));
+  assert_non_null (strstr (ledger_job (l, "job-5"), "\"a\":[\"job-1\",\"job-2\"]"));
   /* A repeat is compared by its id alone. */
   assert_int_equal (submit (n, "job-5", "[\"job-9\"]", NULL), 200);
   node_free (n);
@@ -354,14 +97,14 @@
 unknown_jobs_cannot_be_judged_in_an_outage (void **state)
 {
   Ledger *l = ledger_new ();
-  Node *n = node_up (l);
+  LoneNode *n = node_up (l);
   assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
   l->down = TRUE;
   assert_int_equal (submit (n, "job-2", "[\"job-9\"]", NULL), 503);
   l->down = FALSE;
-  run (n, 10);
+  node_run (n, 10);
   /* Accepted elsewhere just now: a reading finds it. */
-  g_autofree char *text = g_strdup (record (l, "job-1"));
+  g_autofree char *text = g_strdup (ledger_job (l, "job-1"));
   l->epoch++;
   ledger_set (l, "h/j/job-9", text);
   assert_int_equal (submit (n, "job-2", "[\"job-9\"]", NULL), 201);
@@ -387,8 +130,8 @@
   guint most[2] = {0, 0};
   for (guint k = 0; k < 2; k++) {
     Ledger *l = ledger_new ();
-    Node *n = node_with (l, limits[k]);
-    run (n, 5);
+    LoneNode *n = node_new (l, limits[k]);
+    node_run (n, 5);
     for (guint i = 0; i < 320; i++) {
       g_autofree char *id = g_strdup_printf ("job-%06u", i);
       assert_int_equal (submit (n, id, NULL, NULL), 201);
@@ -400,7 +143,7 @@
       if (status == 400)
         assert_non_null (strstr (hr_json_str (n->body, "error"), "awaits"));
       if (status == 201) {
-        assert_true (strlen (record (l, id)) <= (k ? 2048 : 4096));
+        assert_true (strlen (ledger_job (l, id)) <= (k ? 2048 : 4096));
         assert_true (most[k] == i - 10); /* never one that is larger than a refused one */
         most[k] = i;
       }
@@ -416,7 +159,7 @@
 
 /* A pipeline: each awaits the one before. */
 static void
-submit_chain (Node *n, guint from, guint to)
+submit_chain (LoneNode *n, guint from, guint to)
 {
   for (guint i = from; i < to; i++) {
     g_autofree char *id = g_strdup_printf ("job-c%u", i);
@@ -443,7 +186,7 @@
 a_cancellation_takes_a_chain_along (void **state)
 {
   Ledger *l = ledger_new ();
-  Node *n = node_up (l);
+  LoneNode *n = node_up (l);
   submit_chain (n, 0, CHAIN);
   assert_int_equal (cancel (n, "job-c0"), 200);
   guint64 told = withdrawn_at (l, "h/j/job-c0");
@@ -468,9 +211,9 @@
         ledger_set (past, change->path, change->text);
     }
     past->backwards = k;
-    assert_non_null (strstr (record (past, "job-c599"), "\"s\":0"));
-    Node *other = node_with (past, "");
-    run (other, 1.5);
+    assert_non_null (strstr (ledger_job (past, "job-c599"), "\"s\":0"));
+    LoneNode *other = node_new (past, "");
+    node_run (other, 1.5);
     assert_string_equal (poll (other, "job-c599"), "withdrawn");
     assert_string_equal (poll (other, "job-late"), "withdrawn");
     assert_string_equal (poll (other, "job-c1"), "withdrawn");
@@ -478,11 +221,11 @@
     ledger_free (past);
   }
   /* In the end every record says so by itself. */
-  run (n, 120);
-  assert_null (strstr (record (l, "job-c599"), "\"j\":"));
-  assert_null (strstr (record (l, "job-late"), "\"j\":"));
-  Node *last = node_with (l, "");
-  run (last, 3);
+  node_run (n, 120);
+  assert_null (strstr (ledger_job (l, "job-c599"), "\"j\":"));
+  assert_null (strstr (ledger_job (l, "job-late"), "\"j\":"));
+  LoneNode *last = node_new (l, "");
+  node_run (last, 3);
   assert_string_equal (poll (last, "job-c300"), "withdrawn");
   assert_non_null (strstr (hr_json_str (last->body, "reason"), "job-c0"));
   node_free (last);
@@ -496,9 +239,9 @@
 a_cancellation_takes_thousands_along (void **state)
 {
   Ledger *l = ledger_new ();
-  Node *n = node_up (l);
+  LoneNode *n = node_up (l);
   assert_int_equal (submit (n, "job-r", NULL, NULL), 201);
-  g_autofree char *root = g_strdup (record (l, "job-r"));
+  g_autofree char *root = g_strdup (ledger_job (l, "job-r"));
   for (guint i = 0; i < BREADTH; i++) { /* as if other nodes had accepted them */
     g_autofree char *path = g_strdup_printf ("h/j/job-b%u", i);
     json_t *o = json_loads (root, 0, NULL);
@@ -524,7 +267,7 @@
 a_job_opens_when_the_last_one_is_done (void **state)
 {
   Ledger *l = ledger_new ();
-  Node *n = node_up (l);
+  LoneNode *n = node_up (l);
   assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
   assert_int_equal (submit (n, "job-2", NULL, NULL), 201);
   assert_int_equal (submit (n, "job-3", "[\"job-1\",\"job-2\"]", NULL), 201);
@@ -536,11 +279,11 @@
   assert_false (j->counted);
   double since = n->now;
   set_done (l, "job-2");
-  run (n, 2);
+  node_run (n, 2);
   assert_false (open_here (n, "job-3"));
-  run (n, 40);
+  node_run (n, 40);
   set_done (l, "job-1");
-  run (n, 2);
+  node_run (n, 2);
   assert_true (open_here (n, "job-3"));
   assert_true (j->counted); /* it arrives now */
   assert_true (j->deadline - 1e9 > since + 40 + 50 && isfinite (j->deadline));
@@ -558,20 +301,20 @@
 {
   for (guint k = 0; k < 2; k++) {
     Ledger *l = ledger_new ();
-    Node *n = node_up (l);
+    LoneNode *n = node_up (l);
     assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
     assert_int_equal (submit (n, "job-2", "[\"job-1\"]", NULL), 201);
     assert_int_equal (submit (n, "job-3", "[\"job-2\"]", NULL), 201);
     set_done (l, "job-1");
     l->backwards = k;
-    Node *other = node_with (l, "");
-    run (other, 5);
+    LoneNode *other = node_new (l, "");
+    node_run (other, 5);
     for (guint again = 0; again < 2; again++) {
       assert_true (open_here (other, "job-2"));
       assert_false (open_here (other, "job-3"));
       assert_string_equal (poll (other, "job-3"), "queued");
       hr_follow_reset (other->core);
-      run (other, 3);
+      node_run (other, 3);
     }
     node_free (other);
     node_free (n);
@@ -584,19 +327,19 @@
 an_unknown_awaited_job_is_not_done (void **state)
 {
   Ledger *l = ledger_new ();
-  Node *n = node_up (l);
+  LoneNode *n = node_up (l);
   assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
-  json_t *o = json_loads (record (l, "job-1"), 0, NULL);
+  json_t *o = json_loads (ledger_job (l, "job-1"), 0, NULL);
   json_object_set_new (o, "a", json_pack ("[s]", "job-77"));
   g_autofree char *text = hr_json_take_text (o);
   l->epoch++;
   ledger_set (l, "h/j/job-2", text);
-  run (n, 2);
+  node_run (n, 2);
   assert_false (open_here (n, "job-2"));
   assert_string_equal (poll (n, "job-2"), "queued");
   assert_string_equal (poll (n, "job-77"), "unknown");
   set_done (l, "job-77");
-  run (n, 2);
+  node_run (n, 2);
   assert_true (open_here (n, "job-2"));
   node_free (n);
   ledger_free (l);
@@ -607,7 +350,7 @@
 the_last_guards_hold (void **state)
 {
   Ledger *l = ledger_new ();
-  Node *n = node_up (l);
+  LoneNode *n = node_up (l);
   assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
   assert_int_equal (submit (n, "job-2", "[\"job-1\"]", NULL), 201);
   HrJob *j = hr_job_find (n->core, "job-2");
@@ -616,14 +359,14 @@
   hr_machine_describe (m, &g_array_index (n->core->types, HrType, 0), HR_NONE, FALSE);
   hr_fleet_add (n->core, m);
   hr_task_assign (n->core, j, 0, m, 1);
-  run (n, 3);
+  node_run (n, 3);
   assert_int_equal (j->tasks[0].state, HR_T_ASSIGNING);
-  assert_null (strstr (record (l, "job-2"), "m-1"));
+  assert_null (strstr (ledger_job (l, "job-2"), "m-1"));
   set_done (l, "job-1");
-  run (n, 1);
+  node_run (n, 1);
   hr_ledger_mark (n->core, j, 0);
-  run (n, 1);
-  assert_non_null (strstr (record (l, "job-2"), "m-1"));
+  node_run (n, 1);
+  assert_non_null (strstr (ledger_job (l, "job-2"), "m-1"));
   node_free (n);
   ledger_free (l);
 }
@@ -636,13 +379,13 @@
 urgency_flows_up_and_back (void **state)
 {
   Ledger *l = ledger_new ();
-  Node *n = node_up (l);
+  LoneNode *n = node_up (l);
   assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
   assert_int_equal (submit (n, "job-2", "[\"job-1\"]", NULL), 201);
   HrJob *first = hr_job_find (n->core, "job-1"), *second = hr_job_find (n->core, "job-2");
   double own = first->deadline;
   assert_int_equal (first->rank, HR_LOW);
-  run (n, 30);
+  node_run (n, 30);
   assert_int_equal (submit (n, "job-3", "[\"job-2\"]", ",\"due_s\":60,\"rank\":\"urgent\""), 201);
   HrJob *last = hr_job_find (n->core, "job-3");
   assert_int_equal (last->rank, HR_URGENT);
@@ -653,7 +396,7 @@
   assert_float_equal (first->deadline, last->deadline - 40, 1e-3);
   assert_true (first->deadline < own);
   hr_follow_reset (n->core);
-  run (n, 3);
+  node_run (n, 3);
   assert_int_equal (first->rank, HR_URGENT);
   assert_float_equal (first->deadline, last->deadline - 40, 1e-3);
   /* Nobody needs it urgently any more. */
