--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -112,8 +112,10 @@
   guint64 heard_accepted, heard_done, heard_withdrawn;
   double accepted_at;
   gboolean large, forgotten, lost_place;
-  const char *team; /* NULL: the first one */
-  guint *done;      /* per task */
+  const char *team;     /* NULL: the first one */
+  GPtrArray *awaits;    /* SJob, or NULL */
+  gboolean no_deadline; /* also as an array */
+  guint *done;          /* per task */
   double *progress;
 } SJob;
 
@@ -144,9 +146,13 @@
   /* users */
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
+  guint named; /* jobs that have a name, submitted or not */
   guint streamed;
-  gboolean fickle;   /* users withdraw most jobs soon after they submit them */
-  double gang_image; /* GB, of the gangs of two */
+  gboolean fickle;            /* users withdraw most jobs soon after they submit them */
+  double gang_image;          /* GB, of the gangs of two */
+  double pipelines_cancelled; /* share of pipelines of which some job is withdrawn */
+  gboolean shock;             /* a withdrawal that was told is followed by the end of all nodes */
+  double shocked_at;
   /* judge */
   GPtrArray *broken; /* texts */
   guint starts;
@@ -227,6 +233,7 @@
 typedef struct {
   SJob *job;
   guint64 sent; /* World.answers then */
+  double sent_at;
 } Question;
 Question *question_new (World *w, SJob *j);
 /* An answer of 200 or 201 to this question: nothing older than was heard before it was sent. */
@@ -282,6 +289,9 @@
  */
 void users_stream (World *w, HrShape large, double from, double to);
 void users_free (World *w);
+/* A job that has only its name, and its submission once it is complete. */
+SJob *users_new_job (World *w);
+void users_submit (World *w, SJob *j);
 void judge_start (World *w, SMachine *m, STask *t);
 void judge_tick (World *w);
 SJob *job_by_id (World *w, const char *id, guint32 *index);
