A repeated submission with other content is known by its id, not refused with 422

Cause: a job that another controller had just accepted is not known here for some milliseconds, or for as long as the state service refuses this node; its id was then repeated with content that can never run (no such team, no machine that fits), and submit() answered 422 before anything was read: forgotten. Now such a submission waits for a reading of the ledger, and gets 422 only if its id is not there.

Further stand-ins: all odd requests with their status, body and that nothing is recorded; launches of jobs whose withdrawal was read; the team's limit at each start; cancelled tasks at the moment at which their time ends; jobs that wait beside room for 90 s once no trouble has a hold on anything; jobs bound to a zone; one-task jobs four a second; overload; slow links; repeated crashes; cut zones.

--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -15,7 +15,8 @@
   HrJobSpec spec;
   double asked;
   guint tries;
-  char *tag; /* of the write under way */
+  char *tag;   /* of the write under way */
+  char *never; /* why this submission can never run; NULL: it can */
 } UserRequest;
 
 static void
@@ -23,6 +24,7 @@
 {
   g_free (request->id);
   g_free (request->tag);
+  g_free (request->never);
   g_free (request);
 }
 
@@ -89,8 +91,11 @@
     return;
   }
   if (!j) {
-    /* A submission gets here after a 409, so its record exists. */
-    if (request->kind == REQUEST_SUBMIT)
+    /* A submission that can run gets here after a 409, so its record exists. */
+    if (request->never) {
+      hr_refuse (c, request->reply_id, 422, 0, request->never);
+      request_free (request);
+    } else if (request->kind == REQUEST_SUBMIT)
       refuse_later (c, request, 503, "its record is being written; ask again");
     else {
       hr_refuse (c, request->reply_id, 404, 0, "no such job was accepted");
@@ -224,10 +229,11 @@
     refuse_later (c, request, 503, "this node has only just started; submit again");
     return;
   }
-  g_autofree char *never = impossible (c, &spec);
-  if (never) {
-    hr_refuse (c, request->reply_id, 422, 0, never);
-    request_free (request);
+  /* A repeated submission counts by its id alone, whatever else it says, and another node may
+   * have accepted the job a moment ago: that is known only once the ledger is read. */
+  request->never = impossible (c, &spec);
+  if (request->never) {
+    hr_follow_read (c, on_read, request);
     return;
   }
   if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
--- a/tests/sim/answers.c
+++ b/tests/sim/answers.c
@@ -72,6 +72,7 @@
   if (withdrawn && !j->told_withdrawn) {
     j->heard_withdrawn = w->answers;
     j->told_withdrawn = w->now;
+    judge_withdrawn (w, j);
   }
   j->ok_at = w->now;
   if (news)
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -202,6 +202,8 @@
   json_t *s = json_object_get (json_object_get (put, "value"), "s");
   if (g_strcmp0 (path, "h/map") != 0 && json_integer_value (s) != 2)
     return;
+  if (g_str_has_prefix (path, "h/j/") && !g_hash_table_contains (w->withdrawn, path + 4))
+    g_hash_table_insert (w->withdrawn, g_strdup (path + 4), g_memdup2 (&w->epoch, sizeof w->epoch));
   for (int k = 0; k < w->n; k++)
     if (k != r->node) {
       Node *n = &w->nodes[k];
@@ -451,6 +453,7 @@
   g_array_set_clear_func (w->log, change_clear);
   w->watches = g_ptr_array_new ();
   w->assigned = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w_at (w, 0.05, leases_tick, NULL);
 }
 
@@ -468,4 +471,5 @@
   g_hash_table_unref (w->leases);
   g_array_unref (w->log);
   g_hash_table_unref (w->assigned);
+  g_hash_table_unref (w->withdrawn);
 }
--- a/tests/sim/troubles.c
+++ b/tests/sim/troubles.c
@@ -53,7 +53,7 @@
 {
   r->answer_lost = TRUE;
   r->refs++;
-  w_at (w, t, req_arrive, r);
+  req_stray (w, r, t);
 }
 
 static gboolean
@@ -88,7 +88,7 @@
   HrTroubles *x = &w->troubles;
   if (strikes (w, &x->late_reports)) {
     double late = trouble_rand (w, LATE_REPORT_MIN_S, LATE_REPORT_MAX_LEASES * w->lease_s);
-    w_at (w, w->now + late, req_arrive, req_copy (r, r->to));
+    req_stray (w, req_copy (r, r->to), w->now + late);
     x->played[TROUBLE_LATE_REPORTS]++;
   }
   if (strikes (w, &x->reports_for_next) && x->kept_next->len < KEPT_MAX)
@@ -124,6 +124,13 @@
   return x->state_slow_s * trouble_rand (w, 0.3, 1.6);
 }
 
+double
+troubles_link_delay (World *w)
+{
+  const HrTroubles *x = &w->troubles;
+  return x->links_slow_until > w->now ? x->links_slow_s * trouble_rand (w, 0.5, 1.5) : 0;
+}
+
 static gboolean
 inside (const World *w, int node)
 {
@@ -159,7 +166,7 @@
 static void
 let_go (World *w, Req *copy, int node, double within)
 {
-  w_at (w, w->now + trouble_rand (w, 0, within), req_arrive, req_copy (copy, node));
+  req_stray (w, req_copy (copy, node), w->now + trouble_rand (w, 0, within));
   w->troubles.played[TROUBLE_LATE_REPORTS]++;
 }
 
@@ -249,6 +256,8 @@
 troubles_told (World *w, SJob *j, gboolean accepted)
 {
   const HrSwitch *looks = &w->troubles.close_looks;
+  if (accepted && w->troubles.odd_until > w->now)
+    odd_repeat (w, j);
   if (!is_on (w, looks))
     return;
   look_closely (w, j);
@@ -330,13 +339,15 @@
 }
 
 static void
-hit_node (World *w, const HrTrouble *t, int i)
+hit_node (World *w, const HrTrouble *t, int i, gboolean first)
 {
   Node *n = &w->nodes[i];
   double until = w->now + t->for_s;
   w->troubles.played[t->kind]++;
   if (t->kind == TROUBLE_NODE_CRASH) {
-    double back = t->back_s > 0 ? t->back_s : trouble_rand (w, BACK_MIN_S, BACK_MAX_S);
+    double back = first && t->first_back_s > 0 ? t->first_back_s
+                  : t->back_s > 0              ? t->back_s
+                                               : trouble_rand (w, BACK_MIN_S, BACK_MAX_S);
     node_kill (w, i);
     w_at (w, w->now + back, start_node, GINT_TO_POINTER (i));
   } else if (t->kind == TROUBLE_NODE_FREEZE)
@@ -364,9 +375,12 @@
   gboolean hit[MAX_NODES];
   for (int i = 0; i < w->n; i++)
     hit[i] = is_hit (w, t->who, i);
+  gboolean first = TRUE;
   for (int i = 0; i < w->n; i++)
-    if (hit[i])
-      hit_node (w, t, i);
+    if (hit[i]) {
+      hit_node (w, t, i, first);
+      first = FALSE;
+    }
 }
 
 static void
@@ -530,6 +544,15 @@
   case TROUBLE_ZONE_CUT:
     cut_zone (w, t);
     break;
+  case TROUBLE_SLOW_LINKS:
+    x->links_slow_until = w->now + t->for_s;
+    x->links_slow_s = t->delay_s;
+    x->played[TROUBLE_SLOW_LINKS]++;
+    break;
+  case TROUBLE_ODD_REQUESTS:
+    x->odd_until = w->now + t->for_s;
+    odd_begin (w);
+    break;
   case TROUBLE_KINDS:
     break;
   }
@@ -557,13 +580,39 @@
 troubles_plan (World *w, const HrTrouble *day, guint n)
 {
   HrTroubles *x = &w->troubles;
-  for (guint i = 0; i < n; i++) {
-    w_at (w, day[i].at_s, begin, g_memdup2 (&day[i], sizeof day[i]));
-    x->over_at = MAX (x->over_at, day[i].at_s + day[i].for_s + after_effect (w, &day[i]));
-  }
+  for (guint i = 0; i < n; i++)
+    for (guint k = 0; k < MAX (day[i].times, 1); k++) {
+      double at = day[i].at_s + k * day[i].every_s;
+      w_at (w, at, begin, g_memdup2 (&day[i], sizeof day[i]));
+      x->over_at = MAX (x->over_at, at + day[i].for_s + after_effect (w, &day[i]));
+    }
   w_at (w, x->over_at, world_calm, NULL);
 }
 
+static gboolean
+machine_troubled (const World *w, const SMachine *m)
+{
+  return !m->gone && (m->cut > w->now || m->hang > w->now || m->deaf > w->now || m->mute > w->now);
+}
+
+gboolean
+world_troubled (const World *w)
+{
+  if (!w->calm || w->stray_until > w->now || w->outage > w->now || w->cloud_outage > w->now ||
+      w->troubles.zone_cut_until > w->now)
+    return TRUE;
+  for (int i = 0; i < w->n; i++) {
+    const Node *n = &w->nodes[i];
+    double cut = MAX (MAX (n->cut_workers, n->cut_store), MAX (n->cut_peers, n->cut_users));
+    if (!n->up || MAX (cut, MAX (n->refused, n->frozen)) > w->now)
+      return TRUE;
+  }
+  for (guint i = 0; i < w->machines->len; i++)
+    if (machine_troubled (w, w->machines->pdata[i]))
+      return TRUE;
+  return FALSE;
+}
+
 void
 troubles_init (World *w, guint32 seed)
 {
--- a/tests/sim/troubles.h
+++ b/tests/sim/troubles.h
@@ -49,7 +49,8 @@
   /* Controllers lose what the from_ fields name. Fields: who, for_s, from_state, from_peers,
    * from_workers, from_users, hold. */
   TROUBLE_NODE_CUT,
-  /* Controllers end, and are back after back_s (0: 3 to 7 s). Fields: who, back_s. */
+  /* Controllers end, and are back after back_s (0: 3 to 7 s), the first of them after
+   * first_back_s if that is set. Fields: who, back_s, first_back_s. */
   TROUBLE_NODE_CRASH,
   /* Controllers stand still while their clocks run on. Fields: who, for_s. */
   TROUBLE_NODE_FREEZE,
@@ -65,6 +66,12 @@
   /* A zone with its workers, and the controllers that who names, is cut off from everything
    * else, while inside it all reach one another. Fields: zone, who, for_s, hold. */
   TROUBLE_ZONE_CUT,
+  /* Every message takes 0.5 to 1.5 times delay_s longer. Fields: for_s, delay_s. */
+  TROUBLE_SLOW_LINKS,
+  /* Every 1.5 s users send one request of each kind that must be turned away or change nothing:
+   * sim/odd.c lists them with the answers they must get. Of jobs just accepted the submission is
+   * repeated with other content. Fields: for_s. */
+  TROUBLE_ODD_REQUESTS,
   TROUBLE_KINDS
 } HrTroubleKind;
 
@@ -83,14 +90,16 @@
   double at_s;
   HrTroubleKind kind;
   double for_s;
-  double share;   /* of messages, jobs or machines */
-  guint count;    /* of machines or jobs; where it is 0 share or zone counts */
-  guint zone;     /* ZONE (0) or ZONE (1); 0: none */
-  HrWho who;      /* controllers */
-  double hang_s;  /* TROUBLE_CANCEL_NOW */
-  double back_s;  /* TROUBLE_NODE_CRASH */
-  double delay_s; /* TROUBLE_STATE_SLOW */
-  gboolean hold;  /* a cut holds packets back in place of losing them */
+  double share;                /* of messages, jobs or machines */
+  guint count;                 /* of machines or jobs; where it is 0 share or zone counts */
+  guint zone;                  /* ZONE (0) or ZONE (1); 0: none */
+  HrWho who;                   /* controllers */
+  double hang_s;               /* TROUBLE_CANCEL_NOW */
+  double back_s, first_back_s; /* TROUBLE_NODE_CRASH */
+  double delay_s;              /* TROUBLE_STATE_SLOW, TROUBLE_SLOW_LINKS */
+  guint times;                 /* it begins so often, each every_s after the one before; 0: once */
+  double every_s;
+  gboolean hold; /* a cut holds packets back in place of losing them */
   gboolean at_once, for_next, to_all;
   gboolean from_state, from_peers, from_workers, from_users;
 } HrTrouble;
@@ -108,6 +117,9 @@
   HrSwitch late_commands;
   HrSwitch cancel_at_end, close_looks;
   double state_slow_until, state_slow_s;
+  double links_slow_until, links_slow_s;
+  double odd_until;
+  guint odd_requests; /* sent so far: numbers them */
   double fast_boot_until;
   double zone_cut_until; /* of zone_cut, with the controllers whose bits zone_nodes has */
   guint zone_cut, zone_nodes;
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -194,6 +194,9 @@
     w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
   if (m->spot && !j->spot)
     w_broken (w, "wrong_place", "%s/%u starts on a spot machine", j->id, t->task);
+  if (j->zone && m->zone + 1 != j->zone)
+    w_broken (w, "wrong_place", "%s/%u starts outside the zone it is bound to", j->id, t->task);
+  judge_quota (w, j->gpus);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *x = w->machines->pdata[i];
     for (guint k = 0; !x->gone && k < x->tasks->len; k++) {
@@ -229,31 +232,24 @@
 void
 judge_tick (World *w)
 {
-  double gpus = 0;
   if (w->calm)
     judge_forgotten (w);
-  g_autoptr (GString) who = g_string_new (NULL);
+  judge_quota (w, 0);
+  judge_waits (w);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *m = w->machines->pdata[i];
     for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
       STask *t = &g_array_index (m->tasks, STask, k);
       SJob *j = w->jobs->pdata[t->job];
-      if (!t->on)
-        continue;
-      gpus += j->gpus;
-      if (w->quota_gpus > 0)
-        g_string_append_printf (who, " %s/%u.%u@%s", j->id, t->task, t->try, m->name);
-      if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
+      if (t->on && j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
         w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
     }
   }
-  if (w->quota_gpus > 0 && gpus > w->quota_gpus + 1e-6)
-    w_broken (w, "quota", "%g GPUs are used by%s", gpus, who->str);
 }
 
 /* ---- what is submitted ---- */
 
-static SJob *
+SJob *
 job_new (World *w)
 {
   SJob *j = g_new0 (SJob, 1);
@@ -261,9 +257,8 @@
   return j;
 }
 
-/* The job is complete: its user submits it. */
-static void
-send_in (World *w, SJob *j)
+void
+job_submit (World *w, SJob *j)
 {
   j->done = g_new0 (guint, j->tasks);
   j->progress = g_new0 (double, j->tasks);
@@ -281,6 +276,8 @@
                  j->checkpoint, "stash_s", j->save);
   if (j->shape == HR_BATCH)
     json_object_set_new (o, "due_s", json_real (j->run * 2 + 30));
+  if (j->zone)
+    json_object_set_new (o, "quarry", json_string (j->zone == 1 ? "z0" : "z1"));
   j->body = hr_json_take_text (o);
   g_ptr_array_add (w->jobs, j);
   g_hash_table_insert (w->job_index, j->id, GUINT_TO_POINTER (w->jobs->len));
@@ -321,7 +318,7 @@
     j->cancel = TRUE;
     j->due_cancel = w->now + w_rand (w, 0.5, 12);
   }
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 /* A gang whose tasks each want a whole machine. */
@@ -345,7 +342,7 @@
 {
   double *to = p;
   guint tasks = 1 + w->streamed++ % 2;
-  send_in (w, gang_of (w, tasks, 1, w_rand (w, 15, 30)));
+  job_submit (w, gang_of (w, tasks, 1, w_rand (w, 15, 30)));
   if (w->now < *to)
     w_at (w, w->now + w_rand (w, 4, 6.5), stream_job, p);
   else
@@ -364,7 +361,7 @@
   j->mem = 30;
   j->image_gb = 1;
   j->run = 25;
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 /* A gang of two, for which two machines are enough. */
@@ -373,14 +370,14 @@
 {
   SJob *j = gang_of (w, 2, w->gang_image > 0 ? w->gang_image : 1, 40);
   j->image = w->jobs->len; /* its own, to be fetched */
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 /* Of one image, which takes longer than the tasks of a gang wait for one another. */
 static void
 long_fetch (World *w, gpointer p)
 {
-  send_in (w, gang_of (w, GPOINTER_TO_UINT (p), 40, 20));
+  job_submit (w, gang_of (w, GPOINTER_TO_UINT (p), 40, 20));
 }
 
 static void
@@ -416,7 +413,7 @@
   j->mem = 30;
   j->image = w->jobs->len % 4;
   j->image_gb = 1 + j->image;
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 void
@@ -451,7 +448,7 @@
   j->spot = j->shape == HR_BATCH;
   j->cancel = i % 9 == 0;
   j->due_cancel = w->now + w_rand (w, 20, 200);
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 /* An array, of which two tasks fit on a machine. */
@@ -472,7 +469,7 @@
 static void
 paged_job (World *w, gpointer p)
 {
-  send_in (w, batch_of (w, 140, 40));
+  job_submit (w, batch_of (w, 140, 40));
 }
 
 void
@@ -485,7 +482,7 @@
 static void
 borrower (World *w, gpointer p)
 {
-  send_in (w, batch_of (w, 60, 300));
+  job_submit (w, batch_of (w, 60, 300));
 }
 
 static void
@@ -493,7 +490,7 @@
 {
   SJob *j = p ? gang_of (w, 2, 1, 25) : batch_of (w, 6, 25);
   j->team = "guests";
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 void
@@ -518,7 +515,7 @@
 static void
 oversized_gang (World *w, gpointer p)
 {
-  send_in (w, gang_of (w, 500, 1, 20));
+  job_submit (w, gang_of (w, 500, 1, 20));
 }
 
 void
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -47,7 +47,8 @@
 static double
 delay (World *w)
 {
-  return w_rand (w, 0, 1) < 0.02 ? w_rand (w, 0.1, 0.5) : w_rand (w, 0.001, 0.01);
+  double usual = w_rand (w, 0, 1) < 0.02 ? w_rand (w, 0.1, 0.5) : w_rand (w, 0.001, 0.01);
+  return usual + troubles_link_delay (w);
 }
 
 void
@@ -91,8 +92,10 @@
   if (!g_str_has_prefix (r->path, "/changes"))
     return;
   json_t *o = json_loads (body, 0, NULL);
-  if ((guint64)json_integer_value (json_object_get (o, "epoch")) >= n->behind_epoch)
+  guint64 epoch = json_integer_value (json_object_get (o, "epoch"));
+  if (epoch >= n->behind_epoch)
     n->behind_at = 0;
+  n->epoch_sent = MAX (n->epoch_sent, epoch);
   json_decref (o);
 }
 
@@ -258,11 +261,18 @@
   return c;
 }
 
+void
+req_stray (World *w, Req *r, double t)
+{
+  w->stray_until = MAX (w->stray_until, t);
+  w_at (w, t, req_arrive, r);
+}
+
 /* A copy of a report comes seconds to well over a lease later. Nobody waits for its answer. */
 static void
 late_copy (World *w, Req *r)
 {
-  w_at (w, w->now + w_rand (w, 1, 90), req_arrive, req_copy (r, r->to));
+  req_stray (w, req_copy (r, r->to), w->now + w_rand (w, 1, 90));
 }
 
 static void
@@ -286,13 +296,13 @@
     return;
   if (!w->calm && worker && w->late_orders > 0 && w_rand (w, 0, 1) < w->late_orders) {
     r->refs++;
-    w_at (w, t + w_rand (w, 30, 75), req_arrive, r);
+    req_stray (w, r, t + w_rand (w, 30, 75));
     return;
   }
   if (!w->calm && w_rand (w, 0, 1) < w->loss) {
     if (r->node >= 0 && w_rand (w, 0, 1) < 0.5) { /* no answer, but carried out later */
       r->refs++;
-      w_at (w, t + w_rand (w, 3, w->late), req_arrive, r);
+      req_stray (w, r, t + w_rand (w, 3, w->late));
     }
     return;
   }
@@ -301,7 +311,7 @@
   /* Late copies: what was sent once may be carried out again, minutes later. */
   if (!w->calm && r->node >= 0 && w_rand (w, 0, 1) < w->dup) {
     r->refs++;
-    w_at (w, t + w_rand (w, 0.05, w->late), req_arrive, r);
+    req_stray (w, r, t + w_rand (w, 0.05, w->late));
   }
 }
 
@@ -503,6 +513,8 @@
   sim_log_node = i;
   /* Clocks of different machines drift, and the time of day wanders. */
   hr_core_step (n->core, w->now * (1 + 0.0002 * i) + 100 * i, 1e9 + w->now + 0.05 * i, batch, out);
+  judge_launches (w, i, n->epoch_read, out);
+  n->epoch_read = n->epoch_sent;
   if (n->freeze_next > 0) {
     Held *h = g_new (Held, 1);
     *h = (Held){i, gen, g_ptr_array_ref (out)};
@@ -578,6 +590,7 @@
   n->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   n->stepping = FALSE;
   n->frozen = n->freeze_next = 0;
+  n->epoch_sent = n->epoch_read = 0;
   n->store_at = w->now;
   g_autofree char *inc = g_strdup_printf ("%d-%u", i, n->gen);
   n->core = hr_core_new (n->set, &w->pol, &n->names, inc, g_rand_int (w->rand));
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -45,6 +45,8 @@
   gboolean hold;      /* cuts hold packets back */
   double frozen;      /* stands still until then, while its clocks run on; 0: it does not */
   double freeze_next; /* stands still so long in the middle of its next batch */
+  /* Changes of the state service that it was sent, and that earlier batches have read. */
+  guint64 epoch_sent, epoch_read;
 } Node;
 
 #define MAX_NODES 5
@@ -101,6 +103,8 @@
   double accepted_at;
   gboolean large, forgotten, lost_place;
   const char *team; /* NULL: the first one */
+  guint zone;       /* it is bound to, plus one; 0: none */
+  double waits_at;  /* waits beside room since; 0: does not */
   guint *done;      /* per task */
   double *progress;
 } SJob;
@@ -139,11 +143,14 @@
   GPtrArray *broken; /* texts */
   guint starts;
   double loss, dup, late;
-  double late_orders; /* share of direct orders that get no answer and come half a minute or more
-                         late */
-  double copies;      /* share of reports of which a copy comes late */
-  gboolean calm;      /* no more faults */
+  double late_orders;    /* share of direct orders that get no answer and come half a minute or more
+                            late */
+  double copies;         /* share of reports of which a copy comes late */
+  GHashTable *withdrawn; /* job id -> guint64, epoch of its withdrawal */
+  gboolean calm;         /* no more faults */
   double calm_at, faults_to;
+  double stray_until; /* messages that were held up or copied are on their way until then */
+  double quiet_at;    /* no trouble has a hold on anything since; 0: one has */
   HrTroubles troubles;
   guint64 answers;         /* counts what users ask and hear: the one clock of answers */
   guint started_withdrawn; /* starts after a confirmed cancellation */
@@ -200,6 +207,8 @@
 void req_arrive (World *w, gpointer req);
 /* A copy of a worker's report, for whose answer nobody waits. */
 Req *req_copy (const Req *r, int to);
+/* This request arrives then, later than messages usually do. Takes the reference over. */
+void req_stray (World *w, Req *r, double t);
 
 /* ---- answers.c: what users are told, by one clock of answers ---- */
 
@@ -214,6 +223,35 @@
 /* 404, 400 or 422. */
 void answer_unknown (World *w, const Question *q, const char *what, int status);
 
+/* ---- odd.c: requests that must be turned away or change nothing ---- */
+
+void odd_begin (World *w);
+/* The submission of a job just accepted is repeated with other content, at all controllers. */
+void odd_repeat (World *w, SJob *j);
+
+/* ---- judge.c ---- */
+
+/* At each start of a task, and every half second. */
+void judge_quota (World *w, double starting_gpus);
+/* Every half second: jobs that wait beside room. */
+void judge_waits (World *w);
+/* A user heard that the job is withdrawn: looks when its time is over. */
+void judge_withdrawn (World *w, SJob *j);
+/* Launches that a controller has just decided on, which know of changes up to this epoch. */
+void judge_launches (World *w, int node, guint64 known, const GPtrArray *effects);
+
+/* ---- crowds.c ---- */
+
+SJob *job_new (World *w);
+/* The job is complete: its user submits it. Takes it over. */
+void job_submit (World *w, SJob *j);
+/* Arrays of one task, per_s a second; of these a share is called off within 30 s. */
+void users_singles (World *w, double from, double to, double per_s, double cancelled);
+/* Jobs of all shapes bound to one zone each. */
+void users_bound (World *w, guint n, double span);
+/* More work than room: arrays, urgent gangs and services, of three times the fleet. */
+void users_overload (World *w, double at);
+
 /* ---- troubles.c: where the stand-ins meet them ---- */
 
 void troubles_init (World *w, guint32 seed);
@@ -223,8 +261,11 @@
 gboolean troubles_take (World *w, Req *r, double t);
 /* Until when a cut zone parts the two ends of this request; 0: it does not. m: the worker. */
 double troubles_zone_cut (World *w, const Req *r, const SMachine *m);
+double troubles_link_delay (World *w);
 /* How much later than usual this request's answer leaves. */
 double troubles_delay (World *w, const Req *r);
+/* A trouble of any kind still has its hold on something. */
+gboolean world_troubled (const World *w);
 /* When a machine rented now is up. at: as the cloud has drawn it. */
 double troubles_boots (World *w, double at);
 /* The map is written: who leads, and the token. */
