--- a/tests/sim/pipeline.c
+++ b/tests/sim/pipeline.c
@@ -139,7 +139,7 @@
     now &= before->accepted && (!last || !line->late || over (before));
   }
   if (now) {
-    users_submit (w, next);
+    job_submit (w, next);
     line->sent++;
   }
   if (line->sent < line->nsteps)
@@ -151,7 +151,7 @@
 static SJob *
 step_of (World *w, HrShape shape, guint tasks)
 {
-  SJob *j = users_new_job (w);
+  SJob *j = job_new (w);
   j->shape = shape;
   j->tasks = tasks;
   j->cpus = shape == HR_GANG ? 4 : 1;
