--- /dev/null
+++ b/tests/script_store.c
@@ -0,0 +1,309 @@
+/* The state service of tests/script.h: carries out one request when it is told to. */
+#include "script.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+typedef struct {
+  char *text; /* the value */
+  guint64 stamp, claim;
+} Key;
+
+typedef struct {
+  char *path, *text; /* text NULL: deleted */
+  guint64 stamp;
+} Change;
+
+typedef struct {
+  guint64 id;
+  double life, ends;
+} Lease;
+
+static void
+key_free (gpointer p)
+{
+  Key *k = p;
+  g_free (k->text);
+  g_free (k);
+}
+
+static void
+change_clear (gpointer p)
+{
+  Change *c = p;
+  g_free (c->path);
+  g_free (c->text);
+}
+
+void
+script_store_init (Script *s)
+{
+  s->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, key_free);
+  s->leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  s->log = g_array_new (FALSE, TRUE, sizeof (Change));
+  g_array_set_clear_func (s->log, change_clear);
+}
+
+void
+script_store_free (Script *s)
+{
+  g_hash_table_unref (s->keys);
+  g_hash_table_unref (s->leases);
+  g_array_unref (s->log);
+}
+
+static void
+change (Script *s, const char *path, char *text, guint64 claim)
+{
+  Change c = {g_strdup (path), g_strdup (text), s->epoch};
+  g_array_append_val (s->log, c);
+  if (!text) {
+    g_hash_table_remove (s->keys, path);
+    return;
+  }
+  Key *k = g_new0 (Key, 1);
+  k->text = text;
+  k->stamp = s->epoch;
+  k->claim = claim;
+  g_hash_table_replace (s->keys, g_strdup (path), k);
+}
+
+static void
+end_lease (Script *s, const Lease *lease)
+{
+  g_autoptr (GPtrArray) dead = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter it;
+  gpointer path, key;
+  g_hash_table_iter_init (&it, s->keys);
+  while (g_hash_table_iter_next (&it, &path, &key))
+    if (((Key *)key)->claim == lease->id)
+      g_ptr_array_add (dead, g_strdup (path));
+  s->epoch += dead->len > 0;
+  for (guint i = 0; i < dead->len; i++)
+    change (s, dead->pdata[i], NULL, 0);
+  g_hash_table_remove (s->leases, &lease->id);
+}
+
+static void
+end_leases (Script *s)
+{
+  g_autoptr (GList) all = g_hash_table_get_values (s->leases);
+  for (GList *l = all; l; l = l->next) {
+    Lease *lease = l->data;
+    if (s->outage)
+      lease->ends = s->now + lease->life;
+    else if (lease->ends < s->now)
+      end_lease (s, lease);
+  }
+}
+
+static json_t *
+value_of (const char *text)
+{
+  return json_loads (text, JSON_DECODE_ANY, NULL);
+}
+
+static gboolean
+claims_hold (Script *s, json_t *writes)
+{
+  size_t i;
+  json_t *e;
+  json_array_foreach (writes, i, e)
+  {
+    guint64 claim = json_integer_value (json_object_get (e, "claim"));
+    if (claim && !g_hash_table_contains (s->leases, &claim))
+      return FALSE;
+  }
+  return TRUE;
+}
+
+static char *
+commit (Script *s, const ScriptCall *call, int *status)
+{
+  json_t *o = json_loads (call->body, 0, NULL), *e, *failed = json_array ();
+  json_t *writes = json_object_get (o, "writes");
+  size_t i;
+  if (!claims_hold (s, writes)) {
+    *status = 400;
+    json_decref (failed);
+    json_decref (o);
+    return g_strdup ("{\"error\":\"no such lease\"}");
+  }
+  json_array_foreach (json_object_get (o, "when"), i, e)
+  {
+    const char *path = hr_json_str (e, "path");
+    if ((guint64)json_integer_value (json_object_get (e, "stamp")) != script_stamp (s, path))
+      json_array_append_new (failed, json_string (path));
+  }
+  *status = json_array_size (failed) ? 409 : 200;
+  if (*status == 200 && json_array_size (writes)) {
+    s->epoch++;
+    s->carried_out++;
+    json_array_foreach (writes, i, e)
+    {
+      const char *set = hr_json_str (e, "set");
+      if (set)
+        change (s, set, hr_json_take_text (json_incref (json_object_get (e, "value"))),
+                json_integer_value (json_object_get (e, "claim")));
+      else
+        change (s, hr_json_str (e, "delete"), NULL, 0);
+    }
+  }
+  json_decref (o);
+  return hr_json_take_text (json_pack ("{sosI}", "failed", failed, "epoch", (json_int_t)s->epoch));
+}
+
+static char *
+query (const char *path, const char *name)
+{
+  const char *q = strchr (path, '?');
+  g_autofree char *want = g_strconcat (name, "=", NULL);
+  g_auto (GStrv) parts = g_strsplit (q ? q + 1 : "", "&", -1);
+  for (guint i = 0; parts[i]; i++)
+    if (g_str_has_prefix (parts[i], want))
+      return g_strdup (parts[i] + strlen (want));
+  return NULL;
+}
+
+static char *
+changes (Script *s, const ScriptCall *call, int *status)
+{
+  g_autofree char *prefix = query (call->path, "starts"), *text = query (call->path, "after"),
+                  *hold = query (call->path, "hold_ms");
+  guint64 after = g_ascii_strtoull (text, NULL, 10);
+  double ends = call->sent + g_ascii_strtod (hold ? hold : "0", NULL) / 1000;
+  if (after < s->oldest) {
+    *status = 410;
+    return g_strdup ("{\"error\":\"too old\"}");
+  }
+  json_t *log = json_array ();
+  for (guint i = 0; i < s->log->len; i++) {
+    Change *c = &g_array_index (s->log, Change, i);
+    if (c->stamp <= after || !g_str_has_prefix (c->path, prefix))
+      continue;
+    json_t *o =
+        json_pack ("{sssI}", c->text ? "set" : "delete", c->path, "stamp", (json_int_t)c->stamp);
+    if (c->text)
+      json_object_set_new (o, "value", value_of (c->text));
+    json_array_append_new (log, o);
+  }
+  if (!json_array_size (log) && ends > s->now) {
+    json_decref (log);
+    return NULL;
+  }
+  *status = 200;
+  return hr_json_take_text (json_pack ("{sIso}", "epoch", (json_int_t)s->epoch, "log", log));
+}
+
+static char *
+range (Script *s, const ScriptCall *call, int *status)
+{
+  g_autofree char *prefix = query (call->path, "starts"), *after = query (call->path, "after"),
+                  *text = query (call->path, "limit");
+  guint limit = g_ascii_strtoull (text ? text : "1000", NULL, 10);
+  g_autoptr (GList) keys = g_list_sort (g_hash_table_get_keys (s->keys), (GCompareFunc)strcmp);
+  json_t *rows = json_array ();
+  gboolean more = FALSE;
+  for (GList *l = keys; l && !more; l = l->next) {
+    Key *k = g_hash_table_lookup (s->keys, l->data);
+    if (!g_str_has_prefix (l->data, prefix) || (after && strcmp (l->data, after) <= 0))
+      continue;
+    more = json_array_size (rows) == limit;
+    if (!more)
+      json_array_append_new (rows, json_pack ("{sssosI}", "path", l->data, "value",
+                                              value_of (k->text), "stamp", (json_int_t)k->stamp));
+  }
+  *status = 200;
+  return hr_json_take_text (
+      json_pack ("{sosbsI}", "rows", rows, "more", more, "epoch", (json_int_t)s->epoch));
+}
+
+static char *
+lease (Script *s, const ScriptCall *call, int *status)
+{
+  *status = 200;
+  if (strcmp (call->path, "/leases") == 0) {
+    json_t *o = json_loads (call->body, 0, NULL);
+    Lease *l = g_new0 (Lease, 1);
+    l->id = ++s->claims;
+    l->life = json_integer_value (json_object_get (o, "life_ms")) / 1000.0;
+    l->ends = s->now + l->life;
+    g_hash_table_insert (s->leases, &l->id, l);
+    json_decref (o);
+    return g_strdup_printf ("{\"claim\":%" G_GUINT64_FORMAT "}", l->id);
+  }
+  guint64 id = g_ascii_strtoull (call->path + strlen ("/leases/"), NULL, 10);
+  Lease *l = g_hash_table_lookup (s->leases, &id);
+  if (!l)
+    *status = 404;
+  else if (call->method == HR_DELETE)
+    end_lease (s, l);
+  else
+    l->ends = s->now + l->life;
+  return g_strdup ("{}");
+}
+
+static char *
+single (Script *s, const ScriptCall *call, int *status)
+{
+  const char *path = call->path + strlen ("/kv/");
+  Key *k = g_hash_table_lookup (s->keys, path);
+  *status = k ? 200 : 404;
+  if (!k)
+    return g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT "}", s->epoch);
+  return hr_json_take_text (json_pack ("{sssosI}", "path", path, "value", value_of (k->text),
+                                       "stamp", (json_int_t)k->stamp));
+}
+
+char *
+script_store_request (Script *s, const ScriptCall *call, int *status)
+{
+  end_leases (s);
+  gboolean watch = strstr (call->path, "hold_ms=10000") != NULL;
+  if (s->outage || !s->nodes[call->node].served) {
+    if (watch)
+      return NULL; /* open watches stay open */
+    *status = 503;
+    return g_strdup ("{\"error\":\"trouble\"}");
+  }
+  if (strcmp (call->path, "/commit") == 0)
+    return commit (s, call, status);
+  if (g_str_has_prefix (call->path, "/changes?"))
+    return changes (s, call, status);
+  if (g_str_has_prefix (call->path, "/kv?"))
+    return range (s, call, status);
+  if (g_str_has_prefix (call->path, "/kv/"))
+    return single (s, call, status);
+  return lease (s, call, status);
+}
+
+const char *
+script_value (Script *s, const char *key)
+{
+  Key *k = g_hash_table_lookup (s->keys, key);
+  return k ? k->text : NULL;
+}
+
+guint64
+script_stamp (Script *s, const char *key)
+{
+  Key *k = g_hash_table_lookup (s->keys, key);
+  return k ? k->stamp : 0;
+}
+
+void
+script_forget_changes (Script *s)
+{
+  s->oldest = s->epoch;
+  g_array_set_size (s->log, 0);
+}
+
+int
+script_leader (Script *s)
+{
+  const char *text = script_value (s, "h/map");
+  json_t *o = text ? value_of (text) : NULL;
+  const char *label = hr_json_str (o, "o");
+  int node = label ? label[1] - '0' : -1;
+  json_decref (o);
+  return node;
+}
