--- a/tests/script.c
+++ b/tests/script.c
@@ -5,11 +5,6 @@
 #define TICK_S 0.05
 #define WALL_AT_0 1e9 /* the time of day when the clock shows 0 */
 
-static const char types[] =
-    "{\"hulls\":[{\"sku\":\"g2\",\"vcpus\":12,\"accelerators\":2,\"memory_gb\":96,\"cache_gb\":100,"
-    "\"fetch_gb_per_s\":0.3,\"hourly\":5.0,\"low_price\":2.0,\"startup_s\":40,\"quarries\":"
-    "[\"z0\",\"z1\"]}]}";
-
 /* ---- calls ---- */
 
 static void
@@ -35,7 +30,7 @@
 static gboolean
 matches (const ScriptCall *call, int node, const char *path, const char *text)
 {
-  return call->node == node && (!path || g_str_has_prefix (call->path, path)) &&
+  return call->node == node && (!path || strstr (call->path, path)) &&
          (!text || (call->body && strstr (call->body, text)));
 }
 
@@ -72,6 +67,7 @@
     call->path = g_strdup (e->path);
     call->body = g_strdup (e->body);
     call->sent = s->now;
+    call->timeout = e->timeout_s;
     for (guint i = 0; i < s->holds->len; i++) {
       ScriptHold *h = s->holds->pdata[i];
       call->held |= matches (call, h->node, h->path, h->text);
@@ -94,29 +90,6 @@
     take_effect (s, node, out->pdata[i]);
 }
 
-static char *
-cloud_request (Script *s, const ScriptCall *call, int *status)
-{
-  *status = 200;
-  if (strcmp (call->path, "/machine_types") == 0)
-    return g_strdup (types);
-  if (!g_str_has_prefix (call->path, "/rentals?")) {
-    *status = strcmp (call->path, "/rentals") == 0 ? 503 : 200; /* nothing to be had */
-    return g_strdup ("{\"error\":\"no capacity\"}");
-  }
-  json_t *list = json_array ();
-  for (guint i = 0; i < s->workers->len; i++) {
-    ScriptWorker *w = s->workers->pdata[i];
-    json_array_append_new (list, json_pack ("{sssssssssbsssf}", "name_id", w->name, "addr", w->name,
-                                            "hull", "g2", "quarry", "z0", "loaners", 0, "stance",
-                                            "running", "age_s", s->now + 100));
-  }
-  gboolean further = strstr (call->path, "after=m") != NULL;
-  if (further)
-    json_array_clear (list);
-  return hr_json_take_text (json_pack ("{sosb}", "rockhands", list, "more", 0));
-}
-
 /* What the server answers now; NULL: nothing yet. */
 static char *
 serve_call (Script *s, const ScriptCall *call, int *status)
@@ -124,8 +97,15 @@
   if (call->target == HR_TO_STORE)
     return script_store_request (s, call, status);
   if (call->target == HR_TO_CLOUD)
-    return cloud_request (s, call, status);
-  *status = 0; /* direct orders are lost: a worker learns of them with its next report */
+    return script_cloud_request (s, call, status);
+  for (guint i = 0; i < s->workers->len; i++) {
+    ScriptWorker *w = s->workers->pdata[i];
+    if (strcmp (w->name, call->addr) != 0)
+      continue;
+    *status = script_direct (s, w, call);
+    return script_worker_text (w);
+  }
+  *status = 0;
   return g_strdup ("");
 }
 
@@ -209,6 +189,10 @@
   h->path = g_strdup (path);
   h->text = g_strdup (text);
   g_ptr_array_add (s->holds, h);
+  for (guint i = 0; i < s->calls->len; i++) {
+    ScriptCall *call = s->calls->pdata[i];
+    call->held |= matches (call, node, path, text);
+  }
 }
 
 void
@@ -244,9 +228,10 @@
 {
   for (guint i = 0; i < s->calls->len;) {
     ScriptCall *call = s->calls->pdata[i];
-    if (!call->held)
+    gboolean wait = call->held || (call->target == HR_TO_STORE && s->now - call->sent < s->slow);
+    if (!wait)
       script_carry_out (s, call);
-    if (call->held || !call->done) {
+    if (wait || !call->done) {
       i++;
       continue;
     }
@@ -281,18 +266,33 @@
   tell_hints (s);
 }
 
+/* Calls that have been out for longer than their callers wait, served or not. */
+static void
+end_overdue (Script *s)
+{
+  for (guint i = 0; i < s->calls->len;) {
+    ScriptCall *call = s->calls->pdata[i];
+    if (call->held || s->now - call->sent <= call->timeout) {
+      i++;
+      continue;
+    }
+    script_carry_out (s, call);
+    script_lose (s, call);
+    i = 0;
+  }
+}
+
 void
 script_run (Script *s, double seconds)
 {
   double until = s->now + seconds;
   while (s->now < until - 1e-9) {
     script_tick (s, MIN (TICK_S, until - s->now));
+    end_overdue (s);
     script_serve (s);
   }
 }
 
-/* ---- users ---- */
-
 guint64
 script_request (Script *s, int node, HrMethod method, const char *path, const char *body)
 {
@@ -305,153 +305,6 @@
   return id;
 }
 
-json_t *
-script_job (const char *id, guint tasks)
-{
-  return json_pack ("{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsfsn}", "name_id", id, "jobclass",
-                    "array", "crew", "crew", "shape", "batch", "rank", "normal", "pieces",
-                    (int)tasks, "vcpus", 1.0, "accelerators", 0.0, "memory_gb", 1.0, "bundle",
-                    "img-0", "size_gb", 1.0, "hulls", "quarry", "together", 0, "apart", 0,
-                    "loaners", 0, "guess_s", 60.0, "cairn_s", 0.0, "stash_s", 0.0, "due_s");
-}
-
-guint64
-script_submit (Script *s, int node, const char *id, guint tasks)
-{
-  g_autofree char *body = hr_json_take_text (script_job (id, tasks));
-  return script_request (s, node, HR_POST, HR_JOBS_PATH, body);
-}
-
-guint64
-script_poll (Script *s, int node, const char *id)
-{
-  g_autofree char *path = g_strconcat (HR_JOBS_PATH "/", id, NULL);
-  return script_request (s, node, HR_GET, path, NULL);
-}
-
-guint64
-script_abort (Script *s, int node, const char *id)
-{
-  g_autofree char *path = g_strconcat (HR_JOBS_PATH "/", id, "/abort", NULL);
-  return script_request (s, node, HR_POST, path, NULL);
-}
-
-const ScriptReply *
-script_reply (Script *s, int node, guint64 request)
-{
-  return g_hash_table_lookup (s->nodes[node].replies, &request);
-}
-
-int
-script_status (Script *s, int node, guint64 request)
-{
-  const ScriptReply *r = script_reply (s, node, request);
-  return r ? r->status : 0;
-}
-
-const char *
-script_stance (Script *s, int node, guint64 request)
-{
-  const ScriptReply *r = script_reply (s, node, request);
-  return r ? hr_json_str (r->body, "stance") : NULL;
-}
-
-/* ---- workers ---- */
-
-static void
-worker_free (gpointer p)
-{
-  ScriptWorker *w = p;
-  g_ptr_array_unref (w->tasks);
-  g_free (w->name);
-  g_free (w);
-}
-
-ScriptWorker *
-script_worker (Script *s, const char *name)
-{
-  ScriptWorker *w = g_new0 (ScriptWorker, 1);
-  w->name = g_strdup (name);
-  w->tenure = 1;
-  w->tasks = g_ptr_array_new_with_free_func ((GDestroyNotify)json_decref);
-  g_ptr_array_add (s->workers, w);
-  return w;
-}
-
-static void
-obey (ScriptWorker *w, json_t *order)
-{
-  const char *verb = hr_json_str (order, "verb"), *piece = hr_json_str (order, "piece");
-  json_t *try = json_object_get (order, "try"), *task = NULL;
-  guint at = 0;
-  for (guint i = 0; i < w->tasks->len; i++)
-    if (g_strcmp0 (hr_json_str (w->tasks->pdata[i], "piece"), piece) == 0 &&
-        json_equal (json_object_get (w->tasks->pdata[i], "try"), try)) {
-      task = w->tasks->pdata[i];
-      at = i;
-    }
-  if (strcmp (verb, "launch") == 0 && !task)
-    g_ptr_array_add (w->tasks,
-                     json_pack ("{sssOss}", "piece", piece, "try", try, "stance", "running"));
-  else if (strcmp (verb, "kill") == 0 && task) {
-    json_object_set_new (task, "stance", json_string ("exited"));
-    json_object_set_new (task, "cause", json_string ("halted"));
-  } else if (strcmp (verb, "clear") == 0 && task)
-    g_ptr_array_remove_index (w->tasks, at);
-}
-
-int
-script_report (Script *s, ScriptWorker *w, int node)
-{
-  json_t *pieces = json_array (), *order;
-  for (guint i = 0; i < w->tasks->len; i++)
-    json_array_append (pieces, w->tasks->pdata[i]);
-  g_autofree char *body = hr_json_take_text (
-      json_pack ("{sssssssssbsisisIsnso}", "rockhand", w->name, "addr", w->name, "hull", "g2",
-                 "quarry", "z0", "loaners", 0, "tenure", (int)w->tenure, "tally", (int)++w->tally,
-                 "baton", (json_int_t)w->baton, "warning_s", "pieces", pieces));
-  guint64 id = script_request (s, node, HR_POST, "/hello", body);
-  const ScriptReply *r = script_reply (s, node, id);
-  if (!r || r->status != 200)
-    return r ? r->status : 0;
-  guint64 baton = json_integer_value (json_object_get (r->body, "baton"));
-  if (baton < w->baton)
-    return r->status;
-  w->baton = baton;
-  size_t i;
-  json_array_foreach (json_object_get (r->body, "orders"), i, order) obey (w, order);
-  return r->status;
-}
-
-void
-script_worker_runs (ScriptWorker *w)
-{
-  for (guint i = 0; i < w->tasks->len; i++)
-    json_object_set_new (w->tasks->pdata[i], "stance", json_string ("running"));
-}
-
-void
-script_worker_ends (ScriptWorker *w, const char *cause)
-{
-  for (guint i = 0; i < w->tasks->len; i++) {
-    json_object_set_new (w->tasks->pdata[i], "stance", json_string ("exited"));
-    json_object_set_new (w->tasks->pdata[i], "cause", json_string (cause));
-  }
-}
-
-gboolean
-script_worker_has (const ScriptWorker *w, const char *job)
-{
-  g_autofree char *prefix = g_strconcat (job, "/", NULL);
-  for (guint i = 0; i < w->tasks->len; i++) {
-    json_t *task = w->tasks->pdata[i];
-    if (g_str_has_prefix (hr_json_str (task, "piece"), prefix) &&
-        strcmp (hr_json_str (task, "stance"), "exited") != 0)
-      return TRUE;
-  }
-  return FALSE;
-}
-
 /* ---- beginning and end ---- */
 
 static HrSettings *
@@ -524,7 +377,7 @@
   s->hints = TRUE;
   s->calls = g_ptr_array_new_with_free_func (call_free);
   s->holds = g_ptr_array_new_with_free_func (hold_free);
-  s->workers = g_ptr_array_new_with_free_func (worker_free);
+  s->workers = g_ptr_array_new_with_free_func (script_worker_free);
   script_store_init (s);
   for (int i = 0; i < nodes; i++) {
     s->nodes[i].served = TRUE;
@@ -534,6 +387,16 @@
   return s;
 }
 
+Script *
+script_led (int nodes)
+{
+  Script *s = script_new (nodes);
+  script_run (s, 6);
+  if (script_leader (s) < 0)
+    g_error ("script: nobody leads");
+  return s;
+}
+
 void
 script_free (Script *s)
 {
--- a/tests/script.h
+++ b/tests/script.h
@@ -25,9 +25,9 @@
   HrTarget target;
   HrMethod method;
   char *addr, *path, *body;
-  double sent;
-  gboolean held; /* waits for the test */
-  gboolean done; /* carried out; this is what it answers: */
+  double sent, timeout; /* when it was made; how long its caller waits, in seconds */
+  gboolean held;        /* waits for the test */
+  gboolean done;        /* carried out; this is what it answers: */
   int status;
   char *answer;
 } ScriptCall;
@@ -39,7 +39,7 @@
   double at;
 } ScriptReply;
 
-/* Calls that wait for the test: path by prefix, text anywhere in the body; NULL: any. */
+/* Calls that wait for the test: path and text stand anywhere in theirs; NULL: any. */
 typedef struct {
   int node;
   char *path, *text;
@@ -79,10 +79,16 @@
   GArray *log;
   guint64 epoch, claims, oldest; /* changes up to `oldest` are no longer kept */
   guint carried_out;             /* transactions that changed something */
+  double slow;                   /* seconds until it answers, in script_run */
+  double write_rps;              /* allowance of changes a second; 0: no end of it */
+  double write_tokens, write_at;
+  guint refused_writes; /* transactions beyond it */
 } Script;
 
 /* Controllers c0, c1, ... that have started and know of one another. */
 Script *script_new (int nodes);
+/* The same after some seconds: one of them leads, all follow. */
+Script *script_led (int nodes);
 void script_free (Script *s);
 void script_start (Script *s, int node); /* a new process */
 void script_end (Script *s, int node);   /* its calls stay on their way */
@@ -91,10 +97,11 @@
 void script_tick (Script *s, double seconds);
 /* Carries out and answers all calls that are not held, and those that follow from them. */
 void script_serve (Script *s);
-/* Ticks of 50 ms, each with all calls served. */
+/* Ticks of 50 ms, each with all calls served that are at least s->slow old; whoever has waited for
+ * longer than its timeout hears nothing, whether it was carried out or not. */
 void script_run (Script *s, double seconds);
 
-/* From now on such calls wait for the test. */
+/* Such calls wait for the test, those that are open and those to come. */
 void script_hold (Script *s, int node, const char *path, const char *text);
 /* Nothing is held any more; what was is served as it comes. */
 void script_release (Script *s);
@@ -123,6 +130,8 @@
 const ScriptReply *script_reply (Script *s, int node, guint64 request);
 int script_status (Script *s, int node, guint64 request);         /* 0: not answered yet */
 const char *script_stance (Script *s, int node, guint64 request); /* NULL: none given */
+/* Asks and waits for the answer (at most 0.5 s): the stance, or NULL when none was given. */
+const char *script_asked (Script *s, int node, const char *id);
 /* The body of a submission: one task that fits the only machine type, a batch. */
 json_t *script_job (const char *id, guint tasks);
 
@@ -130,8 +139,11 @@
 ScriptWorker *script_worker (Script *s, const char *name);
 /* It reports to the node, and obeys the answer if its token counts. Returns the status. */
 int script_report (Script *s, ScriptWorker *w, int node);
-/* All its tasks run, or have ended with this cause. */
-void script_worker_runs (ScriptWorker *w);
+/* Submits a job of one task at the node and waits until the worker runs it. */
+void script_place (Script *s, ScriptWorker *w, int node, const char *id);
+/* A direct call reaches the worker now; whether it counts depends on token and session. */
+int script_direct (Script *s, ScriptWorker *w, const ScriptCall *call);
+/* All its tasks have ended with this cause. */
 void script_worker_ends (ScriptWorker *w, const char *cause);
 gboolean script_worker_has (const ScriptWorker *w, const char *job);
 
@@ -143,8 +155,11 @@
 /* The changes so far are forgotten: a reading that builds on older ones gets 410. */
 void script_forget_changes (Script *s);
 
-/* script_store.c, for script.c */
+/* For script.c alone. */
+void script_worker_free (gpointer worker);
+char *script_worker_text (ScriptWorker *w); /* its next report */
 void script_store_init (Script *s);
 void script_store_free (Script *s);
 /* Answers a request to the state service. NULL: a watch that has nothing to tell yet. */
 char *script_store_request (Script *s, const ScriptCall *call, int *status);
+char *script_cloud_request (Script *s, const ScriptCall *call, int *status);
--- a/tests/script_store.c
+++ b/tests/script_store.c
@@ -1,4 +1,5 @@
-/* The state service of tests/script.h: carries out one request when it is told to. */
+/* The state service of tests/script.h, which carries out one request when it is told to; and a
+ * cloud that has no more machines than the test made. */
 #include "script.h"
 #include "protocol/jsonx.h"
 #include <string.h>
@@ -116,12 +117,34 @@
   return TRUE;
 }
 
+/* Changes within the allowance, with bursts of one second's worth. */
+static gboolean
+allowed (Script *s, guint changes)
+{
+  if (s->write_rps <= 0)
+    return TRUE;
+  s->write_tokens = MIN (s->write_rps, s->write_tokens + (s->now - s->write_at) * s->write_rps);
+  s->write_at = s->now;
+  if (s->write_tokens < changes) {
+    s->refused_writes++;
+    return FALSE;
+  }
+  s->write_tokens -= changes;
+  return TRUE;
+}
+
 static char *
 commit (Script *s, const ScriptCall *call, int *status)
 {
   json_t *o = json_loads (call->body, 0, NULL), *e, *failed = json_array ();
   json_t *writes = json_object_get (o, "writes");
   size_t i;
+  if (!allowed (s, json_array_size (writes))) {
+    *status = 429;
+    json_decref (failed);
+    json_decref (o);
+    return g_strdup ("{\"error\":\"too many changes\"}");
+  }
   if (!claims_hold (s, writes)) {
     *status = 400;
     json_decref (failed);
@@ -307,3 +330,31 @@
   json_decref (o);
   return node;
 }
+
+static const char types[] =
+    "{\"hulls\":[{\"sku\":\"g2\",\"vcpus\":12,\"accelerators\":2,\"memory_gb\":96,\"cache_gb\":100,"
+    "\"fetch_gb_per_s\":0.3,\"hourly\":5.0,\"low_price\":2.0,\"startup_s\":40,\"quarries\":"
+    "[\"z0\",\"z1\"]}]}";
+
+char *
+script_cloud_request (Script *s, const ScriptCall *call, int *status)
+{
+  *status = 200;
+  if (strcmp (call->path, "/machine_types") == 0)
+    return g_strdup (types);
+  if (!g_str_has_prefix (call->path, "/rentals?")) {
+    *status = strcmp (call->path, "/rentals") == 0 ? 503 : 200; /* nothing to be had */
+    return g_strdup ("{\"error\":\"no capacity\"}");
+  }
+  json_t *list = json_array ();
+  for (guint i = 0; i < s->workers->len; i++) {
+    ScriptWorker *w = s->workers->pdata[i];
+    json_array_append_new (list, json_pack ("{sssssssssbsssf}", "name_id", w->name, "addr", w->name,
+                                            "hull", "g2", "quarry", "z0", "loaners", 0, "stance",
+                                            "running", "age_s", s->now + 100));
+  }
+  gboolean further = strstr (call->path, "after=m") != NULL;
+  if (further)
+    json_array_clear (list);
+  return hr_json_take_text (json_pack ("{sosb}", "rockhands", list, "more", 0));
+}
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -9,16 +9,6 @@
 #include <string.h>
 #include <cmocka.h>
 
-/* Controllers of which one leads, all served. */
-static Script *
-script_led (int nodes)
-{
-  Script *s = script_new (nodes);
-  script_run (s, 6);
-  assert_int_not_equal (script_leader (s), -1);
-  return s;
-}
-
 static void
 a_job_runs_to_its_end (void **state)
 {
