--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -65,8 +65,10 @@
     return TRUE; /* known already: our own write, or a change read twice */
   if (!hr_record_read (v, c->names, &r)) {
     g_warning ("%s: its record makes no sense", j->id);
+    j->record_unreadable = TRUE;
     return FALSE;
   }
+  j->record_unreadable = FALSE;
   HrPage *p = j->pages;
   if (p && p->tag && g_str_equal (p->tag, r.tag)) {
     hr_record_clear (&r);
@@ -325,7 +327,7 @@
     c->synced_once = TRUE;
   }
   if (status == 410)
-    hr_leader_step_down (c, "the changes since the last reading are gone");
+    hr_leader_begin_anew (c, "the changes since the last reading are gone");
   if (status == 429) { /* there are too many of us just now: the next reading serves them */
     for (guint i = 0; i < c->waiters_now->len; i++) {
       HrWaiter *w = &g_array_index (c->waiters_now, HrWaiter, i);
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -56,6 +56,7 @@
   guint npages;
   gboolean shrunk;
   gboolean unreadable; /* what is recorded of its tasks could not be read: they may be anywhere */
+  gboolean record_unreadable; /* its latest main record makes no sense: it may be in any state */
   /* The owner's. */
   gboolean listed;    /* in the owner's list of open jobs */
   guint32 nlive;      /* tasks assigning or bound */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -81,6 +81,14 @@
   return j && j->known ? j : NULL;
 }
 
+gboolean
+hr_job_unreadable (HrCore *c, const char *id)
+{
+  guint32 i = hr_intern_find (&c->job_ids, id);
+  HrJob *j = i == HR_NONE ? NULL : c->jobs->pdata[i];
+  return j && j->record_unreadable && !(j->known && j->stance != HR_QUEUED);
+}
+
 HrJob *
 hr_job_get (HrCore *c, const char *id)
 {
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -251,6 +251,28 @@
     hr_leader_abdicate (c, "no worker reaches this node, others are reached");
 }
 
+/* No order of ours counts any more, and the key is free at once. */
+static void
+give_back (HrCore *c)
+{
+  c->fenced = c->baton;
+  if (c->claim)
+    hr_call (c, HR_TO_STORE, NULL, HR_DELETE,
+             g_strdup_printf ("/leases/%" G_GUINT64_FORMAT, c->claim), NULL, 2, on_touch, NULL);
+  c->claim = 0;
+}
+
+/* A leader that reads the ledger anew has forgotten which of its orders are still on their way.
+ * The map names it all the same; under the same token a late launch would count, of a task that
+ * has been placed elsewhere since. So it leads again only by a new map. */
+void
+hr_leader_begin_anew (HrCore *c, const char *why)
+{
+  if (c->leads)
+    give_back (c);
+  hr_leader_step_down (c, why);
+}
+
 void
 hr_leader_abdicate (HrCore *c, const char *why)
 {
@@ -260,11 +282,7 @@
   if (!other)
     return; /* better a poor leader than none */
   c->abstain_until = c->now + 15;
-  c->fenced = c->baton;
-  if (c->claim)
-    hr_call (c, HR_TO_STORE, NULL, HR_DELETE,
-             g_strdup_printf ("/leases/%" G_GUINT64_FORMAT, c->claim), NULL, 2, on_touch, NULL);
-  c->claim = 0;
+  give_back (c);
   hr_leader_step_down (c, why);
 }
 
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -147,6 +147,8 @@
 gboolean hr_bucket_take (HrBucket *b, double now, double n, double keep);
 HrJob *hr_job_find (HrCore *c, const char *id);
 HrJob *hr_job_get (HrCore *c, const char *id); /* makes the row when there is none */
+/* Its latest record could not be read, so nothing is known of its present state. */
+gboolean hr_job_unreadable (HrCore *c, const char *id);
 HrMachine *hr_machine_find (HrCore *c, const char *name);
 HrMachine *hr_machine_get (HrCore *c, const char *name);
 HrClassStat *hr_class (HrCore *c, guint32 klass);
@@ -195,6 +197,8 @@
 void hr_leader_tick (HrCore *c);
 void hr_leader_map_read (HrCore *c);
 void hr_leader_step_down (HrCore *c, const char *why);
+/* The ledger has to be read anew from the start. */
+void hr_leader_begin_anew (HrCore *c, const char *why);
 /* Gives the leader's key back and leaves it to others for a while. */
 void hr_leader_abdicate (HrCore *c, const char *why);
 void hr_leader_hint (HrCore *c, const HrHint *h);
@@ -203,6 +207,9 @@
 gboolean hr_leader_outage_for_all (const HrCore *c);
 void hr_leader_raise (HrCore *c, const char *why);
 
+/* admission.c: why a job can never run here; NULL when it can. The machine types are known. */
+char *hr_admission_refusal (HrCore *c, const HrJobSpec *s);
+
 /* users.c */
 void hr_users_request (HrCore *c, HrCommand *cmd);
 
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -15,7 +15,9 @@
   HrJobSpec spec;
   double asked;
   guint tries;
-  char *tag; /* of the write under way */
+  char *tag;     /* of the write under way */
+  int refusal;   /* of a submission that can't be accepted: the status, if it is new */
+  char *why_not; /* and why */
 } UserRequest;
 
 static void
@@ -23,6 +25,7 @@
 {
   g_free (request->id);
   g_free (request->tag);
+  g_free (request->why_not);
   g_free (request);
 }
 
@@ -88,9 +91,17 @@
     refuse_later (c, request, 503, "the state service cannot be read just now; ask again");
     return;
   }
+  if (hr_job_unreadable (c, request->id)) {
+    /* It was accepted, and neither 404 nor an older state may be said of it. */
+    refuse_later (c, request, 503, "its record cannot be read; ask again");
+    return;
+  }
   if (!j) {
-    /* A submission gets here after a 409, so its record exists. */
-    if (request->kind == REQUEST_SUBMIT)
+    if (request->refusal) {
+      hr_refuse (c, request->reply_id, request->refusal, 0, request->why_not);
+      request_free (request);
+    } else if (request->kind == REQUEST_SUBMIT)
+      /* It gets here after a 409, so its record exists. */
       refuse_later (c, request, 503, "its record is being written; ask again");
     else {
       hr_refuse (c, request->reply_id, 404, 0, "no such job was accepted");
@@ -115,29 +126,16 @@
 
 /* ---- submissions ---- */
 
-static char *
-impossible (HrCore *c, const HrJobSpec *s)
+/* A job that was accepted stays so whatever its repeated submission says, and a repetition is
+ * known by its id alone. Only a reading sent after it came tells that the job is new here, and
+ * not one that another node has accepted and this one has not followed yet. */
+static void
+refuse_if_new (HrCore *c, UserRequest *request, int status, const char *why)
 {
-  const HrTeam *t = hr_team (c, s->team);
-  if (!t)
-    return g_strdup_printf ("team %s is not known here",
-                            hr_intern_name (&c->names->teams, s->team));
-  gboolean fits = FALSE;
-  for (guint i = 0; i < c->types->len && !fits; i++) {
-    const HrType *ty = &g_array_index (c->types, HrType, i);
-    gboolean zone = s->zone == HR_NONE;
-    for (guint k = 0; k < ty->zones->len; k++)
-      zone |= g_array_index (ty->zones, guint32, k) == s->zone;
-    fits = zone && (!s->types || s->types >> ty->type & 1) && s->cpus <= ty->cpus &&
-           s->gpus <= ty->gpus && s->mem <= ty->mem;
-  }
-  if (!fits)
-    return g_strdup ("a task fits no machine type that the job allows");
-  double n = s->shape == HR_BATCH ? 1 : s->tasks;
-  if ((t->cpus_max > 0 && n * s->cpus > t->cpus_max + 1e-6) ||
-      (t->gpus_max > 0 && n * s->gpus > t->gpus_max + 1e-6))
-    return g_strdup ("it needs more than its team's limit");
-  return NULL;
+  request->refusal = status;
+  request->why_not = g_strdup (why);
+  if (!answer_final (c, request))
+    hr_follow_read (c, on_read, request);
 }
 
 static void send_submit (HrCore *c, UserRequest *request);
@@ -202,7 +200,8 @@
   const char *id = NULL;
   HrJobSpec spec;
   json_t *o = hr_json_parse (data, len, &why);
-  if (!o || !hr_jobspec_parse (o, c->names, &spec, &id, &why)) {
+  gboolean valid = o && hr_jobspec_parse (o, c->names, &spec, &id, &why);
+  if (!valid && !hr_job_id_valid (id)) {
     hr_refuse (c, cmd->id, 400, 0, why);
     json_decref (o);
     return;
@@ -214,6 +213,10 @@
   request->spec = spec;
   request->asked = c->wall;
   json_decref (o);
+  if (!valid) {
+    refuse_if_new (c, request, 400, why);
+    return;
+  }
   if (answer_final (c, request))
     return;
   if (hr_job_find (c, request->id)) {
@@ -224,10 +227,9 @@
     refuse_later (c, request, 503, "this node has only just started; submit again");
     return;
   }
-  g_autofree char *never = impossible (c, &spec);
+  g_autofree char *never = hr_admission_refusal (c, &spec);
   if (never) {
-    hr_refuse (c, request->reply_id, 422, 0, never);
-    request_free (request);
+    refuse_if_new (c, request, 422, never);
     return;
   }
   if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
