--- a/tests/script.c
+++ b/tests/script.c
@@ -76,9 +76,8 @@
   }
 }
 
-/* One batch of a single command (taken). */
-static void
-step (Script *s, int node, HrCommand *cmd)
+void
+script_step (Script *s, int node, HrCommand *cmd)
 {
   g_autoptr (GPtrArray) in = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
   g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
@@ -132,7 +131,7 @@
   if (g_ptr_array_find (s->calls, call, &at))
     g_ptr_array_remove_index (s->calls, at);
   if (alive)
-    step (s, node, cmd);
+    script_step (s, node, cmd);
   else
     hr_command_free (cmd);
 }
@@ -252,7 +251,7 @@
         continue;
       HrCommand *cmd = hr_command_new (HR_C_HINT);
       cmd->hint = s->nodes[from].hint;
-      step (s, to, cmd);
+      script_step (s, to, cmd);
     }
   }
 }
@@ -262,7 +261,7 @@
 {
   s->now += seconds;
   for (int i = 0; i < s->n; i++)
-    step (s, i, hr_command_new (HR_C_TICK));
+    script_step (s, i, hr_command_new (HR_C_TICK));
   tell_hints (s);
 }
 
@@ -301,7 +300,7 @@
   cmd->method = method;
   cmd->path = g_strdup (path);
   cmd->body = body ? g_bytes_new (body, strlen (body)) : NULL;
-  step (s, node, cmd);
+  script_step (s, node, cmd);
   return id;
 }
 
@@ -410,3 +409,12 @@
   script_store_free (s);
   g_free (s);
 }
+
+GLogWriterOutput
+script_log (GLogLevelFlags level, const GLogField *f, gsize n, gpointer data)
+{
+  for (gsize i = 0; i < n && g_getenv ("HR_SIM_VERBOSE"); i++)
+    if (g_str_equal (f[i].key, "MESSAGE"))
+      g_print ("%s\n", (const char *)f[i].value);
+  return G_LOG_WRITER_HANDLED;
+}
--- a/tests/script.h
+++ b/tests/script.h
@@ -122,6 +122,8 @@
 /* Returns the status with which it was carried out; nobody hears it. */
 int script_late (Script *s, ScriptCall *call);
 
+/* One batch of a single command (taken). */
+void script_step (Script *s, int node, HrCommand *cmd);
 guint64 script_request (Script *s, int node, HrMethod method, const char *path, const char *body);
 guint64 script_submit (Script *s, int node, const char *id, guint tasks);
 guint64 script_poll (Script *s, int node, const char *id);
@@ -152,9 +154,14 @@
 /* What is recorded under the key, or NULL; the text of its value. */
 const char *script_value (Script *s, const char *key);
 guint64 script_stamp (Script *s, const char *key);
+/* The value is there, whoever wrote it. */
+void script_write (Script *s, const char *key, const char *text);
 /* The changes so far are forgotten: a reading that builds on older ones gets 410. */
 void script_forget_changes (Script *s);
 
+/* Shows the controllers' log with HR_SIM_VERBOSE=1. */
+GLogWriterOutput script_log (GLogLevelFlags level, const GLogField *f, gsize n, gpointer data);
+
 /* For script.c alone. */
 void script_worker_free (gpointer worker);
 char *script_worker_text (ScriptWorker *w); /* its next report */
--- a/tests/script_store.c
+++ b/tests/script_store.c
@@ -313,6 +313,13 @@
   return k ? k->stamp : 0;
 }
 
+void
+script_write (Script *s, const char *key, const char *text)
+{
+  s->epoch++;
+  change (s, key, g_strdup (text), 0);
+}
+
 void
 script_forget_changes (Script *s)
 {
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -382,15 +382,6 @@
   script_free (s);
 }
 
-static GLogWriterOutput
-verbose (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
-{
-  for (gsize i = 0; i < n && g_getenv ("HR_SIM_VERBOSE"); i++)
-    if (g_str_equal (f[i].key, "MESSAGE"))
-      print_message ("%s\n", (const char *)f[i].value);
-  return G_LOG_WRITER_HANDLED;
-}
-
 int
 main (void)
 {
@@ -407,6 +398,6 @@
       cmocka_unit_test (a_late_answer_does_not_bring_a_job_back),
       cmocka_unit_test (nobody_answers_something_older),
   };
-  g_log_set_writer_func (verbose, NULL, NULL);
+  g_log_set_writer_func (script_log, NULL, NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- /dev/null
+++ b/tests/test_requests.c
@@ -0,0 +1,420 @@
+/* Odd requests of users: the status, the body, and that nothing is recorded. The table "Bad input"
+ * of docs/meetings.md has a line for each group. */
+#include "script.h"
+#include "protocol/jsonx.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+/* What a request gets at this node, which has to say why it refuses. */
+static int
+status_of (Script *s, int node, HrMethod method, const char *path, const char *body)
+{
+  guint64 id = script_request (s, node, method, path, body);
+  for (int i = 0; i < 10 && !script_reply (s, node, id); i++)
+    script_run (s, 0.05);
+  const ScriptReply *r = script_reply (s, node, id);
+  assert_non_null (r);
+  if (r->status >= 400)
+    assert_true (strlen (hr_json_str (r->body, "error")) > 5);
+  else
+    assert_non_null (hr_json_str (r->body, "stance"));
+  return r->status;
+}
+
+static int
+submit_text (Script *s, const char *body)
+{
+  guint before = s->carried_out;
+  int status = status_of (s, 1, HR_POST, HR_JOBS_PATH, body);
+  assert_int_equal (s->carried_out - before, status == 201);
+  return status;
+}
+
+/* Submits job-odd with the field set so; NULL: left out. */
+static int
+submit_with (Script *s, const char *field, const char *value)
+{
+  json_t *job = script_job ("job-odd", 1);
+  json_object_del (job, field);
+  if (value) {
+    json_t *v = json_loads (value, JSON_DECODE_ANY, NULL);
+    assert_non_null (v);
+    json_object_set_new (job, field, v);
+  }
+  g_autofree char *body = hr_json_take_text (job);
+  return submit_text (s, body);
+}
+
+static void
+every_field_is_required_that_may_not_be_null (void **state)
+{
+  static const char *const required[] = {
+      "name_id", "jobclass",     "crew",      "shape",  "rank",    "pieces",
+      "vcpus",   "accelerators", "memory_gb", "bundle", "size_gb", "guess_s",
+      "cairn_s", "stash_s",      "together",  "apart",  "loaners"};
+  static const char *const optional[] = {"hulls", "quarry", "due_s"};
+  Script *s = script_led (2);
+  for (guint i = 0; i < G_N_ELEMENTS (required); i++) {
+    assert_int_equal (submit_with (s, required[i], NULL), 400);
+    assert_int_equal (submit_with (s, required[i], "null"), 400);
+    assert_int_equal (submit_with (s, required[i], "[]"), 400);
+    assert_int_equal (submit_with (s, required[i], "{\"a\":1}"), 400);
+  }
+  assert_int_equal (status_of (s, 0, HR_GET, "/v1/jobs/job-odd", NULL), 404);
+  for (guint i = 0; i < G_N_ELEMENTS (optional); i++) {
+    for (int null = 0; null < 2; null++) {
+      g_autofree char *id = g_strdup_printf ("job-%u-%d", i, null);
+      json_t *job = script_job (id, 1);
+      json_object_del (job, optional[i]);
+      if (null)
+        json_object_set_new (job, optional[i], json_null ());
+      g_autofree char *body = hr_json_take_text (job);
+      assert_int_equal (submit_text (s, body), 201);
+    }
+    assert_int_equal (submit_with (s, optional[i], "{\"a\":1}"), 400);
+  }
+  script_free (s);
+}
+
+typedef struct {
+  const char *field, *value;
+  int status;
+} Odd;
+
+static void
+wrong_values_are_refused (void **state)
+{
+  static const Odd odd[] = {
+      /* ids: the key of a record, and part of a path */
+      {"name_id", "\"job-\"", 400},
+      {"name_id", "\"odd\"", 400},
+      {"name_id", "\"job-a/b\"", 400},
+      {"name_id", "\"job-a b\"", 400},
+      {"name_id", "\"job-a\\n\"", 400},
+      {"name_id", "\"job-\\u00e9\"", 400},
+      {"name_id", "\"JOB-1\"", 400},
+      {"name_id", "7", 400},
+      /* texts */
+      {"jobclass", "\"\"", 400},
+      {"bundle", "\"\"", 400},
+      {"crew", "7", 400},
+      {"shape", "\"array\"", 400},
+      {"shape", "true", 400},
+      {"rank", "\"highest\"", 400},
+      {"rank", "0", 400},
+      /* counts */
+      {"pieces", "0", 400},
+      {"pieces", "-1", 400},
+      {"pieces", "1.0", 400},
+      {"pieces", "\"1\"", 400},
+      {"pieces", "100001", 400},
+      {"pieces", "9223372036854775807", 400},
+      /* amounts */
+      {"vcpus", "-0.5", 400},
+      {"vcpus", "\"1\"", 400},
+      {"vcpus", "1e300", 400},
+      {"accelerators", "-1", 400},
+      {"memory_gb", "-1e-9", 400},
+      {"size_gb", "-1", 400},
+      {"guess_s", "-1", 400},
+      {"cairn_s", "-1", 400},
+      {"stash_s", "-1", 400},
+      {"due_s", "-1", 400},
+      {"due_s", "\"soon\"", 400},
+      {"due_s", "1e10", 400},
+      /* flags */
+      {"together", "0", 400},
+      {"apart", "\"false\"", 400},
+      {"loaners", "1", 400},
+      /* where it may run */
+      {"hulls", "[]", 400},
+      {"hulls", "\"g2\"", 400},
+      {"hulls", "[7]", 400},
+      {"hulls", "[\"g2\",null]", 400},
+      {"quarry", "\"\"", 400},
+      {"quarry", "[\"z0\"]", 400},
+      /* what can never run */
+      {"crew", "\"strangers\"", 422},
+      {"hulls", "[\"g9\"]", 422},
+      {"quarry", "\"z9\"", 422},
+      {"vcpus", "12.5", 422},
+      {"accelerators", "3", 422},
+      {"memory_gb", "97.0", 422},
+      {"vcpus", "1e9", 422},
+  };
+  Script *s = script_led (2);
+  for (guint i = 0; i < G_N_ELEMENTS (odd); i++) {
+    int status = submit_with (s, odd[i].field, odd[i].value);
+    if (status != odd[i].status)
+      fail_msg ("%s %s: %d", odd[i].field, odd[i].value, status);
+  }
+  assert_int_equal (status_of (s, 0, HR_GET, "/v1/jobs/job-odd", NULL), 404);
+  script_free (s);
+}
+
+static void
+wrong_bodies_are_refused (void **state)
+{
+  g_autofree char *deep = g_strnfill (40000, '[');
+  g_autofree char *many = g_strnfill (65536, ' ');
+  static const char *const bodies[] = {"",
+                                       "{",
+                                       "[]",
+                                       "null",
+                                       "7",
+                                       "\"job-odd\"",
+                                       "{}",
+                                       "{\"name_id\":\"job-odd\"}",
+                                       "{\"name_id\":\"job-odd\",\"name_id\":\"job-odd\"}",
+                                       "{\"name_id\":\"job-odd\",\"vcpus\":NaN}",
+                                       "{\"name_id\":\"job-odd\",\"vcpus\":1e999}",
+                                       "{\"name_id\":\"job-odd\",\"vcpus\":Infinity}",
+                                       "{\"name_id\":\"job-odd\",\"pieces\":18446744073709551616}",
+                                       "{\"name_id\":\"job-\\u0000odd\"}",
+                                       "{\"name_id\":\"job-\xff\xfe\"}",
+                                       "\xef\xbb\xbf{}"};
+  Script *s = script_led (2);
+  for (guint i = 0; i < G_N_ELEMENTS (bodies); i++)
+    assert_int_equal (submit_text (s, bodies[i]), 400);
+  assert_int_equal (submit_text (s, deep), 400);
+  assert_int_equal (submit_text (s, many), 400);
+  /* One that passes the limit reaches the core without its body. */
+  HrCommand *cmd = hr_command_new (HR_C_REQUEST);
+  cmd->id = ++s->next_request;
+  cmd->method = HR_POST;
+  cmd->path = g_strdup (HR_JOBS_PATH);
+  cmd->too_large = TRUE;
+  script_step (s, 1, cmd);
+  assert_int_equal (script_status (s, 1, s->next_request), 400);
+  /* Within the limit, and with fields that nobody knows. */
+  json_t *job = script_job ("job-large", 1);
+  g_autofree char *padding = g_strnfill (64000, 'x');
+  json_object_set_new (job, "remark", json_string (padding));
+  g_autofree char *body = hr_json_take_text (job);
+  assert_int_equal (submit_text (s, body), 201);
+  assert_null (strstr (script_value (s, "h/j/job-large"), "xxx"));
+  script_free (s);
+}
+
+/* More than the team's limit: one task of an array, all tasks of the others. */
+static void
+more_than_the_limit_is_refused (void **state)
+{
+  static const struct {
+    const char *shape, *id;
+    int pieces, status;
+  } jobs[] = {{"ensemble", "job-1", 101, 422},
+              {"ensemble", "job-2", 100, 201},
+              {"daemon", "job-3", 101, 422},
+              {"daemon", "job-4", 100, 201},
+              {"batch", "job-5", 101, 201}};
+  Script *s = script_led (2);
+  for (guint i = 0; i < G_N_ELEMENTS (jobs); i++) {
+    json_t *job = script_job (jobs[i].id, jobs[i].pieces);
+    json_object_set_new (job, "shape", json_string (jobs[i].shape));
+    json_object_set_new (job, "accelerators", json_real (1));
+    g_autofree char *body = hr_json_take_text (job);
+    assert_int_equal (submit_text (s, body), jobs[i].status);
+  }
+  script_free (s);
+}
+
+/* Half of its tasks may be in one zone, and it allows no second one. */
+static void
+a_gang_without_a_second_zone_is_refused (void **state)
+{
+  static const struct {
+    const char *id, *quarry;
+    int pieces, together, status;
+  } jobs[] = {{"job-1", "z0", 2, 0, 422},
+              {"job-2", NULL, 2, 1, 422},
+              {"job-3", NULL, 2, 0, 201},
+              {"job-4", "z0", 1, 1, 201},
+              {"job-5", "z0", 3, 1, 422}};
+  Script *s = script_led (2);
+  for (guint i = 0; i < G_N_ELEMENTS (jobs); i++) {
+    json_t *job = script_job (jobs[i].id, jobs[i].pieces);
+    json_object_set_new (job, "shape", json_string ("ensemble"));
+    json_object_set_new (job, "apart", json_true ());
+    json_object_set_new (job, "together", json_boolean (jobs[i].together));
+    if (jobs[i].quarry)
+      json_object_set_new (job, "quarry", json_string (jobs[i].quarry));
+    g_autofree char *body = hr_json_take_text (job);
+    assert_int_equal (submit_text (s, body), jobs[i].status);
+  }
+  script_free (s);
+}
+
+/* A job is known by its id alone: accepted, it stays so whatever a repetition says, also at a node
+ * that has not followed its record yet, and while it is read anew. */
+static void
+a_repetition_with_other_content_gets_the_job (void **state)
+{
+  static const char *const other[][2] = {{"pieces", "7"},       {"crew", "\"strangers\""},
+                                         {"vcpus", "1e9"},      {"rank", NULL},
+                                         {"pieces", "\"one\""}, {"hulls", "[]"}};
+  Script *s = script_led (2);
+  int leader = script_leader (s), node = 1 - leader;
+  script_hold (s, node, "/changes", NULL);
+  script_submit (s, leader, "job-odd", 1);
+  script_serve (s);
+  guint64 stamp = script_stamp (s, "h/j/job-odd");
+  guint64 asked[G_N_ELEMENTS (other)];
+  for (int round = 0; round < 2; round++) {
+    for (guint i = 0; i < G_N_ELEMENTS (other); i++) {
+      json_t *job = script_job ("job-odd", 1);
+      json_object_del (job, other[i][0]);
+      if (other[i][1])
+        json_object_set_new (job, other[i][0], json_loads (other[i][1], JSON_DECODE_ANY, NULL));
+      g_autofree char *body = hr_json_take_text (job);
+      asked[i] = script_request (s, node, HR_POST, HR_JOBS_PATH, body);
+      /* Nothing was read since, so nothing can be said. */
+      if (round == 0)
+        assert_int_equal (script_status (s, node, asked[i]), 0);
+    }
+    script_release (s);
+    script_run (s, 0.5);
+    for (guint i = 0; i < G_N_ELEMENTS (other); i++) {
+      assert_int_equal (script_status (s, node, asked[i]), 200);
+      assert_string_equal (script_stance (s, node, asked[i]), "queued");
+    }
+  }
+  assert_int_equal (script_stamp (s, "h/j/job-odd"), stamp);
+  script_free (s);
+}
+
+/* Neither refused for good nor accepted while nothing can be read. */
+static void
+an_odd_submission_waits_for_the_state_service (void **state)
+{
+  Script *s = script_led (2);
+  s->outage = TRUE;
+  script_run (s, 5);
+  assert_int_equal (submit_with (s, "rank", NULL), 503);
+  assert_int_equal (submit_with (s, "crew", "\"strangers\""), 503);
+  assert_int_equal (submit_with (s, "name_id", NULL), 400); /* no job could be meant */
+  s->outage = FALSE;
+  script_run (s, 3);
+  assert_int_equal (submit_with (s, "rank", NULL), 400);
+  assert_int_equal (submit_with (s, "crew", "\"strangers\""), 422);
+  script_free (s);
+}
+
+static void
+cancellations_of_done_and_unknown_jobs (void **state)
+{
+  Script *s = script_led (2);
+  int leader = script_leader (s), other = 1 - leader;
+  ScriptWorker *w = script_worker (s, "m-000001");
+  script_report (s, w, leader);
+  script_report (s, w, leader);
+  script_place (s, w, other, "job-done");
+  script_worker_ends (w, "done");
+  script_report (s, w, leader);
+  script_run (s, 1);
+  guint64 stamp = script_stamp (s, "h/j/job-done");
+  for (int i = 0; i < 2; i++) {
+    guint64 id = script_abort (s, i, "job-done");
+    script_run (s, 0.2);
+    assert_int_equal (script_status (s, i, id), 200);
+    assert_string_equal (script_stance (s, i, id), "done");
+    id = script_submit (s, i, "job-done", 3);
+    script_run (s, 0.2);
+    assert_int_equal (script_status (s, i, id), 200);
+    assert_string_equal (script_stance (s, i, id), "done");
+    assert_int_equal (status_of (s, i, HR_POST, "/v1/jobs/job-never/abort", NULL), 404);
+    assert_int_equal (status_of (s, i, HR_POST, "/v1/jobs/job-never/abort", "{\"x\":1}"), 404);
+  }
+  assert_int_equal (script_stamp (s, "h/j/job-done"), stamp);
+  assert_null (script_value (s, "h/j/job-never"));
+  script_free (s);
+}
+
+static void
+odd_paths_and_methods (void **state)
+{
+  static const struct {
+    HrMethod method;
+    const char *path;
+    int status;
+  } asked[] = {
+      {HR_GET, "/v1/jobs", 405},
+      {HR_DELETE, "/v1/jobs/job-a", 405},
+      {HR_OTHER_METHOD, "/v1/jobs/job-a", 405},
+      {HR_POST, "/v1/jobs/job-a", 405},
+      {HR_GET, "/v1/jobs/job-a/abort", 405},
+      {HR_POST, "/v1/jobs/job-a/abort/abort", 404},
+      {HR_GET, "/v1/jobs/", 404},
+      {HR_POST, "/v1/jobs//abort", 404},
+      {HR_GET, "/v1/jobs/job-a/", 404},
+      {HR_GET, "/v1/jobs/../map", 404},
+      {HR_GET, "/v1/jobs/job-a%00", 404},
+      {HR_GET, "/v1/jobs/job-\xc3\xa9", 404},
+      {HR_GET, "/v1/jobs/job- a", 404},
+      {HR_GET, "/v2/jobs/job-a", 404},
+      {HR_POST, "/ready", 405},
+      {HR_GET, "/hello", 405},
+      {HR_GET, "", 404},
+  };
+  Script *s = script_led (2);
+  script_submit (s, 0, "job-a", 1);
+  script_run (s, 0.5);
+  guint before = s->carried_out;
+  for (guint i = 0; i < G_N_ELEMENTS (asked); i++) {
+    int status = status_of (s, 1, asked[i].method, asked[i].path, NULL);
+    if (status != asked[i].status)
+      fail_msg ("%s: %d", asked[i].path, status);
+  }
+  g_autofree char *long_id = g_strnfill (5000, '7');
+  g_autofree char *path = g_strconcat ("/v1/jobs/job-", long_id, NULL);
+  assert_int_equal (status_of (s, 1, HR_GET, path, NULL), 404);
+  assert_int_equal (s->carried_out, before);
+  script_free (s);
+}
+
+/* A record that makes no sense: its job was accepted, so it is neither unknown nor in the state
+ * that was read before. */
+static void
+a_record_that_cannot_be_read_is_not_forgotten (void **state)
+{
+  Script *s = script_led (2);
+  script_submit (s, 0, "job-a", 1);
+  script_run (s, 0.5);
+  script_write (s, "h/j/job-a", "{\"w\":\"x\",\"s\":0,\"form\":9}");
+  script_write (s, "h/j/job-b", "[]");
+  script_run (s, 2);
+  for (int i = 0; i < 2; i++) {
+    assert_int_equal (status_of (s, i, HR_GET, "/v1/jobs/job-a", NULL), 503);
+    assert_int_equal (status_of (s, i, HR_GET, "/v1/jobs/job-b", NULL), 503);
+    assert_int_equal (status_of (s, i, HR_POST, "/v1/jobs/job-b/abort", NULL), 503);
+    guint64 id = script_submit (s, i, "job-b", 1);
+    script_run (s, 0.5);
+    assert_int_equal (script_status (s, i, id), 503);
+  }
+  script_write (s, "h/j/job-b", "{\"w\":\"x\",\"s\":2,\"n\":1,\"d\":0}");
+  script_run (s, 1);
+  assert_string_equal (script_asked (s, 0, "job-b"), "withdrawn");
+  script_free (s);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (every_field_is_required_that_may_not_be_null),
+      cmocka_unit_test (wrong_values_are_refused),
+      cmocka_unit_test (wrong_bodies_are_refused),
+      cmocka_unit_test (more_than_the_limit_is_refused),
+      cmocka_unit_test (a_gang_without_a_second_zone_is_refused),
+      cmocka_unit_test (a_repetition_with_other_content_gets_the_job),
+      cmocka_unit_test (an_odd_submission_waits_for_the_state_service),
+      cmocka_unit_test (cancellations_of_done_and_unknown_jobs),
+      cmocka_unit_test (odd_paths_and_methods),
+      cmocka_unit_test (a_record_that_cannot_be_read_is_not_forgotten),
+  };
+  g_log_set_writer_func (script_log, NULL, NULL);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_writes.c
+++ b/tests/test_writes.c
@@ -502,15 +502,6 @@
   script_free (s);
 }
 
-static GLogWriterOutput
-verbose (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
-{
-  for (gsize i = 0; i < n && g_getenv ("HR_SIM_VERBOSE"); i++)
-    if (g_str_equal (f[i].key, "MESSAGE"))
-      print_message ("%s\n", (const char *)f[i].value);
-  return G_LOG_WRITER_HANDLED;
-}
-
 int
 main (void)
 {
@@ -531,6 +522,6 @@
       cmocka_unit_test (a_cancellation_falls_into_the_hand_over),
       cmocka_unit_test (a_leader_that_reads_anew_voids_its_orders),
   };
-  g_log_set_writer_func (verbose, NULL, NULL);
+  g_log_set_writer_func (script_log, NULL, NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
