--- a/tests/script.c
+++ b/tests/script.c
@@ -318,12 +318,12 @@
           members, json_pack ("{ssssss}", "label", label, "endpoint", endpoint, "area", "z0"));
   }
   g_autofree char *label = g_strdup_printf ("c%d", node);
-  json_t *facts =
-      json_pack ("{s[{sssfsfsfsf}]s[]s{sfsfsfsfsf}s{sfsfsfsi}s{sfsf}}", "teams", "name", "crew",
-                 "cpus", 0.0, "cpus_max", 200.0, "gpus", 0.0, "gpus_max", 100.0, "objectives",
-                 "workers", "report_s", 2.5, "lease_s", 14.0, "gang_wait_s", 30.0, "gang_peer_s",
-                 4.0, "cancel_s", 36.0, "state", "rps", 300.0, "write_rps", 60.0, "value_kb", 4.0,
-                 "txn_ops", 12, "cloud", "rps", 8.0, "list_lag_s", 3.0);
+  json_t *facts = json_pack (
+      "{s[{sssfsfsfsf}]s[]s{sfsfsfsfsf}s{sfsfsfsi}s{sfsf}}", "teams", "name", "crew", "cpus", 0.0,
+      "cpus_max", 200.0, "gpus", 0.0, "gpus_max", 100.0, "objectives", "workers", "report_s", 2.5,
+      "lease_s", 14.0, "gang_wait_s", 30.0, "gang_peer_s", 4.0, "cancel_s", 36.0, "state", "rps",
+      300.0, "write_rps", s->write_rps > 0 ? s->write_rps : 60.0, "value_kb", 4.0, "txn_ops", 12,
+      "cloud", "rps", 8.0, "list_lag_s", 3.0);
   json_t *root = json_pack ("{sssssssss{ssss}soso}", "label", label, "area", "z0", "front",
                             "127.0.0.1:1", "back", "127.0.0.1:2", "outside", "cloud", "127.0.0.1:3",
                             "state", "127.0.0.1:4", "members", members, "facts", facts);
@@ -386,6 +386,17 @@
   return s;
 }
 
+void
+script_limit_writes (Script *s, double write_rps)
+{
+  s->write_rps = s->write_tokens = write_rps;
+  s->write_at = s->now;
+  for (int i = 0; i < s->n; i++) {
+    script_end (s, i);
+    script_start (s, i);
+  }
+}
+
 Script *
 script_led (int nodes)
 {
--- a/tests/script.h
+++ b/tests/script.h
@@ -93,6 +93,8 @@
 void script_start (Script *s, int node); /* a new process */
 void script_end (Script *s, int node);   /* its calls stay on their way */
 
+/* From now on so many changes a second; all controllers start anew, for they read it then. */
+void script_limit_writes (Script *s, double write_rps);
 /* Moves the clock and lets every controller look at it; answers nothing. */
 void script_tick (Script *s, double seconds);
 /* Carries out and answers all calls that are not held, and those that follow from them. */
