A user's write whose answer is lost is sent again within a third of a second

Cause: a submission or cancellation whose answer was lost waited 2 s, then got 503, and its user came back a second later. The write holds on the record's stamp, so the same one may be sent again at any time; the first try now waits 0.3 s, or four times as long as readings took of late (a slow service is not asked twice for nothing).

--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -11,6 +11,8 @@
 #define UNSERVED_S 4.0
 /* Who asks waits so long while the service only says that it is busy. */
 #define BUSY_S 1.2
+/* What is left of a reading's latency in the estimate after the next reading. */
+#define LATENCY_KEPT 0.7
 
 static void
 applied_map (HrCore *c, const json_t *v, guint64 stamp)
@@ -324,6 +326,7 @@
     if (sent - c->confirmed_at > UNSERVED_S)
       c->served_since = c->now;
     c->confirmed_at = MAX (c->confirmed_at, sent);
+    c->store_latency = MAX (c->now - sent, LATENCY_KEPT * c->store_latency);
     c->synced_once = TRUE;
   }
   if (status == 410)
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -77,6 +77,7 @@
   double watch_not_before;
   GArray *waiters, *waiters_now;  /* HrWaiter */
   double read_sent, confirmed_at; /* confirmed_at: when the last good reading was sent */
+  double store_latency;           /* s: what readings took of late, the longest ones for longer */
   double served_since;            /* the state service answers us without a gap */
   double sync_retry_at;
   gboolean store_down;
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -4,6 +4,15 @@
 #include <string.h>
 
 #define MAX_TRIES 6
+/* How long a write of a user's waits for its answer, in seconds: most come within milliseconds,
+ * and one that is lost does not come at all. But where the state service is slow, another try
+ * would only add to what it has to do. */
+#define FIRST_TRY_S 0.3
+#define LATER_TRY_S 1.0
+#define LONGEST_TRY_S 2.0
+#define LATENCIES 4 /* so many times as long as the latest readings took */
+/* Who asks waits 5 s. After so long no further try is made for him. */
+#define GIVE_UP_S 2.5
 
 static const char *const stances[] = {"queued", "done", "withdrawn"};
 
@@ -80,6 +89,23 @@
   request_free (request);
 }
 
+static double
+try_timeout (const HrCore *c, const UserRequest *request)
+{
+  double least = request->tries ? LATER_TRY_S : FIRST_TRY_S;
+  return CLAMP (LATENCIES * c->store_latency, least, LONGEST_TRY_S);
+}
+
+/* Was the write not carried out, or is that unknown, and is there time for another? The same write
+ * may be sent again at any time, for it holds on the record's stamp: whichever copy is carried out
+ * second fails. */
+static gboolean
+may_try_again (HrCore *c, UserRequest *request, int status)
+{
+  return (status == 0 || status == 409 || status == 429) && ++request->tries < MAX_TRIES &&
+         c->wall - request->asked < GIVE_UP_S;
+}
+
 static void send_abort (HrCore *c, UserRequest *request);
 
 static void
@@ -166,8 +192,8 @@
     answer (c, request, j, 201);
   } else if (status == 409)
     hr_follow_read (c, on_read, request); /* there already: by an earlier try, perhaps */
-  else if (status == 429 && ++request->tries < MAX_TRIES && c->wall - request->asked < 1.5)
-    send_submit (c, request); /* the node is pacing its writes, not refusing */
+  else if (may_try_again (c, request, status))
+    send_submit (c, request); /* lost on the way, or the node is pacing its writes */
   else
     refuse_later (c, request, status == 429 ? 429 : 503,
                   status == 429 ? "too many jobs at once; submit again"
@@ -188,7 +214,7 @@
       hr_set (json_array (), key,
               hr_record_main (&tmp, c->names, &c->machine_ids, HR_QUEUED, request->tag, FALSE), 0);
   hr_job_shrink (&tmp);
-  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, request);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, try_timeout (c, request), on_submit, request);
 }
 
 static void
@@ -258,8 +284,8 @@
         hr_job_withdrawn (c, j);
     }
     answer (c, request, j, 200);
-  } else if ((status == 409 || status == 429) && ++request->tries < MAX_TRIES)
-    hr_follow_read (c, on_read, request); /* the record moved on: read it and try again */
+  } else if (may_try_again (c, request, status))
+    hr_follow_read (c, on_read, request); /* the record may have moved on: read, then try again */
   else
     refuse_later (c, request, 503, "the cancellation is not confirmed; ask again");
 }
@@ -275,7 +301,7 @@
   json_t *writes =
       hr_set (json_array (), key,
               hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, request->tag, FALSE), 0);
-  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_abort, request);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, try_timeout (c, request), on_abort, request);
 }
 
 /* ---- the door ---- */
--- a/tests/test_allowance.c
+++ b/tests/test_allowance.c
@@ -216,8 +216,11 @@
   script_place (s, w, next, "job-a");
   script_place (s, w, next, "job-b");
   s->slow = 0.8;
-  guint64 id = script_submit (s, third, "job-c", 1);
-  script_run (s, 2);
+  guint64 id = script_submit (s, next, "job-e", 1);
+  script_run (s, 2.5); /* a first try given up too early, one more, and a look at the record */
+  assert_in_range (script_status (s, next, id), 200, 201);
+  id = script_submit (s, third, "job-c", 1);
+  script_run (s, 1); /* by now it is known to be slow */
   assert_int_equal (script_status (s, third, id), 201);
   guint64 polls[3];
   for (int i = 0; i < 3; i++)
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -132,8 +132,11 @@
 {
   Script *s = script_led (2);
   int leader = script_leader (s), other = 1 - leader;
+  ScriptWorker *w = script_worker (s, "m-000001");
+  script_report (s, w, leader);
+  script_report (s, w, leader);
+  script_place (s, w, leader, "job-b"); /* its worker does not report its end: no tombstone */
   script_submit (s, leader, "job-a", 1);
-  script_submit (s, leader, "job-b", 1);
   script_run (s, 0.5);
   guint64 gone = script_abort (s, other, "job-b");
   script_run (s, 0.5);
--- a/tests/test_writes.c
+++ b/tests/test_writes.c
@@ -53,6 +53,19 @@
   script_run (m->s, 0.5);
 }
 
+/* Every try of the user's write gets lost until the user is told something. */
+static void
+lose_all (Script *s, int node, const char *text, guint64 request)
+{
+  script_hold (s, node, "/commit", text);
+  for (int i = 0; i < 100 && !script_status (s, node, request); i++) {
+    ScriptCall *call = script_call (s, node, "/commit", text);
+    if (call)
+      script_lose (s, call);
+    script_run (s, 0.05);
+  }
+}
+
 /* ---- carried out at once, only the answer is lost ---- */
 
 static void
@@ -68,8 +81,11 @@
   script_release (s);
   write->held = TRUE;
   assert_told (&m, "job-a", "queued");
+  script_hold (s, m.other, READING, NULL); /* or it would learn of it at once */
   script_lose (s, write);
+  lose_all (s, m.other, "job-a", id);
   assert_int_equal (script_status (s, m.other, id), 503);
+  script_release (s);
   id = script_submit (s, m.other, "job-a", 1);
   script_run (s, 0.3);
   assert_int_equal (script_status (s, m.other, id), 200);
@@ -92,7 +108,7 @@
   ScriptCall *write = script_call (s, m.other, "/commit", "job-a");
   script_carry_out (s, write);
   guint64 stamp = script_stamp (s, "h/j/job-a");
-  script_lose (s, write);
+  lose_all (s, m.other, "job-a", id);
   assert_int_equal (script_status (s, m.other, id), 503);
   guint64 abort = script_abort (s, m.leader, "job-a");
   script_run (s, 0.3);
@@ -128,8 +144,16 @@
     script_release (s);
     write->held = TRUE;
     assert_told (&m, "job-a", "withdrawn");
+    script_hold (s, node, READING, NULL);
     script_lose (s, write);
+    for (int i = 0; i < 40 && !script_status (s, node, id); i++) {
+      script_run (s, 0.05);
+      if (script_call (s, node, READING, NULL)) /* nor can it be looked up */
+        script_answer_with (s, script_call (s, node, READING, NULL), 503, "{}");
+    }
     assert_int_equal (script_status (s, node, id), 503);
+    script_release (s);
+    script_run (s, 1.5);
     id = script_abort (s, node, "job-a");
     script_run (s, 0.3);
     assert_string_equal (script_stance (s, node, id), "withdrawn");
@@ -139,6 +163,37 @@
   }
 }
 
+/* Lost once: sent again after a moment, and the user is answered within half a second. */
+static void
+a_lost_answer_costs_a_moment (void **state)
+{
+  static const char *const wanted[] = {"queued", "withdrawn"};
+  for (int carried_out = 0; carried_out < 2; carried_out++) {
+    Script *s = script_led (2);
+    int node = 1 - script_leader (s);
+    for (int cancels = 0; cancels < 2; cancels++) {
+      script_hold (s, node, "/commit", NULL);
+      guint64 id = cancels ? script_abort (s, node, "job-a") : script_submit (s, node, "job-a", 1);
+      script_run (s, 0.1);
+      ScriptCall *write = script_call (s, node, "/commit", "job-a");
+      assert_non_null (write);
+      assert_true (write->timeout < 0.31);
+      if (carried_out)
+        script_carry_out (s, write);
+      guint64 stamp = script_stamp (s, "h/j/job-a");
+      script_release (s);
+      ScriptCall *late = script_delay (s, write);
+      script_run (s, 0.15);
+      assert_string_equal (script_stance (s, node, id), wanted[cancels]);
+      if (carried_out && !cancels) /* the leader's tombstone follows a cancellation */
+        assert_int_equal (script_stamp (s, "h/j/job-a"), stamp);
+      assert_int_equal (script_late (s, late), 409);
+      assert_string_equal (script_asked (s, node, "job-a"), wanted[cancels]);
+    }
+    script_free (s);
+  }
+}
+
 /* The record of an assignment: read before its answer is lost, it counts, and is written once. */
 static void
 an_assignment_without_answer_is_launched_once (void **state)
@@ -236,7 +291,7 @@
   script_tick (s, 0.05);
   ScriptCall *late = script_delay (s, script_call (s, m.other, "/commit", "job-a"));
   script_release (s);
-  script_place (s, m.w, m.other, "job-a");
+  script_place (s, m.w, m.other, "job-a"); /* by the next try, and by a repetition */
   script_worker_ends (m.w, "done");
   script_report (s, m.w, m.leader);
   script_run (s, 1);
@@ -258,6 +313,7 @@
   guint64 id = script_abort (s, m.other, "job-a");
   script_run (s, 0.3);
   ScriptCall *late = script_delay (s, script_call (s, m.other, "/commit", "job-a"));
+  lose_all (s, m.other, "job-a", id);
   assert_int_equal (script_status (s, m.other, id), 503);
   script_release (s);
   script_worker_ends (m.w, "done");
@@ -509,6 +565,7 @@
       cmocka_unit_test (a_submission_without_answer_is_known_everywhere),
       cmocka_unit_test (a_submission_without_answer_is_repeated),
       cmocka_unit_test (a_cancellation_without_answer_is_known_everywhere),
+      cmocka_unit_test (a_lost_answer_costs_a_moment),
       cmocka_unit_test (an_assignment_without_answer_is_launched_once),
       cmocka_unit_test (a_tombstone_without_answer_is_told),
       cmocka_unit_test (an_election_without_answer_is_read),
