--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -83,6 +83,7 @@
   gboolean entitled; /* within its team's guarantee, together with the team's earlier jobs */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
+  double ends_at;    /* when its last task should end, steady time, as of the latest pass */
 };
 
 typedef enum { HR_M_BOOTING, HR_M_UP, HR_M_DELETING, HR_M_GONE } HrMachineState;
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -411,6 +411,7 @@
   make_guaranteed_room (c, rooms);
   hr_rent_headroom (c, rooms, n, needs);
   hr_rent_for_lists (c, rooms, booting, needs);
+  hr_rent_ahead (c, rooms, n, needs);
   hr_rent_end (c, needs);
   hr_return_idle (c, rooms, n);
 }
--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -210,6 +210,88 @@
   }
 }
 
+/* When the job should be done, as far as all its tasks are on machines; INFINITY else. */
+static double
+projected_end (HrCore *c, HrJob *j)
+{
+  double end = c->now;
+  if (j->stance != HR_QUEUED || !j->tasks || j->nlive + j->ndone < j->ntasks)
+    return INFINITY;
+  for (guint32 i = 0; i < j->ntasks && isfinite (end); i++) {
+    const HrTask *t = &j->tasks[i];
+    if (t->state == HR_T_BOUND || t->state == HR_T_ASSIGNING)
+      end = MAX (end, hr_running_end (c, j, t, c->machines->pdata[t->machine]));
+  }
+  return end;
+}
+
+/* Those of its tasks that do not fit where the tasks of the awaited jobs end; 0 while one of
+ * those jobs is not about to end, or where there is time for a boot afterwards. `by`: the awaited
+ * job from which this is looked at; others that are awaited too find it again. */
+static guint
+tasks_ahead (HrCore *c, const HrJob *j, const HrJob *by, double horizon)
+{
+  const HrJobSpec *s = &j->spec;
+  double cpus = 0, gpus = 0, mem = 0, ready = c->now;
+  gboolean first = TRUE;
+  for (guint i = 0; i < j->nawaits; i++) {
+    const HrJob *a = j->awaits[i];
+    if (a->stance == HR_DONE)
+      continue;
+    if (!a->listed || a->ends_at > horizon || (first && a != by))
+      return 0;
+    first = FALSE;
+    ready = MAX (ready, a->ends_at);
+    cpus += a->nlive * a->spec.cpus;
+    gpus += a->nlive * a->spec.gpus;
+    mem += a->nlive * a->spec.mem;
+  }
+  /* One that may wait for a boot does. */
+  if (ready + boot_time (c) + s->estimate <= j->deadline - c->wall + c->now)
+    return 0;
+  double fit = j->ntasks;
+  if (s->cpus > 0)
+    fit = MIN (fit, floor (cpus / s->cpus));
+  if (s->gpus > 0)
+    fit = MIN (fit, floor (gpus / s->gpus));
+  if (s->mem > 0)
+    fit = MIN (fit, floor (mem / s->mem));
+  return j->ntasks - (guint)fit;
+}
+
+/* More tasks of one step than that are rented for once it is ready. */
+#define AHEAD_MOST 200
+
+/* A step starts when the one before it ends, and a machine takes a boot to come up: it is asked
+ * for that much ahead. Room that is kept for arrivals of the class counts first. */
+void
+hr_rent_ahead (HrCore *c, HrRoom *rooms, guint nrooms, GArray *needs)
+{
+  double horizon = c->now + boot_time (c);
+  g_autofree guint *kept = g_new0 (guint, c->names->classes.names->len + 1);
+  for (guint k = 0; k < c->classes->len; k++)
+    kept[k] = hr_headroom (c, k);
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    j->ends_at = j->dependents ? projected_end (c, j) : INFINITY;
+  }
+  for (guint i = 0; i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    for (guint k = 0; j->ends_at <= horizon && k < j->dependents->len; k++) {
+      HrJob *d = j->dependents->pdata[k];
+      HrCursor at = {0};
+      guint left = d->stance == HR_QUEUED && d->tasks ? tasks_ahead (c, d, j, horizon) : 0;
+      guint use = MIN (left, kept[d->spec.klass]);
+      kept[d->spec.klass] -= use;
+      for (guint n = MIN (left - use, AHEAD_MOST); n > 0 && hr_team_allows (c, d, 1); n--)
+        if (!find_room (c, rooms, nrooms, &at, NULL, d->spec.cpus, d->spec.gpus, d->spec.mem,
+                        d->spec.spot, d->spec.types))
+          need_one (c, needs, d->spec.types, d->spec.zone, d->spec.spot, d->spec.cpus, d->spec.gpus,
+                    d->spec.mem);
+    }
+  }
+}
+
 void
 hr_return_idle (HrCore *c, HrRoom *rooms, guint n)
 {
--- a/src/coordination/room.h
+++ b/src/coordination/room.h
@@ -34,6 +34,8 @@
  * how many rooms, the first ones, are on machines that boot. needs: what hr_rent_begin gave. */
 void hr_rent_need (HrCore *c, HrRoom *rooms, guint booting, HrCursor *at, GArray *needs, HrJob *j);
 void hr_rent_headroom (HrCore *c, HrRoom *rooms, guint nrooms, GArray *needs);
+/* For jobs whose awaited ones are all about to end. */
+void hr_rent_ahead (HrCore *c, HrRoom *rooms, guint nrooms, GArray *needs);
 void hr_rent_for_lists (HrCore *c, HrRoom *rooms, guint booting, GArray *needs);
 void hr_return_idle (HrCore *c, HrRoom *rooms, guint n);
 GArray *hr_rent_begin (void);
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -273,6 +273,8 @@
 
 /* project.c */
 double hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m);
+/* When a task that is on the machine should end, steady time; INFINITY of a service. */
+double hr_running_end (HrCore *c, HrJob *j, const HrTask *t, HrMachine *m);
 /* How long the image keeps a task of the job from its work there. */
 double hr_fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m);
 gboolean hr_allowed (const HrCore *c, const HrJob *j, const HrMachine *m);
--- a/tests/test_awaits.c
+++ b/tests/test_awaits.c
@@ -345,22 +345,39 @@
   ledger_free (l);
 }
 
-/* Whatever else goes wrong, a job that waits has nothing recorded and nothing launched. */
+static HrMachine *
+machine_up (LoneNode *n)
+{
+  HrMachine *m = hr_machine_get (n->core, "m-1");
+  m->state = HR_M_UP;
+  m->session = 1;
+  m->heard_at = n->now;
+  hr_machine_describe (m, &g_array_index (n->core->types, HrType, 0), HR_NONE, FALSE);
+  hr_fleet_add (n->core, m);
+  return m;
+}
+
+/* A machine that is up, with one task of the job assigned to it: what no plan does while the job
+ * waits. */
+static HrTask *
+misplace (LoneNode *n, HrJob *j)
+{
+  hr_task_assign (n->core, j, 0, machine_up (n), 1);
+  return &j->tasks[0];
+}
+
+/* Whatever else goes wrong, nothing is recorded of a job that waits. */
 static void
-the_last_guards_hold (void **state)
+no_assignment_is_recorded (void **state)
 {
   Ledger *l = ledger_new ();
   LoneNode *n = node_up (l);
   assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
   assert_int_equal (submit (n, "job-2", "[\"job-1\"]", NULL), 201);
   HrJob *j = hr_job_find (n->core, "job-2");
-  HrMachine *m = hr_machine_get (n->core, "m-1");
-  m->state = HR_M_UP;
-  hr_machine_describe (m, &g_array_index (n->core->types, HrType, 0), HR_NONE, FALSE);
-  hr_fleet_add (n->core, m);
-  hr_task_assign (n->core, j, 0, m, 1);
+  const HrTask *t = misplace (n, j);
   node_run (n, 3);
-  assert_int_equal (j->tasks[0].state, HR_T_ASSIGNING);
+  assert_int_equal (t->state, HR_T_ASSIGNING);
   assert_null (strstr (ledger_job (l, "job-2"), "m-1"));
   set_done (l, "job-1");
   node_run (n, 1);
@@ -371,6 +388,37 @@
   ledger_free (l);
 }
 
+/* How many orders the machine gets with the answer to its next report. */
+static guint
+orders (LoneNode *n, guint tally)
+{
+  char *report = g_strdup_printf (
+      "{\"rockhand\":\"m-1\",\"addr\":\"10.1.0.1:9000\",\"hull\":\"g8\",\"quarry\":\"z0\","
+      "\"loaners\":false,\"tenure\":1,\"tally\":%u,\"baton\":1,\"warning_s\":null,\"pieces\":[]}",
+      tally);
+  assert_int_equal (node_ask (n, HR_POST, "/hello", report), 200);
+  return json_array_size (json_object_get (n->body, "orders"));
+}
+
+/* Nor is it launched, though a record should name a machine for it. */
+static void
+no_launch_is_ordered (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
+  assert_int_equal (submit (n, "job-2", "[\"job-1\"]", NULL), 201);
+  HrTask *t = misplace (n, hr_job_find (n->core, "job-2"));
+  t->state = HR_T_BOUND;
+  assert_int_equal (orders (n, 1), 0);
+  assert_int_equal (orders (n, 2), 0);
+  set_done (l, "job-1");
+  node_run (n, 1);
+  assert_true (orders (n, 3) > 0); /* its other task is planned by now, too */
+  node_free (n);
+  ledger_free (l);
+}
+
 /* ---- deadline and rank ---- */
 
 #define LAST_STEP ",\"due_s\":500,\"rank\":\"urgent\""
@@ -408,6 +456,41 @@
   ledger_free (l);
 }
 
+/* Machines wanted while the first step runs for so long, a boot takes 20 s, and the next step's
+ * two tasks each need a machine. */
+static guint
+wanted_ahead (const char *last_step, double runs_s)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (submit (n, "job-1", NULL, ",\"due_s\":900,\"rank\":\"low\""), 201);
+  HrJob *j = hr_job_find (n->core, "job-1");
+  HrMachine *m = machine_up (n);
+  j->spec.estimate = runs_s;
+  for (guint i = 0; i < j->ntasks; i++) {
+    hr_task_assign (n->core, j, i, m, 1);
+    j->tasks[i].ran_at = n->now;
+  }
+  node_run (n, 1);
+  assert_int_equal (submit (n, "job-2", "[\"job-1\"]", last_step), 201);
+  hr_job_find (n->core, "job-2")->spec.cpus = 12;
+  node_run (n, 3);
+  guint wanted = 0; /* they stay wanted: the cloud answers nothing */
+  for (guint i = 0; i < n->core->wants->len; i++)
+    wanted += g_array_index (n->core->wants, HrWant, i).count;
+  node_free (n);
+  ledger_free (l);
+  return wanted;
+}
+
+static void
+machines_are_wanted_a_boot_ahead (void **state)
+{
+  assert_int_equal (wanted_ahead (",\"due_s\":45,\"rank\":\"low\"", 20), 2);
+  assert_int_equal (wanted_ahead (",\"due_s\":900,\"rank\":\"low\"", 20), 0); /* it has time */
+  assert_int_equal (wanted_ahead (",\"due_s\":45,\"rank\":\"low\"", 500), 0); /* no end in sight */
+}
+
 int
 main (void)
 {
@@ -420,8 +503,10 @@
       cmocka_unit_test (a_job_opens_when_the_last_one_is_done),
       cmocka_unit_test (a_later_owner_opens_the_same_jobs),
       cmocka_unit_test (an_unknown_awaited_job_is_not_done),
-      cmocka_unit_test (the_last_guards_hold),
+      cmocka_unit_test (no_assignment_is_recorded),
+      cmocka_unit_test (no_launch_is_ordered),
       cmocka_unit_test (urgency_flows_up_and_back),
+      cmocka_unit_test (machines_are_wanted_a_boot_ahead),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
