--- a/tests/sim/fate.c
+++ b/tests/sim/fate.c
@@ -44,7 +44,7 @@
 }
 
 void
-w_meet_fate (World *w, Req *r, WFate fate, double t, WFn arrive)
+w_meet_fate (World *w, Req *r, WFate fate, double t)
 {
   /* The answer takes at least as long: the process ends before it comes. */
   const double carried_out = t + 1e-5;
@@ -58,7 +58,7 @@
     t += LATE_S;
     break;
   case FATE_COPIED:
-    w_at (w, t + COPY_S, arrive, copy_of (r));
+    w_at (w, t + COPY_S, req_arrive, copy_of (r));
     break;
   case FATE_ENDS_BACK:
     end_and_return (w, r, carried_out, BACK_S);
@@ -70,5 +70,5 @@
     break;
   }
   r->refs++;
-  w_at (w, t, arrive, r);
+  w_at (w, t, req_arrive, r);
 }
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -13,136 +13,119 @@
   return w->jobs->pdata[v - 1];
 }
 
-typedef struct {
-  SJob *j;
-  double sent;
-} Ask;
-
 static void submit (World *w, gpointer p);
 static void poll (World *w, gpointer p);
 static void cancel (World *w, gpointer p);
 
-static Ask *
-ask (World *w, SJob *j)
-{
-  Ask *a = g_new (Ask, 1);
-  *a = (Ask){j, w->now};
-  return a;
-}
-
 static int
 any_node (World *w)
 {
   return g_rand_int_range (w->rand, 0, w->n);
 }
 
-static gboolean
-all_done (const SJob *j)
-{
-  for (guint i = 0; i < j->tasks; i++)
-    if (!j->done[i])
-      return FALSE;
-  return TRUE;
-}
+/* ---- one question each ---- */
 
-/* What a user is told must never go back. sent: when he asked. */
 static void
-told (World *w, SJob *j, json_t *body, double sent)
+on_poll (World *w, int status, json_t *body, gpointer p)
 {
-  const char *st = json_string_value (json_object_get (body, "stance"));
-  if (!st)
-    return;
-  if (!json_object_get (body, "reason"))
-    w_broken (w, "reason", "%s: an answer without a reason", j->id);
-  gboolean done = strcmp (st, "done") == 0, gone = strcmp (st, "withdrawn") == 0;
-  if (done && (j->shape == HR_SERVICE || !all_done (j)))
-    w_broken (w, "not_done", "%s is called done", j->id);
-  if (gone && !pipeline_cancel_asked (j))
-    w_broken (w, "went_back", "%s is called withdrawn, nobody asked for that", j->id);
-  if ((j->told_done && j->told_done < sent && !done) ||
-      (j->told_withdrawn && j->told_withdrawn < sent && !gone))
-    w_broken (w, "went_back", "%s is called %s", j->id, st);
-  pipeline_told (w, j, st, sent);
-  if (done && !j->told_done)
-    j->told_done = w->now;
-  if (gone && !j->told_withdrawn)
-    j->told_withdrawn = w->now;
-  j->ok_at = w->now;
+  Question *q = p;
+  if (status == 200)
+    answer_check (w, q, status, body);
+  else if (status == 404)
+    answer_unknown (w, q, "a question", status);
+  g_free (q);
 }
 
 static void
-on_poll (World *w, int status, json_t *body, gpointer p)
+on_regular_poll (World *w, int status, json_t *body, gpointer p)
 {
-  Ask *a = p;
-  SJob *j = a->j;
-  if (status == 200)
-    told (w, j, body, a->sent);
-  else if (status == 404 && j->accepted)
-    w_broken (w, "forgotten", "%s gets 404", j->id);
+  SJob *j = ((Question *)p)->job;
+  on_poll (w, status, body, p);
   if (!w->calm && w_rand (w, 0, 1) < 0.02)
     w_at (w, w->now + w_rand (w, 1, 20), submit, j); /* a late retry of the submission */
   w_at (w, w->now + (j->told_done || j->told_withdrawn ? 15 : 5), poll, j);
-  g_free (a);
 }
 
 static void
-poll (World *w, gpointer p)
+ask_at (World *w, SJob *j, int node, void (*done) (World *, int, json_t *, gpointer))
 {
-  SJob *j = p;
   g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, NULL);
-  w_ask (w, any_node (w), -1, HR_GET, path, NULL, 2, on_poll, ask (w, j));
+  w_ask (w, node, -1, HR_GET, path, NULL, 2, done, question_new (w, j));
+}
+
+void
+user_poll_at (World *w, SJob *j, int node)
+{
+  ask_at (w, j, node < 0 ? any_node (w) : node, on_poll);
+}
+
+static void
+poll (World *w, gpointer p)
+{
+  ask_at (w, p, any_node (w), on_regular_poll);
 }
 
 static void
 on_submit (World *w, int status, json_t *body, gpointer p)
 {
-  Ask *a = p;
-  SJob *j = a->j;
+  Question *q = p;
+  SJob *j = q->job;
   if (status == 201 || status == 200) {
     if (!j->accepted) {
       w_at (w, w->now + 1, poll, j);
       if (j->cancel)
         w_at (w, j->due_cancel, cancel, j);
-    }
-    if (!j->accepted)
       j->accepted_at = w->now;
+    }
     j->accepted = TRUE;
-    told (w, j, body, a->sent);
+    answer_check (w, q, status, body);
   } else if (status == 400 || status == 422) {
-    w_broken (w, j->accepted ? "forgotten" : "status", "%s gets %d", j->id, status);
+    answer_unknown (w, q, "its submission", status);
   } else if (!j->accepted)
     w_at (w, w->now + 1, submit, j);
-  g_free (a);
+  g_free (q);
+}
+
+void
+user_submit_at (World *w, SJob *j, int node)
+{
+  j->submitted = TRUE;
+  w_ask (w, node < 0 ? any_node (w) : node, -1, HR_POST, "/v1/jobs", g_strdup (j->body), 5,
+         on_submit, question_new (w, j));
 }
 
 static void
 submit (World *w, gpointer p)
 {
-  SJob *j = p;
-  j->submitted = TRUE;
-  w_ask (w, any_node (w), -1, HR_POST, "/v1/jobs", g_strdup (j->body), 5, on_submit, ask (w, j));
+  user_submit_at (w, p, -1);
 }
 
 static void
 on_cancel (World *w, int status, json_t *body, gpointer p)
 {
-  Ask *a = p;
+  Question *q = p;
   if (status == 200)
-    told (w, a->j, body, a->sent);
+    answer_check (w, q, status, body);
   else if (status == 404)
-    w_broken (w, "forgotten", "cancelling %s gets 404", a->j->id);
+    answer_unknown (w, q, "its cancellation", status);
   else
-    w_at (w, w->now + 1, cancel, a->j);
-  g_free (a);
+    w_at (w, w->now + 1, cancel, q->job);
+  g_free (q);
 }
 
-static void
-cancel (World *w, gpointer p)
+void
+user_cancel_at (World *w, SJob *j, int node)
 {
-  SJob *j = p;
   j->asked_cancel = TRUE;
   g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, "/abort", NULL);
-  w_ask (w, any_node (w), -1, HR_POST, path, NULL, 5, on_cancel, ask (w, j));
+  w_ask (w, node < 0 ? any_node (w) : node, -1, HR_POST, path, NULL, 5, on_cancel,
+         question_new (w, j));
+}
+
+static void
+cancel (World *w, gpointer p)
+{
+  user_cancel_at (w, p, -1);
 }
 
 void
@@ -152,9 +135,8 @@
     SJob *j = w->jobs->pdata[i];
     if (j->shape != HR_SERVICE || !j->started || j->cancel)
       continue;
-    j->cancel = j->asked_cancel = TRUE;
-    g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, "/abort", NULL);
-    w_ask (w, node, -1, HR_POST, path, NULL, 5, on_cancel, ask (w, j));
+    j->cancel = TRUE;
+    user_cancel_at (w, j, node);
     return;
   }
 }
@@ -208,10 +190,14 @@
   j->started = w->now;
   if (!j->first && j->shape != HR_GANG) /* a gang begins when all its tasks run */
     j->first = w->now;
+  w->started_withdrawn += j->heard_withdrawn > 0;
   if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
     w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
   if (m->spot && !j->spot)
     w_broken (w, "wrong_place", "%s/%u starts on a spot machine", j->id, t->task);
+  if (j->zone && m->zone + 1 != j->zone)
+    w_broken (w, "wrong_place", "%s/%u starts outside the zone it is bound to", j->id, t->task);
+  judge_quota (w, j->gpus);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *x = w->machines->pdata[i];
     for (guint k = 0; !x->gone && k < x->tasks->len; k++) {
@@ -247,32 +233,25 @@
 void
 judge_tick (World *w)
 {
-  double gpus = 0;
   if (w->calm)
     judge_forgotten (w);
-  g_autoptr (GString) who = g_string_new (NULL);
+  judge_quota (w, 0);
+  judge_waits (w);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *m = w->machines->pdata[i];
     for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
       STask *t = &g_array_index (m->tasks, STask, k);
       SJob *j = w->jobs->pdata[t->job];
-      if (!t->on)
-        continue;
-      gpus += j->gpus;
-      if (w->quota_gpus > 0)
-        g_string_append_printf (who, " %s/%u.%u@%s", j->id, t->task, t->try, m->name);
-      if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
+      if (t->on && j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
         w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
       pipeline_on_machine (w, j, t->task);
     }
   }
-  if (w->quota_gpus > 0 && gpus > w->quota_gpus + 1e-6)
-    w_broken (w, "quota", "%g GPUs are used by%s", gpus, who->str);
 }
 
 /* ---- what is submitted ---- */
 
-static SJob *
+SJob *
 job_new (World *w)
 {
   SJob *j = g_new0 (SJob, 1);
@@ -280,9 +259,8 @@
   return j;
 }
 
-/* The job is complete: its user submits it. */
-static void
-send_in (World *w, SJob *j)
+void
+job_submit (World *w, SJob *j)
 {
   j->done = g_new0 (guint, j->tasks);
   j->progress = g_new0 (double, j->tasks);
@@ -306,24 +284,14 @@
   }
   if (j->shape == HR_BATCH && !j->no_deadline)
     json_object_set_new (o, "due_s", json_real (j->run * 2 + 30));
+  if (j->zone)
+    json_object_set_new (o, "quarry", json_string (j->zone == 1 ? "z0" : "z1"));
   j->body = hr_json_take_text (o);
   g_ptr_array_add (w->jobs, j);
   g_hash_table_insert (w->job_index, j->id, GUINT_TO_POINTER (w->jobs->len));
   submit (w, j);
 }
 
-SJob *
-users_new_job (World *w)
-{
-  return job_new (w);
-}
-
-void
-users_submit (World *w, SJob *j)
-{
-  send_in (w, j);
-}
-
 static void
 new_job (World *w, gpointer p)
 {
@@ -358,7 +326,7 @@
     j->cancel = TRUE;
     j->due_cancel = w->now + w_rand (w, 0.5, 12);
   }
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 /* A gang whose tasks each want a whole machine. */
@@ -382,7 +350,7 @@
 {
   double *to = p;
   guint tasks = 1 + w->streamed++ % 2;
-  send_in (w, gang_of (w, tasks, 1, w_rand (w, 15, 30)));
+  job_submit (w, gang_of (w, tasks, 1, w_rand (w, 15, 30)));
   if (w->now < *to)
     w_at (w, w->now + w_rand (w, 4, 6.5), stream_job, p);
   else
@@ -401,7 +369,7 @@
   j->mem = 30;
   j->image_gb = 1;
   j->run = 25;
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 /* A gang of two, for which two machines are enough. */
@@ -410,14 +378,14 @@
 {
   SJob *j = gang_of (w, 2, w->gang_image > 0 ? w->gang_image : 1, 40);
   j->image = w->jobs->len; /* its own, to be fetched */
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 /* Of one image, which takes longer than the tasks of a gang wait for one another. */
 static void
 long_fetch (World *w, gpointer p)
 {
-  send_in (w, gang_of (w, GPOINTER_TO_UINT (p), 40, 20));
+  job_submit (w, gang_of (w, GPOINTER_TO_UINT (p), 40, 20));
 }
 
 static void
@@ -453,7 +421,7 @@
   j->mem = 30;
   j->image = w->jobs->len % 4;
   j->image_gb = 1 + j->image;
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 void
@@ -488,7 +456,7 @@
   j->spot = j->shape == HR_BATCH;
   j->cancel = i % 9 == 0;
   j->due_cancel = w->now + w_rand (w, 20, 200);
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 /* An array, of which two tasks fit on a machine. */
@@ -509,7 +477,7 @@
 static void
 paged_job (World *w, gpointer p)
 {
-  send_in (w, batch_of (w, 140, 40));
+  job_submit (w, batch_of (w, 140, 40));
 }
 
 void
@@ -531,7 +499,7 @@
   SJob *j = batch_of (w, a->tasks, a->run);
   j->cancel = a->cancel_at > 0;
   j->due_cancel = a->cancel_at;
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 void
@@ -545,7 +513,7 @@
 static void
 borrower (World *w, gpointer p)
 {
-  send_in (w, batch_of (w, 60, 300));
+  job_submit (w, batch_of (w, 60, 300));
 }
 
 static void
@@ -553,7 +521,7 @@
 {
   SJob *j = p ? gang_of (w, 2, 1, 25) : batch_of (w, 6, 25);
   j->team = "guests";
-  send_in (w, j);
+  job_submit (w, j);
 }
 
 void
@@ -578,7 +546,7 @@
 static void
 oversized_gang (World *w, gpointer p)
 {
-  send_in (w, gang_of (w, 500, 1, 20));
+  job_submit (w, gang_of (w, 500, 1, 20));
 }
 
 void
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -47,7 +47,8 @@
 static double
 delay (World *w)
 {
-  return w_rand (w, 0, 1) < 0.02 ? w_rand (w, 0.1, 0.5) : w_rand (w, 0.001, 0.01);
+  double usual = w_rand (w, 0, 1) < 0.02 ? w_rand (w, 0.1, 0.5) : w_rand (w, 0.001, 0.01);
+  return usual + troubles_link_delay (w);
 }
 
 void
@@ -91,8 +92,10 @@
   if (!g_str_has_prefix (r->path, "/changes"))
     return;
   json_t *o = json_loads (body, 0, NULL);
-  if ((guint64)json_integer_value (json_object_get (o, "epoch")) >= n->behind_epoch)
+  guint64 epoch = json_integer_value (json_object_get (o, "epoch"));
+  if (epoch >= n->behind_epoch)
     n->behind_at = 0;
+  n->epoch_sent = MAX (n->epoch_sent, epoch);
   json_decref (o);
 }
 
@@ -144,6 +147,14 @@
   Node *n = &w->nodes[r->node >= 0 ? r->node : r->to];
   double t = 0;
   *hold = n->hold;
+  SMachine *worker = r->machine >= 0                             ? w->machines->pdata[r->machine]
+                     : r->target == HR_TO_WORKER && r->node >= 0 ? machine_at (w, r->addr)
+                                                                 : NULL;
+  double zone = troubles_zone_cut (w, r, worker);
+  if (zone > w->now) {
+    *hold = w->troubles.zone_hold;
+    return zone;
+  }
   if (r->node < 0) {
     t = r->machine >= 0 ? n->cut_workers : n->cut_users;
     if (r->machine >= 0) {
@@ -170,9 +181,9 @@
 w_answer (World *w, Req *r, int status, char *body)
 {
   gboolean hold;
-  double cut = cut_until (w, r, &hold), t = w->now + delay (w);
-  if (r->node < 0 && r->machine >= 0 &&
-      ((SMachine *)w->machines->pdata[r->machine])->deaf > w->now) {
+  double cut = cut_until (w, r, &hold), t = w->now + delay (w) + troubles_delay (w, r);
+  if (r->answer_lost || (r->node < 0 && r->machine >= 0 &&
+                         ((SMachine *)w->machines->pdata[r->machine])->deaf > w->now)) {
     g_free (body);
     return;
   }
@@ -195,8 +206,8 @@
 
 /* ---- requests ---- */
 
-static void
-arrive (World *w, gpointer p)
+void
+req_arrive (World *w, gpointer p)
 {
   Req *r = p;
   if (r->node >= 0) {
@@ -235,20 +246,33 @@
   deliver_answer (w, a); /* no answer came; drops the reference too */
 }
 
-/* A copy of a report comes seconds to well over a lease later. Nobody waits for its answer. */
-static void
-late_copy (World *w, Req *r)
+Req *
+req_copy (const Req *r, int to)
 {
   Req *c = g_new0 (Req, 1);
   c->node = -1;
-  c->to = r->to;
+  c->to = to;
   c->machine = r->machine;
   c->method = r->method;
   c->path = g_strdup (r->path);
   c->body = g_strdup (r->body);
   c->answered = TRUE;
   c->refs = 1;
-  w_at (w, w->now + w_rand (w, 1, 90), arrive, c);
+  return c;
+}
+
+void
+req_stray (World *w, Req *r, double t)
+{
+  w->stray_until = MAX (w->stray_until, t);
+  w_at (w, t, req_arrive, r);
+}
+
+/* A copy of a report comes seconds to well over a lease later. Nobody waits for its answer. */
+static void
+late_copy (World *w, Req *r)
+{
+  req_stray (w, req_copy (r, r->to), w->now + w_rand (w, 1, 90));
 }
 
 static void
@@ -268,28 +292,30 @@
       return;
     t = cut + delay (w);
   }
+  if (troubles_take (w, r, t))
+    return;
   if (w->choose) {
-    w_meet_fate (w, r, w->choose (w, r, w->choose_data), t, arrive);
+    w_meet_fate (w, r, w->choose (w, r, w->choose_data), t);
     return;
   }
   if (!w->calm && worker && w->late_orders > 0 && w_rand (w, 0, 1) < w->late_orders) {
     r->refs++;
-    w_at (w, t + w_rand (w, 30, 75), arrive, r);
+    req_stray (w, r, t + w_rand (w, 30, 75));
     return;
   }
   if (!w->calm && w_rand (w, 0, 1) < w->loss) {
     if (r->node >= 0 && w_rand (w, 0, 1) < 0.5) { /* no answer, but carried out later */
       r->refs++;
-      w_at (w, t + w_rand (w, 3, w->late), arrive, r);
+      req_stray (w, r, t + w_rand (w, 3, w->late));
     }
     return;
   }
   r->refs++;
-  w_at (w, t, arrive, r);
+  w_at (w, t, req_arrive, r);
   /* Late copies: what was sent once may be carried out again, minutes later. */
   if (!w->calm && r->node >= 0 && w_rand (w, 0, 1) < w->dup) {
     r->refs++;
-    w_at (w, t + w_rand (w, 0.05, w->late), arrive, r);
+    req_stray (w, r, t + w_rand (w, 0.05, w->late));
   }
 }
 
@@ -397,6 +423,7 @@
       if (e->status == 200 && strcmp (r->path, "/hello") == 0) {
         check_launches (w, i, e->body);
         check_order (w, i, r->body, e->body);
+        troubles_reply (w, i, e->body);
       }
       /* An owner that has not read what others decided may have been replaced, or keep a
        * withdrawn job's tasks alive for ever. */
@@ -490,6 +517,8 @@
   sim_log_node = i;
   /* Clocks of different machines drift, and the time of day wanders. */
   hr_core_step (n->core, w->now * (1 + 0.0002 * i) + 100 * i, 1e9 + w->now + 0.05 * i, batch, out);
+  judge_launches (w, i, n->epoch_read, out);
+  n->epoch_read = n->epoch_sent;
   if (n->freeze_next > 0) {
     Held *h = g_new (Held, 1);
     *h = (Held){i, gen, g_ptr_array_ref (out)};
@@ -565,6 +594,7 @@
   n->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   n->stepping = FALSE;
   n->frozen = n->freeze_next = 0;
+  n->epoch_sent = n->epoch_read = 0;
   n->store_at = w->now;
   g_autofree char *inc = g_strdup_printf ("%d-%u", i, n->gen);
   n->core = hr_core_new (n->set, &w->pol, &n->names, inc, g_rand_int (w->rand));
@@ -613,6 +643,7 @@
   w->loss = 0.002;
   w->dup = 0.004;
   w->late = 60;
+  troubles_init (w, seed);
   store_init (w);
   cloud_init (w);
   for (int i = 0; i < w->n; i++)
@@ -652,6 +683,7 @@
 {
   for (int i = 0; i < w->n; i++)
     node_kill (w, i);
+  troubles_free (w);
   store_free (w);
   cloud_free (w);
   if (w->jobs)
--- a/tests/test_exhaustive.c
+++ b/tests/test_exhaustive.c
@@ -1,11 +1,13 @@
 /* Bounded exhaustive search over the fates of single requests, on a small cluster: two controllers,
  * one machine, one job at a time. The default schedule delivers everything; a schedule of depth d
- * gives d requests of the window another fate (lost, answer lost, late, copied, a controller ends).
+ * gives d requests of the window another fate (lost, answer lost, late, copied, a controller ends),
+ * or lets the user withdraw the job at one controller in that instant, or ask or submit again at
+ * all of them.
  * All schedules up to the depth are played through the real hr_core_step, and every rule of the
  * protocol is asserted at every event.
  *
  *   test_exhaustive SCENARIO DEPTH [STRIDE]   plays every STRIDE-th schedule of the last depth
- *   test_exhaustive SCENARIO replay P:F ...   one schedule: fate F for the request number P
+ *   test_exhaustive SCENARIO replay P:C ...   one schedule: choice C at the request number P
  */
 #include "sim/world.h"
 #include <stdio.h>
@@ -16,9 +18,12 @@
 #define SEED 7
 #define END_S 190.0
 
+/* What users do in the instant of a request: counted on from the fates. */
+enum { USER_WITHDRAWS_AT_0 = FATE_COUNT, USER_WITHDRAWS_AT_1, USER_ASKS_ALL, CHOICES };
+
 typedef struct {
-  guint point; /* number of the request within the window */
-  WFate fate;
+  guint point;  /* number of the request within the window */
+  guint choice; /* a WFate, or one of the user's actions */
 } Deviation;
 
 typedef struct {
@@ -53,12 +58,15 @@
   guint64 schedules, broken;
 } Totals;
 
-/* Fates that make sense for the request: readings and renewals always reach. */
+/* Renewals, lists and the readings that someone waits for always reach: a reading that is lost is
+ * made again, one that a follower holds open leaves it behind. Users' own questions do too. */
 static gboolean
 is_point (const Req *r)
 {
   if (r->node < 0)
-    return strcmp (r->path, "/ready") != 0;
+    return r->method == HR_POST;
+  if (r->target == HR_TO_STORE && r->method == HR_GET)
+    return g_str_has_suffix (r->path, "hold_ms=10000");
   return r->method == HR_POST && (r->target == HR_TO_WORKER ||
                                   (r->target == HR_TO_STORE && strcmp (r->path, "/commit") == 0));
 }
@@ -91,6 +99,21 @@
   return g_strdup (g_checksum_get_string (sum));
 }
 
+static void
+user_acts (World *w, gpointer choice)
+{
+  SJob *j = w->jobs->pdata[w->jobs->len - 1];
+  guint action = GPOINTER_TO_UINT (choice);
+  if (action != USER_ASKS_ALL) {
+    user_cancel_at (w, j, action - USER_WITHDRAWS_AT_0);
+    return;
+  }
+  for (int node = 0; node < w->n; node++) {
+    user_poll_at (w, j, node);
+    user_submit_at (w, j, node);
+  }
+}
+
 static WFate
 choose (World *w, const Req *r, gpointer data)
 {
@@ -99,9 +122,15 @@
     return FATE_DELIVERED;
   guint point = play->points++;
   g_hash_table_add (play->states, digest (w));
-  for (guint i = 0; i < play->schedule->depth; i++)
-    if (play->schedule->deviations[i].point == point)
-      return play->schedule->deviations[i].fate;
+  for (guint i = 0; i < play->schedule->depth; i++) {
+    const Deviation *d = &play->schedule->deviations[i];
+    if (d->point != point)
+      continue;
+    if (d->choice < FATE_COUNT)
+      return d->choice;
+    /* The request on its way comes first or second, as the network has it. */
+    w_at (w, w->now, user_acts, GUINT_TO_POINTER (d->choice));
+  }
   return FATE_DELIVERED;
 }
 
@@ -110,7 +139,7 @@
 {
   fprintf (stderr, "%s replay", scenario->name);
   for (guint i = 0; i < schedule->depth; i++)
-    fprintf (stderr, " %u:%d", schedule->deviations[i].point, schedule->deviations[i].fate);
+    fprintf (stderr, " %u:%u", schedule->deviations[i].point, schedule->deviations[i].choice);
   for (guint i = 0; i < MIN (w->broken->len, 4); i++)
     fprintf (stderr, "\n    %s", (char *)w->broken->pdata[i]);
   fprintf (stderr, "\n");
@@ -140,6 +169,7 @@
   w->choose_data = &play;
   users_init (w, 0, 0);
   users_probe (w);
+  w->troubles.close_looks = (HrSwitch){END_S, 0};
   users_array (w, 1, 8, 1, 0);
   users_array (w, scenario->tasks, scenario->run, scenario->at, scenario->cancel_at);
   world_run (w, END_S);
@@ -164,8 +194,7 @@
   Deviation *last = &next.deviations[next.depth++];
   guint first = schedule->depth ? schedule->deviations[schedule->depth - 1].point + 1 : 0;
   for (last->point = first; last->point < points; last->point++)
-    for (guint fate = FATE_DELIVERED + 1; fate < FATE_COUNT; fate++) {
-      last->fate = fate;
+    for (last->choice = FATE_DELIVERED + 1; last->choice < CHOICES; last->choice++) {
       if (next.depth == depth && (*number)++ % stride)
         continue;
       search (scenario, &next, depth, stride, totals, number);
@@ -176,11 +205,11 @@
 parse_schedule (char **words, Schedule *schedule)
 {
   for (; *words; words++) {
-    guint point, fate;
-    if (schedule->depth == MAX_DEPTH || sscanf (*words, "%u:%u", &point, &fate) != 2 ||
-        fate >= FATE_COUNT)
+    guint point, choice;
+    if (schedule->depth == MAX_DEPTH || sscanf (*words, "%u:%u", &point, &choice) != 2 ||
+        choice >= CHOICES)
       return FALSE;
-    schedule->deviations[schedule->depth++] = (Deviation){point, fate};
+    schedule->deviations[schedule->depth++] = (Deviation){point, choice};
   }
   return TRUE;
 }
@@ -203,7 +232,7 @@
 static int
 usage (void)
 {
-  fprintf (stderr, "usage: test_exhaustive SCENARIO DEPTH [STRIDE] | SCENARIO replay P:F ...\n");
+  fprintf (stderr, "usage: test_exhaustive SCENARIO DEPTH [STRIDE] | SCENARIO replay P:C ...\n");
   return 2;
 }
 
