Jobs wait beside room only once what they await is done; one guard less

The new judge of jobs that wait beside room took those that await others for stuck: it asks now whether all that a job awaits is done, and no one before it was called withdrawn.

--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -109,8 +109,7 @@
   if (!r.per_page)
     j->pages[0].stamp = stamp;
   HrStance before = j->stance;
-  if (before != HR_WITHDRAWN) /* derived perhaps; what was told stays */
-    j->stance = r.stance;
+  j->stance = r.stance; /* a derived withdrawal is derived again */
   hr_dependencies_read (c, j, (const char *const *)awaits);
   hr_job_open (c, j);
   if (c->leads && r.stance == HR_WITHDRAWN && before != HR_WITHDRAWN)
--- a/tests/sim/pipeline.c
+++ b/tests/sim/pipeline.c
@@ -45,6 +45,15 @@
   return asked;
 }
 
+gboolean
+pipeline_ready (const SJob *j)
+{
+  for (guint i = 0; j->awaits && i < j->awaits->len; i++)
+    if (!job_all_done (j->awaits->pdata[i]))
+      return FALSE;
+  return !told_before (j);
+}
+
 void
 pipeline_start (World *w, const SJob *j, guint32 task)
 {
--- a/tests/sim/pipeline.h
+++ b/tests/sim/pipeline.h
@@ -19,6 +19,9 @@
 /* Has the user of the job, or of one before it, asked to withdraw that? */
 gboolean pipeline_cancel_asked (const SJob *j);
 
+/* All that the job awaits is done, and no user was told that one before it is withdrawn. */
+gboolean pipeline_ready (const SJob *j);
+
 /* Hooks of the stand-ins. */
 void pipeline_start (World *w, const SJob *j, guint32 task);
 void pipeline_on_machine (World *w, const SJob *j, guint32 task);
