Members name withdrawals to a leader that cannot read them

Cause: while the state service refuses the leader alone, others confirm withdrawals; its members' attestation then ends for the whole of the following outage, and all leases run out.

Each node logs the withdrawals that it confirms or reads, and names those that the leader has not read in its hints, from the position on that the leader echoes. The leader stops their tasks, and counts the attestation of a member whose log it has whole. Users are told by the record alone. An older version names nothing and is treated as before.

--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -77,11 +77,12 @@
   j->known = TRUE;
   j->stamp = stamp;
   if (r.stance == HR_WITHDRAWN)
-    c->withdrawn = MAX (c->withdrawn, stamp);
+    hr_withdrawals_note (c, j, stamp);
   g_free (j->tag);
   j->tag = g_steal_pointer (&r.tag);
   if (r.tombstone) {
     j->stance = r.stance;
+    j->told = FALSE;
     j->ntasks = r.ntasks;
     j->nrdone = r.ndone;
     j->shrunk = TRUE;
@@ -103,10 +104,13 @@
   }
   if (!r.per_page)
     j->pages[0].stamp = stamp;
+  /* A reading may be older than what a member told; a withdrawal is final all the same. */
+  gboolean was_told = j->told;
+  j->told = was_told && r.stance == HR_QUEUED;
   HrStance before = j->stance;
-  j->stance = r.stance;
+  j->stance = j->told ? HR_WITHDRAWN : r.stance;
   hr_job_open (c, j);
-  if (c->leads && r.stance == HR_WITHDRAWN && before != HR_WITHDRAWN)
+  if (c->leads && j->stance == HR_WITHDRAWN && (before != HR_WITHDRAWN || was_told))
     hr_job_withdrawn (c, j);
   c->plan_dirty = TRUE;
   return TRUE;
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -290,6 +290,8 @@
   guint32 from, to;
   guint n = p - j->pages;
   gboolean launch = FALSE, change = FALSE;
+  if (j->told)
+    return; /* its record has changed, and is read before it is written again */
   page_range (j, p, &from, &to);
   for (guint32 i = from; i < to; i++) {
     HrTask *t = &j->tasks[i];
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -55,6 +55,7 @@
   HrPage *pages;
   guint npages;
   gboolean shrunk;
+  gboolean told;       /* withdrawn, as a member told us; its record is still to be read */
   gboolean unreadable; /* what is recorded of its tasks could not be read: they may be anywhere */
   /* The owner's. */
   gboolean listed;    /* in the owner's list of open jobs */
--- a/src/coordination/command.c
+++ b/src/coordination/command.c
@@ -1,4 +1,24 @@
 #include "coordination/command.h"
+#include <string.h>
+
+gboolean
+hr_named_add (HrNamedWithdrawals *n, const char *id)
+{
+  gsize size = strlen (id) + 1;
+  if (size > sizeof n->ids - n->bytes)
+    return FALSE;
+  memcpy (n->ids + n->bytes, id, size);
+  n->bytes += size;
+  n->count++;
+  return TRUE;
+}
+
+const char *
+hr_named_next (const HrNamedWithdrawals *n, const char *id)
+{
+  const char *next = id ? id + strlen (id) + 1 : n->ids;
+  return next < n->ids + n->bytes ? next : NULL;
+}
 
 HrCommand *
 hr_command_new (HrCommandKind kind)
--- a/src/coordination/command.h
+++ b/src/coordination/command.h
@@ -6,16 +6,31 @@
 typedef enum { HR_TO_STORE, HR_TO_CLOUD, HR_TO_WORKER } HrTarget;
 
 #define HR_MAX_ECHOES 16
+/* Room for the job ids that one hint names. With it the largest hint still fits a frame. */
+#define HR_NAMED_BYTES 1400
 
 /* The clock of a member, as its last hint told it: for that member alone to read. */
 typedef struct {
   char label[64], incarnation[40];
   double clock;
+  guint64 taken; /* position up to which the teller, who leads, has taken in that member's log */
 } HrEcho;
 
+/* A part of a member's log of withdrawals, in which it notes each one that it confirms or reads,
+ * in that order. Positions count from 0 in each process. What was dropped from the log's
+ * beginning has stamps up to `dropped`. */
+typedef struct {
+  gboolean stated; /* FALSE: the hint of a version that has no such log */
+  guint64 dropped, begins, first, ends;
+  guint count;              /* of the ids named, from position `first` on */
+  guint bytes;              /* used of `ids` */
+  char ids[HR_NAMED_BYTES]; /* one after the other, each with its terminating NUL */
+} HrNamedWithdrawals;
+
 /* What members tell one another about once a second. Hints, on which no rule rests, but
  * for one statement: by the time it was made, its sender and the processes before it had
- * confirmed no withdrawal after `withdrawn`. It is at least as new as the echoed clocks. */
+ * confirmed no withdrawal after `withdrawn`, and of those after `named.dropped` none that is
+ * not in its log. It is at least as new as the echoed clocks. */
 typedef struct {
   char label[64], incarnation[40];
   guint64 baton, map_stamp;
@@ -24,6 +39,8 @@
   double clock;
   gboolean synced; /* has read the whole ledger once; without that, `withdrawn` says nothing */
   guint64 withdrawn;
+  guint64 applied; /* revision up to which the sender has read the ledger */
+  HrNamedWithdrawals named;
   HrEcho echoes[HR_MAX_ECHOES];
   guint nechoes;
 } HrHint;
@@ -55,6 +72,11 @@
   HrHint hint;
 } HrEffect;
 
+/* Adds a job's id to those named; FALSE when there is no room. */
+gboolean hr_named_add (HrNamedWithdrawals *n, const char *id);
+/* The first id named, or the one after `id`; NULL after the last. */
+const char *hr_named_next (const HrNamedWithdrawals *n, const char *id);
+
 HrCommand *hr_command_new (HrCommandKind kind);
 void hr_command_free (HrCommand *c);
 void hr_effect_free (HrEffect *e);
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -169,6 +169,7 @@
   c->waiters = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->waiters_now = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->peers = g_array_new (FALSE, TRUE, sizeof (HrPeerView));
+  c->withdrawals = g_array_new (FALSE, FALSE, sizeof (HrWithdrawal));
   hr_intern_init (&c->job_ids);
   hr_intern_init (&c->machine_ids);
   c->jobs = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_job_free);
@@ -207,6 +208,7 @@
   g_array_unref (c->waiters);
   g_array_unref (c->waiters_now);
   g_array_unref (c->peers);
+  g_array_unref (c->withdrawals);
   g_ptr_array_unref (c->jobs);
   g_ptr_array_unref (c->machines);
   hr_intern_clear (&c->job_ids);
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -6,6 +6,9 @@
 #include <string.h>
 
 #define CONTACT_WINDOW 6.0
+/* Between hints, and while there is news for a member that the state service does not serve. */
+#define HINT_S 1.0
+#define HINT_SOON_S 0.2
 
 static gboolean
 peer_fresh (const HrCore *c, const HrPeerView *p)
@@ -75,6 +78,7 @@
   c->list_complete = FALSE;
   c->list_at = 0;
   c->rent_at = c->now;
+  hr_withdrawals_new_leader (c);
   g_message ("this node leads, baton %" G_GUINT64_FORMAT, c->baton);
   hr_tasks_take_over (c);
 }
@@ -272,6 +276,7 @@
 tell (HrCore *c)
 {
   c->hint_at = c->now;
+  c->hint_soon = FALSE;
   HrEffect *e = g_new0 (HrEffect, 1);
   e->kind = HR_E_HINT;
   g_strlcpy (e->hint.label, c->set->label, sizeof e->hint.label);
@@ -284,24 +289,29 @@
   e->hint.clock = c->now;
   e->hint.synced = c->synced_once;
   e->hint.withdrawn = c->withdrawn;
+  e->hint.applied = c->applied;
+  hr_withdrawals_name (c, &e->hint);
   for (guint i = 0; i < MIN (c->peers->len, HR_MAX_ECHOES); i++) {
-    const HrHint *h = &g_array_index (c->peers, HrPeerView, i).hint;
+    const HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
+    const HrHint *h = &p->hint;
     HrEcho *o = &e->hint.echoes[e->hint.nechoes++];
     g_strlcpy (o->label, h->label, sizeof o->label);
     g_strlcpy (o->incarnation, h->incarnation, sizeof o->incarnation);
     o->clock = h->clock;
+    o->taken = p->taken;
   }
   g_ptr_array_add (c->out, e);
 }
 
 /* Takes note of what a member states, and of when by our clock it was still so: that it knows
- * of no newer owner and of no withdrawal that we have not read. Whether the state service
- * serves it does not matter: what it decides or reads later is in what it states later. */
+ * of no newer owner and of no withdrawal that we have neither read nor been told. Whether the state
+ * service serves it does not matter: what it decides or reads later is in what it states later. */
 static void
 note_statement (HrCore *c, HrPeerView *p)
 {
   const HrHint *h = &p->hint;
-  if (!h->synced || h->baton > c->baton || h->withdrawn > c->applied)
+  if (!h->synced || h->baton > c->baton ||
+      (h->withdrawn > c->applied && !hr_withdrawals_all_taken (c, p)))
     return;
   for (guint i = 0; i < h->nechoes; i++) {
     const HrEcho *e = &h->echoes[i];
@@ -329,8 +339,12 @@
     g_array_set_size (c->peers, c->peers->len + 1);
     p = &g_array_index (c->peers, HrPeerView, c->peers->len - 1);
   }
+  if (strcmp (p->hint.incarnation, h->incarnation) != 0)
+    p->taken = 0; /* positions count anew in each process */
   p->hint = *h;
   p->at = c->now;
+  hr_withdrawals_take (c, p);
+  hr_withdrawals_answered (c, p);
   note_statement (c, p);
   /* A member that the state service serves has read a newer map, and we, who
    * think we own it, have not: whoever is refused steps down at once. */
@@ -361,6 +375,6 @@
       consider_abdicating (c);
     }
   }
-  if (c->now - c->hint_at >= 1)
+  if (c->now - c->hint_at >= (c->hint_soon ? HINT_SOON_S : HINT_S))
     tell (c);
 }
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -55,8 +55,15 @@
   HrHint hint;
   double at;
   double attested; /* by our clock: what it stated was so then; see attested_at in leader.c */
+  guint64 taken;   /* of this process of it: position up to which we took in its withdrawals */
 } HrPeerView;
 
+/* A withdrawal that this node confirmed to its user, or read. */
+typedef struct {
+  guint32 job;
+  guint64 stamp;
+} HrWithdrawal;
+
 struct HrCore {
   const HrSettings *set;
   HrPolicy pol;
@@ -83,6 +90,11 @@
   guint store_fails;
   guint64 withdrawn; /* stamp of the latest withdrawal that we have read or confirmed */
 
+  /* The log of withdrawals (withdrawals.c). */
+  GArray *withdrawals;         /* HrWithdrawal, in the order in which we learnt of them */
+  guint64 withdrawals_begin;   /* position of the first one kept */
+  guint64 withdrawals_dropped; /* stamp up to which some may have been dropped */
+
   /* Writing to it. */
   GQueue txns[HR_TXN_KINDS];
   GArray *dirty;   /* HrDirty: pages with something to record */
@@ -104,7 +116,8 @@
   gboolean raise_wanted;
   GArray *peers; /* HrPeerView */
   double hint_at;
-  GArray *contacts; /* times of workers' reports, a ring */
+  gboolean hint_soon; /* there is news for a member that the state service does not serve */
+  GArray *contacts;   /* times of workers' reports, a ring */
   double contact_at;
   guint contact_count, contact_last;
 
@@ -203,6 +216,14 @@
 gboolean hr_leader_outage_for_all (const HrCore *c);
 void hr_leader_raise (HrCore *c, const char *why);
 
+/* withdrawals.c: naming withdrawals to a leader that cannot read them */
+void hr_withdrawals_note (HrCore *c, const HrJob *j, guint64 stamp);
+void hr_withdrawals_name (HrCore *c, HrHint *h);
+void hr_withdrawals_take (HrCore *c, HrPeerView *p);
+gboolean hr_withdrawals_all_taken (const HrCore *c, const HrPeerView *p);
+void hr_withdrawals_answered (HrCore *c, const HrPeerView *p);
+void hr_withdrawals_new_leader (HrCore *c);
+
 /* users.c */
 void hr_users_request (HrCore *c, HrCommand *cmd);
 
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -102,12 +102,13 @@
     answer (c, request, j, 200);
 }
 
-/* Final states never change, so they need no reading. */
+/* Final states never change, so they need no reading; but what a member said is not told to
+ * users before its record is read. */
 static gboolean
 answer_final (HrCore *c, UserRequest *request)
 {
   HrJob *j = hr_job_find (c, request->id);
-  if (!j || j->stance == HR_QUEUED)
+  if (!j || j->stance == HR_QUEUED || j->told)
     return FALSE;
   answer (c, request, j, 200);
   return TRUE;
@@ -151,7 +152,7 @@
     HrJob *j = hr_job_get (c, request->id);
     if (!j->known) {
       j->known = TRUE;
-      j->stance = HR_QUEUED;
+      j->stance = j->told ? HR_WITHDRAWN : HR_QUEUED;
       j->stamp = epoch;
       j->submitted = request->asked;
       g_free (j->tag);
@@ -246,9 +247,10 @@
   HrJob *j = hr_job_find (c, request->id);
   guint64 epoch;
   if (status == 200 && j && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
-    c->withdrawn = MAX (c->withdrawn, epoch);
+    hr_withdrawals_note (c, j, epoch);
     if (j->stance == HR_QUEUED && epoch > j->stamp) {
       j->stance = HR_WITHDRAWN;
+      j->told = FALSE;
       j->stamp = epoch;
       if (!j->per_page && j->pages)
         j->pages[0].stamp = epoch;
--- /dev/null
+++ b/src/coordination/withdrawals.c
@@ -0,0 +1,168 @@
+/* Naming withdrawals to a leader that cannot read them. Each node logs the withdrawals that it
+ * confirms to users or reads, in the order in which it learns of them, and names those that the
+ * leader has not read in its hints, from the position on that the leader echoes. The argument
+ * why the leader may go by that is in docs/design.md, "Withdrawals that the leader cannot
+ * read". */
+#include "coordination/state.h"
+#include <string.h>
+
+/* Longer than the withdrawals that come while a leader is not served and not replaced. */
+#define MAX_LOG 1024
+
+/* The leader, as it says itself; NULL when none is known that can be told. */
+static const HrPeerView *
+leader_told (const HrCore *c)
+{
+  const HrPeerView *leader = NULL;
+  for (guint i = 0; i < c->peers->len; i++) {
+    const HrPeerView *p = &g_array_index (c->peers, HrPeerView, i);
+    if (p->hint.leads && p->hint.named.stated && (!leader || p->hint.baton > leader->hint.baton))
+      leader = p;
+  }
+  return leader;
+}
+
+static void
+drop_first (HrCore *c, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    c->withdrawals_dropped =
+        MAX (c->withdrawals_dropped, g_array_index (c->withdrawals, HrWithdrawal, i).stamp);
+  g_array_remove_range (c->withdrawals, 0, n);
+  c->withdrawals_begin += n;
+}
+
+/* Drops what the leader has read, from the beginning on. Whoever led at the map that we read,
+ * or leads after it, has read the ledger up to that map. */
+static void
+drop_read (HrCore *c, const HrPeerView *leader)
+{
+  guint64 read = MAX (c->map_stamp, leader ? leader->hint.applied : 0);
+  guint n = 0;
+  while (n < c->withdrawals->len && g_array_index (c->withdrawals, HrWithdrawal, n).stamp <= read)
+    n++;
+  if (n)
+    drop_first (c, n);
+}
+
+static guint64
+log_end (const HrCore *c)
+{
+  return c->withdrawals_begin + c->withdrawals->len;
+}
+
+/* Notes a withdrawal that we confirmed or read: before its user is told, and before any hint
+ * states its stamp. */
+void
+hr_withdrawals_note (HrCore *c, const HrJob *j, guint64 stamp)
+{
+  const HrPeerView *leader = leader_told (c);
+  HrWithdrawal entry = {j->idx, stamp};
+  c->withdrawn = MAX (c->withdrawn, stamp);
+  if (leader && stamp <= leader->hint.applied) {
+    c->withdrawals_dropped = MAX (c->withdrawals_dropped, stamp);
+    return;
+  }
+  if (c->withdrawals->len == MAX_LOG)
+    drop_first (c, MAX_LOG / 4);
+  g_array_append_val (c->withdrawals, entry);
+  if (leader && !leader->hint.store_served)
+    c->hint_soon = TRUE;
+}
+
+/* Position up to which the leader has taken in the log of this process. */
+static guint64
+acknowledged (const HrCore *c, const HrPeerView *leader)
+{
+  for (guint i = 0; i < leader->hint.nechoes; i++) {
+    const HrEcho *e = &leader->hint.echoes[i];
+    if (g_str_equal (e->label, c->set->label) && g_str_equal (e->incarnation, c->incarnation))
+      return e->taken;
+  }
+  return 0;
+}
+
+/* States our log in a hint, and names what of it the leader has neither read nor taken in, as
+ * far as there is room. */
+void
+hr_withdrawals_name (HrCore *c, HrHint *h)
+{
+  const HrPeerView *leader = leader_told (c);
+  HrNamedWithdrawals *n = &h->named;
+  drop_read (c, leader);
+  n->stated = TRUE;
+  n->dropped = c->withdrawals_dropped;
+  n->begins = n->first = c->withdrawals_begin;
+  n->ends = log_end (c);
+  if (!leader || c->leads)
+    return;
+  n->first = CLAMP (acknowledged (c, leader), n->begins, n->ends);
+  for (guint64 at = n->first; at < n->ends; at++) {
+    const HrWithdrawal *w = &g_array_index (c->withdrawals, HrWithdrawal, at - n->begins);
+    if (!hr_named_add (n, hr_intern_name (&c->job_ids, w->job)))
+      break;
+  }
+}
+
+/* A member says that the job is withdrawn: its tasks are stopped as if its record had been
+ * read. The record itself is as ever: no write of ours holds on a stamp before we read it. */
+static void
+withdraw_as_told (HrCore *c, const char *id)
+{
+  if (!hr_job_id_valid (id))
+    return;
+  HrJob *j = hr_job_get (c, id);
+  if (j->stance != HR_QUEUED || j->told)
+    return;
+  j->told = TRUE;
+  if (!j->known)
+    return; /* should its submission still be read, it is withdrawn already */
+  g_info ("%s is withdrawn, as a member says", id);
+  j->stance = HR_WITHDRAWN;
+  if (j->tasks)
+    hr_job_withdrawn (c, j);
+  c->plan_dirty = TRUE;
+}
+
+/* Takes in what a member names, when nothing is missing between that and what was taken in
+ * before, but for withdrawals that we have read. */
+void
+hr_withdrawals_take (HrCore *c, HrPeerView *p)
+{
+  const HrNamedWithdrawals *n = &p->hint.named;
+  if (!c->leads || !n->stated)
+    return;
+  if (n->dropped <= c->applied)
+    p->taken = MAX (p->taken, n->begins);
+  if (n->first > p->taken || n->first + n->count <= p->taken)
+    return;
+  for (const char *id = hr_named_next (n, NULL); id; id = hr_named_next (n, id))
+    withdraw_as_told (c, id);
+  p->taken = n->first + n->count;
+  c->hint_soon = TRUE; /* the member goes on from there */
+}
+
+/* Do we know all withdrawals that the member knew of when it made its latest hint? */
+gboolean
+hr_withdrawals_all_taken (const HrCore *c, const HrPeerView *p)
+{
+  const HrNamedWithdrawals *n = &p->hint.named;
+  return c->leads && n->stated && n->dropped <= c->applied && n->ends <= p->taken;
+}
+
+/* A leader that is not served has taken in a part of our log: the rest follows at once. */
+void
+hr_withdrawals_answered (HrCore *c, const HrPeerView *p)
+{
+  if (p->hint.leads && p->hint.named.stated && !p->hint.store_served && !c->leads &&
+      c->withdrawn > p->hint.applied && acknowledged (c, p) < log_end (c))
+    c->hint_soon = TRUE;
+}
+
+/* Our tables were read anew: what members named before counts no longer. */
+void
+hr_withdrawals_new_leader (HrCore *c)
+{
+  for (guint i = 0; i < c->peers->len; i++)
+    g_array_index (c->peers, HrPeerView, i).taken = 0;
+}
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -1,16 +1,14 @@
 #include "transport/peer.h"
-#include "peer.pb-c.h"
+#include "transport/hint_frame.h"
 #include <gio/gio.h>
 #include <string.h>
 
-#define MAX_FRAME 4096
-
 typedef struct {
   HrPeers *owner;
   char *endpoint;
   GSocketConnection *conn;
   gboolean connecting, writing;
-  guint8 frame[4 + MAX_FRAME];
+  guint8 frame[4 + HR_MAX_FRAME];
 } Link;
 
 struct HrPeers {
@@ -25,7 +23,7 @@
   HrPeers *owner;
   GSocketConnection *conn;
   guint8 head[4];
-  guint8 body[MAX_FRAME];
+  guint8 body[HR_MAX_FRAME];
 } Reader;
 
 static void read_head (Reader *r);
@@ -41,29 +39,12 @@
 static void
 deliver (Reader *r, gsize len)
 {
-  Hr__Hint *m = hr__hint__unpack (NULL, len, r->body);
-  if (!m) {
+  HrCommand *c = hr_command_new (HR_C_HINT);
+  if (!hr_hint_unpack (&c->hint, r->body, len)) {
     g_info ("a peer sent a frame that is no hint; dropped");
+    hr_command_free (c);
     return;
   }
-  HrCommand *c = hr_command_new (HR_C_HINT);
-  g_strlcpy (c->hint.label, m->label, sizeof c->hint.label);
-  g_strlcpy (c->hint.incarnation, m->incarnation, sizeof c->hint.incarnation);
-  c->hint.baton = m->baton;
-  c->hint.map_stamp = m->map_stamp;
-  c->hint.store_served = m->store_served;
-  c->hint.leads = m->leads;
-  c->hint.contacts = m->worker_contacts;
-  c->hint.clock = m->clock;
-  c->hint.synced = m->synced;
-  c->hint.withdrawn = m->withdrawn;
-  for (gsize i = 0; i < m->n_echoes && c->hint.nechoes < HR_MAX_ECHOES; i++) {
-    HrEcho *e = &c->hint.echoes[c->hint.nechoes++];
-    g_strlcpy (e->label, m->echoes[i]->label, sizeof e->label);
-    g_strlcpy (e->incarnation, m->echoes[i]->incarnation, sizeof e->incarnation);
-    e->clock = m->echoes[i]->clock;
-  }
-  hr__hint__free_unpacked (m, NULL);
   r->owner->sink (c, r->owner->data);
 }
 
@@ -95,7 +76,7 @@
   }
   memcpy (&want, r->head, 4);
   want = GUINT32_FROM_BE (want);
-  if (want == 0 || want > MAX_FRAME) {
+  if (want == 0 || want > HR_MAX_FRAME) {
     reader_free (r);
     return;
   }
@@ -150,29 +131,9 @@
 void
 hr_peers_tell (HrPeers *p, const HrHint *h)
 {
-  Hr__Hint m = HR__HINT__INIT;
-  m.label = (char *)h->label;
-  m.incarnation = (char *)h->incarnation;
-  m.baton = h->baton;
-  m.map_stamp = h->map_stamp;
-  m.store_served = h->store_served;
-  m.leads = h->leads;
-  m.worker_contacts = h->contacts;
-  m.clock = h->clock;
-  m.synced = h->synced;
-  m.withdrawn = h->withdrawn;
-  Hr__Echo echoes[HR_MAX_ECHOES], *list[HR_MAX_ECHOES];
-  for (guint i = 0; i < h->nechoes; i++) {
-    hr__echo__init (&echoes[i]);
-    echoes[i].label = (char *)h->echoes[i].label;
-    echoes[i].incarnation = (char *)h->echoes[i].incarnation;
-    echoes[i].clock = h->echoes[i].clock;
-    list[i] = &echoes[i];
-  }
-  m.n_echoes = h->nechoes;
-  m.echoes = list;
-  gsize len = hr__hint__get_packed_size (&m);
-  if (len > MAX_FRAME)
+  guint8 frame[HR_MAX_FRAME];
+  gsize len = hr_hint_pack (h, frame);
+  if (!len)
     return;
   for (guint i = 0; i < p->links->len; i++) {
     Link *l = p->links->pdata[i];
@@ -184,7 +145,7 @@
       continue; /* hints are not queued: the next one says it all */
     guint32 be = GUINT32_TO_BE ((guint32)len);
     memcpy (l->frame, &be, 4);
-    hr__hint__pack (&m, l->frame + 4);
+    memcpy (l->frame + 4, frame, len);
     l->writing = TRUE;
     g_output_stream_write_all_async (g_io_stream_get_output_stream (G_IO_STREAM (l->conn)),
                                      l->frame, 4 + len, G_PRIORITY_DEFAULT, NULL, on_written, l);
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -266,11 +266,10 @@
   w->nodes[node].hold = FALSE;
 }
 
+/* Leases are to last until just before the cut ends. */
 static void
-all_away (World *w, gpointer p)
+watch_leases (World *w)
 {
-  for (int k = 0; k < w->n; k++)
-    store_away (w, k);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *m = w->machines->pdata[i];
     m->through_cut = m->up && !m->gone && !m->spot && m->tenure == 1;
@@ -278,6 +277,14 @@
   w_at (w, w->now + CUT_ALL_S - 2, still_held, NULL);
 }
 
+static void
+all_away (World *w, gpointer p)
+{
+  for (int k = 0; k < w->n; k++)
+    store_away (w, k);
+  watch_leases (w);
+}
+
 void
 faults_cut_from_store (World *w, double at)
 {
@@ -285,7 +292,8 @@
 }
 
 /* All but one node miss a withdrawal that this one confirms just before it is cut off too,
- * and perhaps restarts: its attestation must not keep the job's tasks alive. */
+ * and perhaps restarts: its attestation must not keep the job's tasks alive, but those of
+ * others, as long as it can name that job to the owner. */
 static void
 others_away (World *w, gpointer p)
 {
@@ -295,6 +303,8 @@
       store_away (w, k);
   if (GPOINTER_TO_INT (p) >= MAX_NODES)
     stumble (w, GINT_TO_POINTER (other));
+  else if (w->nodes[store_owner (w)].frozen <= w->now) /* else that costs leases by itself */
+    watch_leases (w);
 }
 
 static void
