Attestation tested case by case; a lost launch of a withdrawn job ends its worker's session

A leader that is not served cannot raise its token, so a launch whose answer was lost may start a withdrawn job's task at any time while it goes on answering that worker. It no longer does: the worker's session ends with its lease, and the order with it.

--- a/src/bookkeeping/absence.c
+++ b/src/bookkeeping/absence.c
@@ -11,6 +11,22 @@
   return m->do_out == 0 && m->do_lost == 0 && m->reply_launch == 0;
 }
 
+/* A launch whose answer was lost, of a job that was withdrawn since, may come at any time while
+ * the worker is in this session and has seen no newer token. */
+gboolean
+hr_absence_withdrawn_may_start (const HrCore *c, const HrMachine *m)
+{
+  for (guint i = 0; m->do_lost && i < m->tasks->len; i++) {
+    HrRef r = g_array_index (m->tasks, HrRef, i);
+    const HrJob *j = c->jobs->pdata[r.job];
+    const HrTask *t = &j->tasks[r.task];
+    if (j->stance == HR_WITHDRAWN && t->state == HR_T_BOUND && t->session == m->session &&
+        t->shown == HR_NOT_SHOWN)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 void
 hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token)
 {
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -78,7 +78,6 @@
   c->list_complete = FALSE;
   c->list_at = 0;
   c->rent_at = c->now;
-  hr_withdrawals_new_leader (c);
   g_message ("this node leads, baton %" G_GUINT64_FORMAT, c->baton);
   hr_tasks_take_over (c);
 }
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -197,6 +197,7 @@
 double hr_absence_lease (const HrCore *c);
 gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
 gboolean hr_absence_orders_settled (const HrMachine *m);
+gboolean hr_absence_withdrawn_may_start (const HrCore *c, const HrMachine *m);
 void hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token);
 gboolean hr_absence_may_clear (const HrCore *c, HrMachine *m, guint32 job, guint32 task,
                                guint32 try);
@@ -222,7 +223,6 @@
 void hr_withdrawals_take (HrCore *c, HrPeerView *p);
 gboolean hr_withdrawals_all_taken (const HrCore *c, const HrPeerView *p);
 void hr_withdrawals_answered (HrCore *c, const HrPeerView *p);
-void hr_withdrawals_new_leader (HrCore *c);
 
 /* users.c */
 void hr_users_request (HrCore *c, HrCommand *cmd);
--- a/src/coordination/withdrawals.c
+++ b/src/coordination/withdrawals.c
@@ -158,11 +158,3 @@
       c->withdrawn > p->hint.applied && acknowledged (c, p) < log_end (c))
     c->hint_soon = TRUE;
 }
-
-/* Our tables were read anew: what members named before counts no longer. */
-void
-hr_withdrawals_new_leader (HrCore *c)
-{
-  for (guint i = 0; i < c->peers->len; i++)
-    g_array_index (c->peers, HrPeerView, i).taken = 0;
-}
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -297,6 +297,12 @@
   if (r->token > m->do_lost)
     m->do_lost = 0;
   take_items (c, m, r, TRUE, orders);
+  if (!hr_follow_served (c) && hr_absence_withdrawn_may_start (c, m)) {
+    /* No newer token is to be had to make that launch void: the end of the session does. */
+    json_decref (orders);
+    hr_refuse (c, cmd->id, 503, 0, "an order to this worker may still come");
+    return;
+  }
   notice (c, m, r);
   if (orders_for (c, m, orders, FALSE))
     m->reply_launch = r->seq;
--- /dev/null
+++ b/tests/scripted.c
@@ -0,0 +1,392 @@
+#include "scripted.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+static void
+answer (Script *s, guint64 id, int status, char *text)
+{
+  HrCommand *c = hr_command_new (HR_C_RESULT);
+  c->id = id;
+  c->status = status;
+  if (text)
+    c->body = g_bytes_new_take (text, strlen (text));
+  g_ptr_array_add (s->inbox, c);
+}
+
+void
+script_write (Script *s, const char *key, const char *value)
+{
+  g_ptr_array_add (s->log,
+                   g_strdup_printf ("{\"set\":\"%s\",\"value\":%s,\"stamp\":%" G_GUINT64_FORMAT "}",
+                                    key, value, ++s->epoch));
+}
+
+/* The latest change of a key; NULL: there is none. */
+static json_t *
+latest (const Script *s, const char *key)
+{
+  for (guint i = s->log->len; i-- > 0;) {
+    json_t *o = json_loads (s->log->pdata[i], 0, NULL);
+    if (strcmp (hr_json_str (o, "set"), key) == 0)
+      return o;
+    json_decref (o);
+  }
+  return NULL;
+}
+
+guint64
+script_withdraw (Script *s, const char *id)
+{
+  g_autofree char *key = g_strconcat ("h/j/", id, NULL);
+  json_t *o = latest (s, key), *v = json_object_get (o, "value");
+  json_object_set_new (v, "s", json_integer (2));
+  json_object_set_new (v, "w", json_string ("another"));
+  g_autofree char *text = json_dumps (v, JSON_COMPACT);
+  json_decref (o);
+  script_write (s, key, text);
+  return s->epoch;
+}
+
+static gboolean
+holds (const Script *s, json_t *when)
+{
+  json_t *e;
+  size_t i;
+  json_array_foreach (when, i, e)
+  {
+    json_t *o = latest (s, hr_json_str (e, "path"));
+    gboolean same = json_integer_value (json_object_get (o, "stamp")) ==
+                    json_integer_value (json_object_get (e, "stamp"));
+    json_decref (o);
+    if (!same)
+      return FALSE;
+  }
+  return TRUE;
+}
+
+static void
+commit (Script *s, const HrEffect *call)
+{
+  json_t *o = json_loads (call->body, 0, NULL), *e;
+  size_t i;
+  if (!holds (s, json_object_get (o, "when"))) {
+    answer (s, call->id, 409, g_strdup ("{\"failed\":[],\"epoch\":1}"));
+  } else {
+    guint64 epoch = s->epoch + 1;
+    json_array_foreach (json_object_get (o, "writes"), i, e)
+    {
+      g_autofree char *v =
+          json_dumps (json_object_get (e, "value"), JSON_COMPACT | JSON_ENCODE_ANY);
+      s->epoch = epoch - 1; /* all changes of a transaction have one stamp */
+      script_write (s, hr_json_str (e, "set"), v);
+    }
+    if (s->loses_writes)
+      answer (s, call->id, 0, NULL);
+    else
+      answer (s, call->id, 200, g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT "}", s->epoch));
+  }
+  json_decref (o);
+}
+
+static void
+changes (Script *s, const HrEffect *call)
+{
+  if (!strstr (call->path, "hold_ms=0"))
+    return; /* watches stay open */
+  guint64 after = g_ascii_strtoull (strstr (call->path, "after=") + 6, NULL, 10);
+  GString *text = g_string_new (NULL);
+  g_string_printf (text, "{\"epoch\":%" G_GUINT64_FORMAT ",\"log\":[", s->epoch);
+  const char *sep = "";
+  for (guint i = 0; i < s->log->len; i++) {
+    json_t *o = json_loads (s->log->pdata[i], 0, NULL);
+    if ((guint64)json_integer_value (json_object_get (o, "stamp")) > after) {
+      g_string_append_printf (text, "%s%s", sep, (char *)s->log->pdata[i]);
+      sep = ",";
+    }
+    json_decref (o);
+  }
+  g_string_append (text, "]}");
+  answer (s, call->id, 200, g_string_free (text, FALSE));
+}
+
+static void
+store (Script *s, const HrEffect *call)
+{
+  if (!s->served)
+    answer (s, call->id, 503, g_strdup ("{\"error\":\"trouble\"}"));
+  else if (strcmp (call->path, "/commit") == 0)
+    commit (s, call);
+  else if (g_str_has_prefix (call->path, "/changes?"))
+    changes (s, call);
+  else if (strcmp (call->path, "/leases") == 0)
+    answer (s, call->id, 200, g_strdup ("{\"claim\":1}"));
+  else if (g_str_has_prefix (call->path, "/kv?"))
+    answer (s, call->id, 200, g_strdup ("{\"rows\":[],\"more\":false,\"epoch\":1}"));
+  else if (g_str_has_prefix (call->path, "/kv/")) {
+    json_t *o = latest (s, call->path + strlen ("/kv/"));
+    answer (s, call->id, o ? 200 : 404, o ? json_dumps (o, JSON_COMPACT) : g_strdup ("{}"));
+    json_decref (o);
+  } else
+    answer (s, call->id, 200, g_strdup ("{}"));
+}
+
+static void
+cloud (Script *s, const HrEffect *call)
+{
+  if (strcmp (call->path, "/machine_types") == 0)
+    answer (s, call->id, 200,
+            g_strdup ("{\"hulls\":[{\"sku\":\"g2\",\"vcpus\":12,\"accelerators\":2,\"memory_gb\":"
+                      "96,\"cache_gb\":100,\"fetch_gb_per_s\":1,\"hourly\":5.0,\"startup_s\":40,"
+                      "\"quarries\":[\"z0\"]}]}"));
+  else
+    answer (s, call->id, 503, g_strdup ("{\"error\":\"no capacity\"}"));
+}
+
+static void
+obey (Script *s, const char *body)
+{
+  json_t *o = json_loads (body, 0, NULL), *e;
+  size_t i;
+  s->token = MAX (s->token, (guint64)json_integer_value (json_object_get (o, "baton")));
+  json_array_foreach (json_object_get (o, "orders"), i, e)
+  {
+    const char *piece = hr_json_str (e, "piece");
+    if (strcmp (hr_json_str (e, "verb"), "launch") == 0)
+      g_hash_table_insert (s->on, g_strdup (piece),
+                           GINT_TO_POINTER ((int)json_integer_value (json_object_get (e, "try"))));
+    else
+      g_hash_table_remove (s->on, piece);
+  }
+  json_decref (o);
+}
+
+static char *
+report_text (Script *s)
+{
+  json_t *pieces = json_array ();
+  GHashTableIter it;
+  gpointer piece, try;
+  g_hash_table_iter_init (&it, s->on);
+  while (g_hash_table_iter_next (&it, &piece, &try))
+    json_array_append_new (pieces, json_pack ("{sssiss}", "piece", piece, "try",
+                                              GPOINTER_TO_INT (try), "stance", "running"));
+  return hr_json_take_text (json_pack ("{sssssssssbsisisIso}", "rockhand", "m-000001", "addr",
+                                       "10.0.0.1:9000", "hull", "g2", "quarry", "z0", "loaners", 0,
+                                       "tenure", s->session, "tally", ++s->tally, "baton",
+                                       (json_int_t)s->token, "pieces", pieces));
+}
+
+static void
+worker (Script *s, const HrEffect *call)
+{
+  if (s->loses_orders) {
+    s->lost_launches += strstr (call->body, "launch") != NULL;
+    answer (s, call->id, 0, NULL);
+    return;
+  }
+  obey (s, call->body);
+  answer (s, call->id, 200, report_text (s));
+}
+
+static void
+perform (Script *s, const HrEffect *e)
+{
+  if (e->kind == HR_E_HINT) {
+    s->said = e->hint;
+    s->hint_at = s->now;
+  } else if (e->kind == HR_E_REPLY) {
+    s->status = e->status;
+    g_free (s->answer);
+    s->answer = g_strdup (e->body);
+  } else if (e->target == HR_TO_STORE)
+    store (s, e);
+  else if (e->target == HR_TO_CLOUD)
+    cloud (s, e);
+  else
+    worker (s, e);
+}
+
+/* One step with this command, then steps with the answers to what it asked for. */
+static void
+step (Script *s, HrCommand *command)
+{
+  g_ptr_array_add (s->inbox, command);
+  while (s->inbox->len) {
+    g_autoptr (GPtrArray) commands = s->inbox;
+    g_autoptr (GPtrArray) out = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
+    s->inbox = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+    hr_core_step (s->core, s->now, 1e9 + s->now, commands, out);
+    for (guint i = 0; i < out->len; i++)
+      perform (s, out->pdata[i]);
+  }
+}
+
+void
+script_hint (Script *s, HrHint *h)
+{
+  HrCommand *c = hr_command_new (HR_C_HINT);
+  c->hint = *h;
+  step (s, c);
+}
+
+static void
+speak (Script *s)
+{
+  s->said_at = s->now;
+  for (guint i = 0; i < SCRIPTED_MEMBERS; i++) {
+    ScriptedMember *m = &s->members[i];
+    if (!m->speaks)
+      continue;
+    m->hint.clock = s->now;
+    if (!m->echo_stays) {
+      m->hint.nechoes = 1;
+      g_strlcpy (m->hint.echoes[0].label, "c0", sizeof m->hint.echoes[0].label);
+      g_strlcpy (m->hint.echoes[0].incarnation, "c0-1", sizeof m->hint.echoes[0].incarnation);
+      m->hint.echoes[0].clock = s->said.clock;
+    }
+    script_hint (s, &m->hint);
+  }
+}
+
+void
+script_run (Script *s, double seconds)
+{
+  for (double until = s->now + seconds; s->now < until - 0.05;) {
+    s->now += 0.1;
+    if (s->now - s->said_at >= 1)
+      speak (s);
+    step (s, hr_command_new (HR_C_TICK));
+  }
+}
+
+static int
+request (Script *s, HrMethod method, const char *path, char *body)
+{
+  static guint64 id;
+  HrCommand *c = hr_command_new (HR_C_REQUEST);
+  c->id = ++id;
+  c->method = method;
+  c->path = g_strdup (path);
+  c->body = body ? g_bytes_new_take (body, strlen (body)) : NULL;
+  s->status = 0;
+  step (s, c);
+  for (int i = 0; !s->status && i < 30; i++)
+    script_run (s, 0.1);
+  return s->status;
+}
+
+int
+script_ask (Script *s, HrMethod method, const char *path, const char *body)
+{
+  return request (s, method, path, g_strdup (body));
+}
+
+void
+script_submit (Script *s, const char *id)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"name_id\":\"%s\",\"jobclass\":\"web\",\"crew\":\"crew\",\"shape\":\"daemon\",\"rank\":"
+      "\"production\",\"pieces\":1,\"vcpus\":4,\"accelerators\":1,\"memory_gb\":30,\"bundle\":"
+      "\"img\",\"size_gb\":5,\"hulls\":null,\"quarry\":null,\"together\":false,\"apart\":false,"
+      "\"loaners\":false,\"guess_s\":60,\"cairn_s\":0,\"stash_s\":0,\"due_s\":null}",
+      id);
+  if (script_ask (s, HR_POST, "/v1/jobs", body) != 201)
+    g_error ("%s is not accepted: %d %s", id, s->status, s->answer);
+}
+
+int
+script_report (Script *s)
+{
+  int status = request (s, HR_POST, "/hello", report_text (s));
+  if (status == 200)
+    obey (s, s->answer);
+  return status;
+}
+
+int
+script_report_for (Script *s, double seconds)
+{
+  int status = 0;
+  for (double until = s->now + seconds; s->now < until;) {
+    script_run (s, 2);
+    status = script_report (s);
+  }
+  return status;
+}
+
+gboolean
+script_runs (const Script *s, const char *id)
+{
+  g_autofree char *piece = g_strconcat (id, "/0", NULL);
+  return g_hash_table_contains (s->on, piece);
+}
+
+static void
+settings (Script *s)
+{
+  g_autoptr (GError) e = NULL;
+  g_autoptr (GHashTable) vars = hr_policy_vars_new ();
+  json_t *root = json_loads (
+      "{\"label\":\"c0\",\"area\":\"z0\",\"front\":\"127.0.0.1:1\",\"back\":\"127.0.0.1:2\","
+      "\"outside\":{\"cloud\":\"127.0.0.1:3\",\"state\":\"127.0.0.1:4\"},\"members\":["
+      "{\"label\":\"c1\",\"area\":\"z0\",\"endpoint\":\"127.0.0.1:5\"},"
+      "{\"label\":\"c2\",\"area\":\"z0\",\"endpoint\":\"127.0.0.1:6\"}],\"facts\":"
+      "{\"teams\":[{\"name\":\"crew\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,\"gpus_max\":0}],"
+      "\"objectives\":[],\"workers\":{\"report_s\":2.5,\"lease_s\":14,\"gang_wait_s\":30,"
+      "\"gang_peer_s\":4,\"cancel_s\":36},\"state\":{\"rps\":1e6,\"write_rps\":1e5,\"value_kb\":4,"
+      "\"txn_ops\":12},\"cloud\":{\"rps\":8,\"list_lag_s\":3}}}",
+      0, NULL);
+  s->set = hr_settings_parse (root, &s->names, &e);
+  json_decref (root);
+  if (!s->set)
+    g_error ("the settings: %s", e->message);
+  hr_core_policy_vars (s->set, vars);
+  if (!hr_policy_load (SOURCE_ROOT "/deploy/policy.hop", vars, &s->pol, &e))
+    g_error ("the policy: %s", e->message);
+}
+
+Script *
+script_new (const char *leader)
+{
+  Script *s = g_new0 (Script, 1);
+  s->now = 100;
+  s->served = TRUE;
+  s->epoch = 1;
+  s->session = 1;
+  s->log = g_ptr_array_new_with_free_func (g_free);
+  s->inbox = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  s->on = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  hr_names_init (&s->names);
+  settings (s);
+  if (strcmp (leader, "c0") != 0) {
+    g_autofree char *key =
+        g_strdup_printf ("{\"b\":0,\"o\":\"%s\",\"i\":\"%s-1\"}", leader, leader);
+    g_autofree char *map =
+        g_strdup_printf ("{\"b\":1,\"o\":\"%s\",\"i\":\"%s-1\"}", leader, leader);
+    script_write (s, "h/leader", key);
+    script_write (s, "h/map", map);
+  }
+  for (guint i = 0; i < SCRIPTED_MEMBERS; i++) {
+    ScriptedMember *m = &s->members[i];
+    m->speaks = m->hint.synced = m->hint.named.stated = TRUE;
+    g_snprintf (m->hint.label, sizeof m->hint.label, "c%u", i + 1);
+    g_snprintf (m->hint.incarnation, sizeof m->hint.incarnation, "c%u-1", i + 1);
+    m->hint.baton = 1;
+  }
+  s->core = hr_core_new (s->set, &s->pol, &s->names, "c0-1", 1);
+  script_run (s, 5);
+  return s;
+}
+
+void
+script_free (Script *s)
+{
+  hr_core_free (s->core);
+  hr_settings_free (s->set);
+  hr_names_clear (&s->names);
+  g_ptr_array_unref (s->log);
+  g_ptr_array_unref (s->inbox);
+  g_hash_table_unref (s->on);
+  g_free (s->answer);
+  g_free (s);
+}
--- /dev/null
+++ b/tests/scripted.h
@@ -0,0 +1,59 @@
+/* One controller, c0, driven step by step: the test says what the other members (c1 and c2) tell
+ * it, whether the state service serves it, and what one worker shows. The state service and the
+ * cloud answer within the step. */
+#pragma once
+#include "coordination/core.h"
+#include <jansson.h>
+
+#define SCRIPTED_MEMBERS 2
+
+/* What a member says about once a second while `speaks`. */
+typedef struct {
+  gboolean speaks;
+  gboolean echo_stays; /* echoes the clock that it echoed last, as a late copy does */
+  HrHint hint;
+} ScriptedMember;
+
+typedef struct {
+  HrCore *core;
+  HrSettings *set;
+  HrNames names;
+  HrPolicy pol;
+  double now;
+  gboolean served;       /* by the state service */
+  gboolean loses_writes; /* writes are carried out, but their answers get lost */
+  gboolean loses_orders; /* direct orders get no answer, and are not carried out */
+  guint64 epoch;
+  GPtrArray *log; /* JSON texts of changes */
+  GPtrArray *inbox;
+  ScriptedMember members[SCRIPTED_MEMBERS];
+  double said_at; /* the members last spoke */
+  HrHint said;    /* the latest hint of c0 */
+  double hint_at; /* its time */
+  GHashTable *on; /* "job/task" -> attempt: what the worker has */
+  guint tally, session;
+  guint64 token; /* the highest that the worker has seen */
+  guint lost_launches;
+  int status; /* of the latest answer to a report or user */
+  char *answer;
+} Script;
+
+/* leader: whom the map names; "c0" becomes the leader by itself. */
+Script *script_new (const char *leader);
+void script_free (Script *s);
+/* Time passes; c0 ticks, and members speak. */
+void script_run (Script *s, double seconds);
+/* A user asks; the status is returned. Waits at most 3 s for the answer. */
+int script_ask (Script *s, HrMethod method, const char *path, const char *body);
+void script_submit (Script *s, const char *id);
+/* The worker reports, and obeys the answer; its status is returned. */
+int script_report (Script *s);
+/* The same again and again for so long; returns the status of the last one. */
+int script_report_for (Script *s, double seconds);
+/* c0 gets this hint, with its own clock echoed. */
+void script_hint (Script *s, HrHint *h);
+/* Somebody else changes the ledger. */
+void script_write (Script *s, const char *key, const char *value);
+/* Somebody else withdraws the job; its stamp is returned. */
+guint64 script_withdraw (Script *s, const char *id);
+gboolean script_runs (const Script *s, const char *id);
--- /dev/null
+++ b/tests/test_attestation.c
@@ -0,0 +1,288 @@
+/* How long a leader that the state service does not serve answers its workers, as members name
+ * withdrawals to it: each case of docs/design.md, "Withdrawals that the leader cannot read". */
+#include "scripted.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define JOB "job-a"
+#define OTHER "job-b"
+
+/* c0 leads, two jobs run on its worker, and the state service has gone away; then c1 confirmed
+ * the withdrawal of one of them, which c0 cannot read. */
+typedef struct {
+  Script *s;
+  guint64 stamp; /* of the withdrawal */
+  HrHint *c1, *c2;
+} Case;
+
+static Case
+case_new (void)
+{
+  Case k = {.s = script_new ("c0")};
+  Script *s = k.s;
+  assert_true (s->said.leads);
+  script_report_for (s, 6);
+  script_submit (s, JOB);
+  script_submit (s, OTHER);
+  script_report_for (s, 10);
+  assert_true (script_runs (s, JOB) && script_runs (s, OTHER));
+  s->served = FALSE;
+  k.stamp = script_withdraw (s, JOB);
+  k.c1 = &s->members[0].hint;
+  k.c2 = &s->members[1].hint;
+  return k;
+}
+
+/* The member's log holds `ends` withdrawals, the first of which is named. */
+static void
+knows (HrHint *h, guint64 stamp, guint64 ends)
+{
+  h->withdrawn = stamp;
+  h->named.ends = ends;
+}
+
+/* Longer than hold_s: on its own reading c0 would be silent by then. */
+static int
+much_later (Script *s)
+{
+  return script_report_for (s, s->pol.hold_s + 4);
+}
+
+/* Its tasks are stopped with the next report, others go on for as long as it lasts, and no user
+ * is told what only a member said. */
+static void
+a_named_withdrawal_is_carried_out (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 1);
+  assert_true (hr_named_add (&k.c1->named, JOB));
+  assert_int_equal (script_report_for (k.s, 4), 200);
+  assert_false (script_runs (k.s, JOB));
+  assert_true (script_runs (k.s, OTHER));
+  assert_int_equal (script_report_for (k.s, 60), 200);
+  assert_true (script_runs (k.s, OTHER));
+  assert_int_equal (script_ask (k.s, HR_GET, "/v1/jobs/" JOB, NULL), 503);
+  assert_int_equal (script_ask (k.s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 503);
+  k.s->served = TRUE;
+  script_run (k.s, 5);
+  assert_int_equal (script_ask (k.s, HR_GET, "/v1/jobs/" JOB, NULL), 200);
+  assert_non_null (strstr (k.s->answer, "\"withdrawn\""));
+  assert_int_equal (script_report_for (k.s, 4), 200);
+  assert_true (script_runs (k.s, OTHER));
+  script_free (k.s);
+}
+
+/* The tasks of others are lost then, but no more than that: the rule as it was. */
+static void
+an_older_version_names_nothing (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 0);
+  k.c1->named.stated = FALSE;
+  assert_int_equal (much_later (k.s), 503);
+  script_free (k.s);
+}
+
+static void
+a_list_that_was_cut_short_is_not_enough (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 3);
+  hr_named_add (&k.c1->named, JOB);
+  assert_int_equal (much_later (k.s), 503);
+  assert_false (script_runs (k.s, JOB)); /* what was named is stopped all the same */
+  /* The rest follows, from where c0 says that it is. */
+  assert_int_equal (k.s->said.echoes[0].taken, 1);
+  k.c1->named.first = 1;
+  k.c1->named.count = k.c1->named.bytes = 0;
+  hr_named_add (&k.c1->named, "job-c");
+  hr_named_add (&k.c1->named, "job-d");
+  assert_int_equal (script_report_for (k.s, 4), 200);
+  script_free (k.s);
+}
+
+static void
+a_list_with_a_gap_is_not_enough (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 2);
+  k.c1->named.first = 1;
+  hr_named_add (&k.c1->named, "job-c");
+  assert_int_equal (much_later (k.s), 503);
+  script_free (k.s);
+}
+
+/* Its log no longer holds all that c0 has not read. */
+static void
+a_log_that_dropped_some_is_not_enough (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp + 1, 5);
+  k.c1->named.dropped = k.stamp;
+  k.c1->named.begins = k.c1->named.first = 4;
+  hr_named_add (&k.c1->named, "job-c");
+  assert_int_equal (much_later (k.s), 503);
+  script_free (k.s);
+}
+
+/* What was dropped from the beginning, c0 has read. */
+static void
+a_log_that_begins_later_is_enough (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 5);
+  k.c1->named.dropped = k.s->said.applied;
+  k.c1->named.begins = k.c1->named.first = 4;
+  hr_named_add (&k.c1->named, JOB);
+  assert_int_equal (much_later (k.s), 200);
+  assert_false (script_runs (k.s, JOB));
+  script_free (k.s);
+}
+
+/* It may have confirmed what its new process does not know. */
+static void
+a_member_that_restarted_says_nothing_unread (void **state)
+{
+  Case k = case_new ();
+  g_strlcpy (k.c1->incarnation, "c1-2", sizeof k.c1->incarnation);
+  k.c1->synced = FALSE;
+  assert_int_equal (much_later (k.s), 503);
+  script_free (k.s);
+}
+
+/* Positions of one process say nothing in another one's log. */
+static void
+a_member_that_restarted_names_anew (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 1);
+  hr_named_add (&k.c1->named, "job-c");
+  assert_int_equal (script_report_for (k.s, 4), 200);
+  assert_int_equal (k.s->said.echoes[0].taken, 1);
+  g_strlcpy (k.c1->incarnation, "c1-2", sizeof k.c1->incarnation);
+  k.c1->named.count = k.c1->named.bytes = 0; /* of its log of one: not named yet */
+  assert_int_equal (much_later (k.s), 503);
+  assert_true (script_runs (k.s, JOB));
+  hr_named_add (&k.c1->named, JOB);
+  assert_int_equal (script_report_for (k.s, 4), 200);
+  assert_false (script_runs (k.s, JOB));
+  script_free (k.s);
+}
+
+/* It stands still between confirming and telling; what it said before comes again and again. */
+static void
+a_late_copy_is_as_old_as_its_echo (void **state)
+{
+  Case k = case_new ();
+  k.s->members[0].echo_stays = TRUE;
+  assert_int_equal (much_later (k.s), 503);
+  script_free (k.s);
+}
+
+static void
+a_newer_owner_counts_whatever_is_named (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 1);
+  hr_named_add (&k.c1->named, JOB);
+  k.c1->baton = k.s->said.baton + 1;
+  assert_int_equal (much_later (k.s), 503);
+  assert_false (script_runs (k.s, JOB)); /* final, whoever says so */
+  script_free (k.s);
+}
+
+/* Each answers for itself alone: c2 may have confirmed more than c1 read. */
+static void
+two_members_each_name_what_they_know (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 1);
+  knows (k.c2, k.stamp, 1);
+  hr_named_add (&k.c1->named, JOB);
+  assert_int_equal (much_later (k.s), 503);
+  hr_named_add (&k.c2->named, JOB);
+  assert_int_equal (script_report_for (k.s, 4), 200);
+  script_free (k.s);
+}
+
+/* c0 reads the submission only after it was told of the withdrawal, in an answer that is older
+ * than that. Nothing of the job may start. */
+static void
+a_job_that_is_not_known_yet (void **state)
+{
+  Case k = case_new ();
+  Script *s = k.s;
+  g_autofree char *record = NULL;
+  for (guint i = 0; i < s->log->len; i++)
+    if (strstr (s->log->pdata[i], "h/j/" OTHER "\"") && !record) {
+      json_t *o = json_loads (s->log->pdata[i], 0, NULL);
+      record = json_dumps (json_object_get (o, "value"), JSON_COMPACT);
+      json_decref (o);
+    }
+  knows (k.c1, k.stamp, 2);
+  hr_named_add (&k.c1->named, JOB);
+  hr_named_add (&k.c1->named, "job-c");
+  script_report_for (s, 4);
+  script_write (s, "h/j/job-c", record);
+  s->served = TRUE;
+  script_report_for (s, 8);
+  assert_false (script_runs (s, "job-c"));
+  script_free (s);
+}
+
+/* A launch whose answer was lost may come at any time while the worker's session lasts and no
+ * newer token is to be had: the worker is not answered, so that its session ends. */
+static void
+a_late_launch_of_a_withdrawn_job (void **state)
+{
+  Script *s = script_new ("c0");
+  script_report_for (s, 6);
+  s->loses_orders = TRUE;
+  script_submit (s, JOB);
+  script_run (s, 4);
+  assert_true (s->lost_launches > 0);
+  s->served = FALSE;
+  HrHint *c1 = &s->members[0].hint;
+  knows (c1, script_withdraw (s, JOB), 1);
+  hr_named_add (&c1->named, JOB);
+  int status = script_report_for (s, 10);
+  assert_int_equal (status, 503);
+  s->session++; /* its lease is over */
+  s->tally = 0;
+  assert_int_equal (script_report (s), 200);
+  assert_int_equal (script_report_for (s, 40), 200);
+  script_free (s);
+}
+
+static GLogWriterOutput
+silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
+{
+  return level & G_LOG_FLAG_FATAL || g_getenv ("HR_SIM_VERBOSE")
+             ? g_log_writer_default (level, f, n, d)
+             : G_LOG_WRITER_HANDLED;
+}
+
+int
+main (void)
+{
+  g_log_set_writer_func (silent, NULL, NULL);
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (a_named_withdrawal_is_carried_out),
+      cmocka_unit_test (an_older_version_names_nothing),
+      cmocka_unit_test (a_list_that_was_cut_short_is_not_enough),
+      cmocka_unit_test (a_list_with_a_gap_is_not_enough),
+      cmocka_unit_test (a_log_that_dropped_some_is_not_enough),
+      cmocka_unit_test (a_log_that_begins_later_is_enough),
+      cmocka_unit_test (a_member_that_restarted_says_nothing_unread),
+      cmocka_unit_test (a_member_that_restarted_names_anew),
+      cmocka_unit_test (a_late_copy_is_as_old_as_its_echo),
+      cmocka_unit_test (a_newer_owner_counts_whatever_is_named),
+      cmocka_unit_test (two_members_each_name_what_they_know),
+      cmocka_unit_test (a_job_that_is_not_known_yet),
+      cmocka_unit_test (a_late_launch_of_a_withdrawn_job),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_withdrawals.c
@@ -0,0 +1,199 @@
+/* How a member logs withdrawals and names them to a leader that cannot read them. */
+#include "scripted.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define JOB "job-a"
+
+/* c1 leads, the state service refuses it, and c0 is served. */
+static Script *
+member_new (HrHint **leader)
+{
+  Script *s = script_new ("c1");
+  assert_false (s->said.leads);
+  script_submit (s, JOB);
+  script_run (s, 2);
+  *leader = &s->members[0].hint;
+  (*leader)->leads = TRUE;
+  (*leader)->applied = s->epoch;
+  script_run (s, 2);
+  return s;
+}
+
+static gboolean
+names (const Script *s, const char *id)
+{
+  const HrNamedWithdrawals *n = &s->said.named;
+  for (const char *k = hr_named_next (n, NULL); k; k = hr_named_next (n, k))
+    if (strcmp (k, id) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* In the leader's next hints: how much of c0's log it has. */
+static void
+acknowledge (HrHint *leader, guint64 taken)
+{
+  leader->echoes[0].taken = taken;
+}
+
+static void
+a_confirmed_withdrawal_is_named_at_once (void **state)
+{
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  assert_true (s->said.named.stated);
+  assert_int_equal (s->said.named.count, 0);
+  assert_int_equal (script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 200);
+  double told = s->now;
+  while (!names (s, JOB) && s->now < told + 2)
+    script_run (s, 0.1);
+  assert_true (names (s, JOB));
+  assert_true (s->now < told + 0.45);
+  assert_int_equal (s->said.named.ends - s->said.named.begins, 1);
+  assert_int_equal (s->said.withdrawn, s->epoch);
+  script_free (s);
+}
+
+/* Until the leader says that it has it, and again to one that has not; it is dropped when the
+ * leader has read it. */
+static void
+it_is_named_until_it_is_known (void **state)
+{
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL);
+  guint64 stamp = s->epoch;
+  script_run (s, 10);
+  assert_true (names (s, JOB));
+  guint64 end = s->said.named.ends;
+  acknowledge (leader, end);
+  script_run (s, 3);
+  assert_int_equal (s->said.named.count, 0);
+  assert_int_equal (s->said.named.first, end);
+  assert_true (s->said.named.dropped < stamp);
+  g_strlcpy (leader->incarnation, "c1-2", sizeof leader->incarnation);
+  acknowledge (leader, 0);
+  script_run (s, 3);
+  assert_true (names (s, JOB));
+  leader->applied = stamp;
+  script_run (s, 3);
+  assert_int_equal (s->said.named.count, 0);
+  assert_int_equal (s->said.named.begins, end);
+  assert_int_equal (s->said.named.dropped, stamp);
+  script_free (s);
+}
+
+/* The write was carried out, but c0 does not know: it tells no user, and no member, until it has
+ * read it. */
+static void
+a_write_whose_answer_was_lost (void **state)
+{
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  guint64 before = s->said.withdrawn;
+  s->loses_writes = TRUE;
+  guint64 epoch = s->epoch;
+  assert_int_equal (script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 503);
+  assert_int_equal (s->epoch, epoch + 1);
+  if (s->said.withdrawn > before) /* read meanwhile: then it is named, too */
+    assert_true (names (s, JOB));
+  s->loses_writes = FALSE;
+  assert_int_equal (script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 200);
+  assert_non_null (strstr (s->answer, "\"withdrawn\""));
+  script_run (s, 1.2);
+  assert_true (names (s, JOB));
+  assert_int_equal (s->said.withdrawn, epoch + 1);
+  script_free (s);
+}
+
+/* What another member confirmed, and c0 read, is c0's to name as well. */
+static void
+a_withdrawal_that_was_read_is_named (void **state)
+{
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  script_withdraw (s, JOB);
+  script_run (s, 3);
+  assert_true (names (s, JOB));
+  script_free (s);
+}
+
+/* More than a hint holds: each names a part, from where the leader is. */
+static void
+a_long_list_goes_in_parts (void **state)
+{
+  enum { JOBS = 300 };
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  g_autoptr (GHashTable) told = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (int i = 0; i < JOBS; i++) {
+    g_autofree char *id = g_strdup_printf ("job-%06d", i);
+    script_submit (s, id);
+    leader->applied = s->epoch;
+  }
+  script_run (s, 2);
+  for (int i = 0; i < JOBS; i++) {
+    g_autofree char *id = g_strdup_printf ("job-%06d", i);
+    script_withdraw (s, id);
+  }
+  script_run (s, 3);
+  double from = s->now;
+  guint64 begins = s->said.named.begins;
+  assert_int_equal (s->said.named.ends - begins, JOBS);
+  for (int part = 0; s->said.named.count && part < 20; part++) {
+    const HrNamedWithdrawals *n = &s->said.named;
+    assert_true (n->count < JOBS);
+    for (const char *k = hr_named_next (n, NULL); k; k = hr_named_next (n, k))
+      g_hash_table_add (told, g_strdup (k));
+    acknowledge (leader, n->first + n->count);
+    script_hint (s, leader);
+    script_run (s, 0.3);
+  }
+  assert_int_equal (g_hash_table_size (told), JOBS);
+  assert_true (s->now < from + 3);
+  script_free (s);
+}
+
+/* It would not understand them. */
+static void
+nothing_is_named_to_an_older_version (void **state)
+{
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  leader->named.stated = FALSE;
+  leader->applied = 0;
+  script_run (s, 2);
+  script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL);
+  script_run (s, 3);
+  assert_int_equal (s->said.named.count, 0);
+  assert_int_equal (s->said.withdrawn, s->epoch);
+  script_free (s);
+}
+
+static GLogWriterOutput
+silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
+{
+  return level & G_LOG_FLAG_FATAL || g_getenv ("HR_SIM_VERBOSE")
+             ? g_log_writer_default (level, f, n, d)
+             : G_LOG_WRITER_HANDLED;
+}
+
+int
+main (void)
+{
+  g_log_set_writer_func (silent, NULL, NULL);
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (a_confirmed_withdrawal_is_named_at_once),
+      cmocka_unit_test (it_is_named_until_it_is_known),
+      cmocka_unit_test (a_write_whose_answer_was_lost),
+      cmocka_unit_test (a_withdrawal_that_was_read_is_named),
+      cmocka_unit_test (a_long_list_goes_in_parts),
+      cmocka_unit_test (nothing_is_named_to_an_older_version),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
