--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -327,6 +327,40 @@
   w_at (w, at, missed_withdrawal, GINT_TO_POINTER (restart));
 }
 
+static void
+withdraw_elsewhere (World *w, gpointer p)
+{
+  int owner = store_owner (w);
+  for (int k = 0; k < w->n; k++)
+    if (k != owner)
+      users_withdraw_at (w, k);
+}
+
+static void
+outage_for_all (World *w, gpointer p)
+{
+  w->outage = w->now + CUT_ALL_S;
+  watch_leases (w);
+}
+
+static void
+withdrawal_gap (World *w, gpointer p)
+{
+  int owner = store_owner (w);
+  if (owner < 0)
+    return;
+  w->nodes[owner].refused = w->now + 14;
+  for (double t = 0.3; t < 1.5; t += 0.4)
+    w_at (w, w->now + t, withdraw_elsewhere, NULL);
+  w_at (w, w->now + 2, outage_for_all, NULL);
+}
+
+void
+faults_withdrawal_gap (World *w, double at)
+{
+  w_at (w, at, withdrawal_gap, NULL);
+}
+
 /* Nothing that runs may be given away because its reports do not reach the owner. */
 static void
 reached_again (World *w, gpointer p)
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -219,6 +219,9 @@
 /* The same, after one of them confirmed a withdrawal that the owner did not read. Leases are to
  * last all the same, but where that member restarts. */
 void faults_missed_withdrawal (World *w, double at, gboolean restart);
+/* The state service refuses the owner alone while all other members confirm withdrawals, and is
+ * then down for all, for longer than a withdrawn job's tasks may live. */
+void faults_withdrawal_gap (World *w, double at);
 /* No worker reaches the owner for 40 s; other controllers do. */
 void faults_owner_unreached (World *w, double at, gboolean hold);
 /* Half of the machines end without notice, and so does the process of the owner. */
--- a/tests/test_attestation.c
+++ b/tests/test_attestation.c
@@ -128,6 +128,23 @@
   script_free (k.s);
 }
 
+/* Nor do hints that were made before that, and come after it, make up for what was dropped. */
+static void
+late_copies_after_some_were_dropped (void **state)
+{
+  Case k = case_new ();
+  HrHint before;
+  knows (k.c1, k.stamp, 1);
+  before = *k.c1;
+  k.c1->named =
+      (HrNamedWithdrawals){.stated = TRUE, .dropped = k.stamp, .begins = 4, .first = 4, .ends = 5};
+  hr_named_add (&k.c1->named, "job-c");
+  script_run (k.s, 2);
+  *k.c1 = before;
+  assert_int_equal (much_later (k.s), 503);
+  script_free (k.s);
+}
+
 /* What was dropped from the beginning, c0 has read. */
 static void
 a_log_that_begins_later_is_enough (void **state)
@@ -275,6 +292,7 @@
       cmocka_unit_test (a_list_that_was_cut_short_is_not_enough),
       cmocka_unit_test (a_list_with_a_gap_is_not_enough),
       cmocka_unit_test (a_log_that_dropped_some_is_not_enough),
+      cmocka_unit_test (late_copies_after_some_were_dropped),
       cmocka_unit_test (a_log_that_begins_later_is_enough),
       cmocka_unit_test (a_member_that_restarted_says_nothing_unread),
       cmocka_unit_test (a_member_that_restarted_names_anew),
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -151,6 +151,25 @@
   assert_int_equal (broken, 0);
 }
 
+/* Withdrawals that the owner cannot read are named to it, so that no lease has to run out; the
+ * withdrawn jobs' tasks are gone in time all the same, whatever orders come late. */
+static void
+days_of_withdrawal_gaps (void **state)
+{
+  guint broken = 0;
+  for (guint s = 1100; s < 1110; s++) {
+    World *w = world_new (s, s % 2 ? 3 : 5);
+    faults_withdrawal_gap (w, 120);
+    faults_withdrawal_gap (w, 220);
+    if (s >= 1106) {
+      w->fickle = TRUE;
+      w->late_orders = 0.1;
+    }
+    broken += play_on (w, s, 0, 0, 0);
+  }
+  assert_int_equal (broken, 0);
+}
+
 static guint
 play_services (World *w, guint32 seed)
 {
@@ -529,13 +548,14 @@
       cmocka_unit_test (days_of_unreadable_pages),
       cmocka_unit_test (days_of_a_guarantee),
       cmocka_unit_test (days_of_two_owners),
+      cmocka_unit_test (days_of_withdrawal_gaps),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {
         "quiet",       "one",        "many",      "limit",  "parts",     "copies",      "nodes",
         "stream",      "deaf",       "owners",    "cut",    "gangs",     "attestation", "places",
         "late_orders", "oversized",  "fetch",     "freeze", "unreached", "half",        "large3",
-        "large5",      "unreadable", "guarantee", "two"};
+        "large5",      "unreadable", "guarantee", "two",    "gap"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
