--- a/tests/test_attestation.c
+++ b/tests/test_attestation.c
@@ -128,6 +128,17 @@
   script_free (k.s);
 }
 
+/* Not even a place in the log was kept for it. */
+static void
+an_empty_log_that_lacks_some_is_not_enough (void **state)
+{
+  Case k = case_new ();
+  knows (k.c1, k.stamp, 0);
+  k.c1->named.dropped = k.stamp;
+  assert_int_equal (much_later (k.s), 503);
+  script_free (k.s);
+}
+
 /* Nor do hints that were made before that, and come after it, make up for what was dropped. */
 static void
 late_copies_after_some_were_dropped (void **state)
@@ -292,6 +303,7 @@
       cmocka_unit_test (a_list_that_was_cut_short_is_not_enough),
       cmocka_unit_test (a_list_with_a_gap_is_not_enough),
       cmocka_unit_test (a_log_that_dropped_some_is_not_enough),
+      cmocka_unit_test (an_empty_log_that_lacks_some_is_not_enough),
       cmocka_unit_test (late_copies_after_some_were_dropped),
       cmocka_unit_test (a_log_that_begins_later_is_enough),
       cmocka_unit_test (a_member_that_restarted_says_nothing_unread),
