--- a/src/bookkeeping/record.h
+++ b/src/bookkeeping/record.h
@@ -1,6 +1,8 @@
 /* Records of the ledger: how a job stands in the state service.
  *   h/j/<id>       {"w":tag,"s":stance,"t":submitted,"q":per page,"j":[spec],"x":[tasks]}
+ *                  ... "a":[ids]} as well where the job awaits others
  *   h/j/<id>       {"w":tag,"s":stance,"n":tasks,"d":done}        once final
+ *                  ... "c":id} as well where a cancelled job took it along
  *   h/t/<id>/<n>   {"w":tag,"x":[tasks]}                          page n of a large job
  * A task is 0 (never placed), 1 (done) or [machine, session, attempt]. */
 #pragma once
@@ -14,9 +16,17 @@
   gboolean tombstone;
   guint32 ntasks, ndone;
   HrJobSpec spec;
-  json_t *tasks; /* borrowed from the value */
+  json_t *tasks;              /* borrowed from the value */
+  GStrv awaits;               /* ids of the jobs that it awaits, or NULL */
+  const char *withdrawn_with; /* of a tombstone; borrowed from the value; NULL: none */
 } HrRecord;
 
+/* Longer than any writer's tag: with it a main record is at its largest. */
+#define HR_LONGEST_TAG "................................................................"
+
+/* The first main record of a job. awaits: ids, or NULL; submitted: time of day. */
+char *hr_record_first (const HrJobSpec *spec, const char *const *awaits, const HrNames *names,
+                       double submitted, guint per_page, const char *tag);
 /* The main record. pending: with the placements and endings under way. */
 char *hr_record_main (const HrJob *j, const HrNames *names, const HrIntern *machines,
                       HrStance stance, const char *tag, gboolean pending);
