A rental without a clear answer is asked for again after its pause, not at once

Cause: on_rented() sent a refused rental again in the same step. While the cloud is in trouble it answers 503 within milliseconds, so the leader called it 60 times a second and ran its own allowance down to -589 calls; for 90 s after the outage it returned no machine, asked for no list and rented nothing. The pause (rent_at) only held back new rentals. Now these rentals wait for it and for the allowance.

The cloud stand-in now reports cloud_rate when it is called more often than cloud.rps with two seconds of bursts: cloud_outages_and_lost_machines reports it 164 times without the change, never with it.

--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -184,6 +184,7 @@
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
+  g_queue_init (&c->rentals_again);
   c->write_bucket = (HrBucket){set->state_write_rps, set->state_write_rps, set->state_write_rps, 0};
   c->cloud_bucket = (HrBucket){set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0};
   return c;
@@ -201,6 +202,7 @@
 void
 hr_core_free (HrCore *c)
 {
+  hr_fleet_clear (c);
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_clear_full (&c->txns[i], txn_free);
   g_rand_free (c->rand);
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -222,18 +222,19 @@
   } else if (status == 400)
     g_warning ("the cloud calls a rental malformed");
   else {
-    /* No answer, trouble or too many calls: the same name again, which rents once. */
+    /* No answer, trouble or too many calls: the same name again, which rents once. Not at once: a
+     * cloud in trouble answers in no time, and the calls would use up those of the next minutes. */
     c->rent_at = c->now + g_rand_double_range (c->rand, 0.5, 1.5);
-    send_rental (c, r);
+    g_queue_push_tail (&c->rentals_again, r);
     return;
   }
   rental_free (c, r);
 }
 
+/* One call of the cloud's allowance was taken for it. */
 static void
 send_rental (HrCore *c, Rental *r)
 {
-  c->cloud_bucket.tokens -= 1;
   hr_call (c, HR_TO_CLOUD, NULL, HR_POST, g_strdup ("/rentals"),
            hr_json_take_text (json_pack ("{sssssssbsi}", "ask", r->name, "hull",
                                          hr_intern_name (&c->names->types, r->type), "quarry",
@@ -277,6 +278,30 @@
   return best;
 }
 
+/* Rentals without a clear answer, once their pause is over. */
+static void
+rent_again (HrCore *c)
+{
+  while (!g_queue_is_empty (&c->rentals_again) && c->now >= c->rent_at) {
+    Rental *r = g_queue_peek_head (&c->rentals_again);
+    if (r->led_at == c->led_at && !hr_bucket_take (&c->cloud_bucket, c->now, 1, 0))
+      return;
+    g_queue_pop_head (&c->rentals_again);
+    if (r->led_at == c->led_at)
+      send_rental (c, r);
+    else
+      rental_free (c, r);
+  }
+}
+
+void
+hr_fleet_clear (HrCore *c)
+{
+  Rental *r;
+  while ((r = g_queue_pop_head (&c->rentals_again)))
+    rental_free (c, r);
+}
+
 static void
 rent (HrCore *c)
 {
@@ -310,7 +335,6 @@
       r->count = n;
       c->asks_out += n;
       w->count -= n;
-      c->cloud_bucket.tokens += 1; /* taken again by the call */
       send_rental (c, r);
     }
   }
@@ -431,6 +455,7 @@
   }
   give_up_boots (c);
   send_deletes (c);
+  rent_again (c);
   rent (c);
   /* Time alone moves the plan too: pauses end, idle machines age. */
   if (c->now - c->planned_at > 1)
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -136,6 +136,7 @@
   GArray *wants;   /* HrWant */
   GArray *refused; /* HrRefusal: where the cloud had no capacity, until when */
   guint asks_out;
+  GQueue rentals_again; /* of fleet.c: not answered clearly, to be asked for again at rent_at */
   guint deletes_out;
 };
 
@@ -252,6 +253,7 @@
 /* fleet.c */
 void hr_fleet_add (HrCore *c, HrMachine *m);
 void hr_fleet_tick (HrCore *c);
+void hr_fleet_clear (HrCore *c);
 void hr_fleet_delete (HrCore *c, HrMachine *m, const char *why);
 void hr_machine_gone (HrCore *c, HrMachine *m, const char *why);
 /* zone HR_NONE: refused in all of them. */
--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define LAG 3.0
+#define CALLS_PER_S 8.0  /* cloud.rps of the simulated settings */
+#define CALLS_BURST 16.0 /* worth two seconds */
 
 static const char *const zones[] = {"z0", "z1"};
 
@@ -149,9 +151,25 @@
   w_answer (w, r, 200, hr_json_take_text (a));
 }
 
+/* More calls than the cloud allows, also while it is in trouble, take away from those that matter
+ * when that is over. Late copies are not the controllers' doing. */
+static void
+check_rate (World *w, const Req *r)
+{
+  if (r->answered)
+    return;
+  w->cloud_calls = MAX (0, w->cloud_calls - (w->now - w->cloud_called) * CALLS_PER_S) + 1;
+  w->cloud_called = w->now;
+  if (w->cloud_calls > CALLS_BURST) {
+    w_broken (w, "cloud_rate", "c%d calls %s, more often than the cloud allows", r->node, r->path);
+    w->cloud_calls = 0;
+  }
+}
+
 void
 cloud_request (World *w, Req *r)
 {
+  check_rate (w, r);
   if (w->cloud_outage > w->now)
     w_answer (w, r, 503, g_strdup ("{\"error\":\"trouble\"}"));
   else if (strcmp (r->path, "/machine_types") == 0)
--- a/tests/sim/troubles.c
+++ b/tests/sim/troubles.c
@@ -549,6 +549,10 @@
     x->links_slow_s = t->delay_s;
     x->played[TROUBLE_SLOW_LINKS]++;
     break;
+  case TROUBLE_CLOUD_OUTAGE:
+    w->cloud_outage = MAX (w->cloud_outage, w->now + t->for_s);
+    x->played[TROUBLE_CLOUD_OUTAGE]++;
+    break;
   case TROUBLE_ODD_REQUESTS:
     x->odd_until = w->now + t->for_s;
     odd_begin (w);
--- a/tests/sim/troubles.h
+++ b/tests/sim/troubles.h
@@ -68,6 +68,8 @@
   TROUBLE_ZONE_CUT,
   /* Every message takes 0.5 to 1.5 times delay_s longer. Fields: for_s, delay_s. */
   TROUBLE_SLOW_LINKS,
+  /* The cloud answers 503 to everything. Fields: for_s. */
+  TROUBLE_CLOUD_OUTAGE,
   /* Every 1.5 s users send one request of each kind that must be turned away or change nothing:
    * sim/odd.c lists them with the answers they must get. Of jobs just accepted the submission is
    * repeated with other content. Fields: for_s. */
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -146,6 +146,7 @@
   GPtrArray *machines; /* SMachine */
   GHashTable *asks;
   double cloud_outage;
+  double cloud_calls, cloud_called; /* calls that fill its allowance, as of then */
   guint capacity;
   /* users */
   GPtrArray *jobs; /* SJob */
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -16,7 +16,7 @@
     "machine_hang", "machine_cut",  "machine_crash", "cancel_now",   "cancel_at_end",
     "close_looks",  "node_cut",     "node_crash",    "node_freeze",  "state_refuses",
     "state_outage", "state_slow",   "fast_boot",     "zone_cut",     "slow_links",
-    "odd_requests"};
+    "cloud_outage", "odd_requests"};
 
 /* All work is done, and each planned trouble took effect on something. */
 static void
@@ -365,6 +365,19 @@
   PLAY_SET (2170, 2174, day, .users = too_much, .capacity = 8, .until = 900);
 }
 
+/* The cloud is in trouble while machines go, and the leader ends: when that is over machines are
+ * returned and rented at once again. */
+static void
+cloud_outages_and_lost_machines (void **state)
+{
+  static const HrTrouble day[] = {{.at_s = 60, .kind = TROUBLE_CLOUD_OUTAGE, .for_s = 25},
+                                  {.at_s = 62, .kind = TROUBLE_MACHINE_CRASH, .share = 0.4},
+                                  {.at_s = 150, .kind = TROUBLE_MACHINE_CRASH, .share = 0.6},
+                                  {.at_s = 150, .kind = TROUBLE_CLOUD_OUTAGE, .for_s = 20},
+                                  {.at_s = 160, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER}};
+  PLAY (2180, 2184, day);
+}
+
 /* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
 static GLogWriterOutput
 log_writer (GLogLevelFlags level, const GLogField *f, gsize n, gpointer verbose)
@@ -400,6 +413,7 @@
       cmocka_unit_test (no_controllers_and_cut_machines),
       cmocka_unit_test (bound_jobs_and_lost_machines),
       cmocka_unit_test (overload_and_slow_links),
+      cmocka_unit_test (cloud_outages_and_lost_machines),
   };
   g_log_set_writer_func (log_writer, GINT_TO_POINTER (g_getenv ("HR_SIM_VERBOSE") != NULL), NULL);
   if (argc == 2) { /* one part: the name of a meeting's function */
