--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -17,7 +17,9 @@
   guint per_page; /* tasks per page of its record; 0: they stand in the main record */
   double asked;
   guint tries;
-  char *tag; /* of the write under way */
+  char *tag;   /* of the write under way */
+  char *never; /* why this submission can never be accepted; NULL: it can */
+  int refusal; /* the status then */
 } UserRequest;
 
 static void
@@ -25,6 +27,7 @@
 {
   g_free (request->id);
   g_free (request->tag);
+  g_free (request->never);
   g_strfreev (request->awaits);
   g_free (request);
 }
@@ -90,18 +93,15 @@
 {
   UserRequest *request = data;
   HrJob *j = hr_job_find (c, request->id);
-  if (!ok) {
+  if (!ok)
     refuse_later (c, request, 503, "the state service cannot be read just now; ask again");
-    return;
-  }
-  if (!j) {
-    /* A submission gets here after a 409, so its record exists. */
-    if (request->kind == REQUEST_SUBMIT)
-      refuse_later (c, request, 503, "its record is being written; ask again");
-    else {
-      hr_refuse (c, request->reply_id, 404, 0, "no such job was accepted");
-      request_free (request);
-    }
+  else if (!j && request->kind == REQUEST_SUBMIT && !request->never)
+    /* It can be accepted and gets here after a 409, so its record exists. */
+    refuse_later (c, request, 503, "its record is being written; ask again");
+  else if (!j) {
+    hr_refuse (c, request->reply_id, request->never ? request->refusal : 404, 0,
+               request->never ? request->never : "no such job was accepted");
+    request_free (request);
   } else if (request->kind == REQUEST_ABORT && j->stance == HR_QUEUED)
     send_abort (c, request);
   else
@@ -274,16 +274,16 @@
     refuse_later (c, request, 503, "this node has only just started; submit again");
     return;
   }
-  g_autofree char *never = impossible (c, &spec);
-  if (never) {
-    hr_refuse (c, request->reply_id, 422, 0, never);
-    request_free (request);
-    return;
+  request->never = impossible (c, &spec);
+  request->refusal = 422;
+  if (!request->never && !lay_out (c, request)) {
+    request->never = g_strdup ("field awaits: more jobs than the job's record can hold");
+    request->refusal = 400;
   }
-  if (!lay_out (c, request)) {
-    hr_refuse (c, request->reply_id, 400, 0,
-               "field awaits: more jobs than the job's record can hold");
-    request_free (request);
+  /* A repeated submission counts by its id alone, whatever else it says, and another node may
+   * have accepted the job a moment ago: that is known only once the ledger is read. */
+  if (request->never) {
+    hr_follow_read (c, on_read, request);
     return;
   }
   if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
