--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -11,6 +11,8 @@
 #define UNSERVED_S 4.0
 /* Who asks waits so long while the service only says that it is busy. */
 #define BUSY_S 1.2
+/* What is left of a reading's latency in the estimate after the next reading. */
+#define LATENCY_KEPT 0.7
 
 static void
 applied_map (HrCore *c, const json_t *v, guint64 stamp)
@@ -66,8 +68,10 @@
   if (!hr_record_read (v, c->names, &r)) {
     g_warning ("%s: its record makes no sense", j->id);
     hr_record_clear (&r);
+    j->record_unreadable = TRUE;
     return FALSE;
   }
+  j->record_unreadable = FALSE;
   g_auto (GStrv) awaits = g_steal_pointer (&r.awaits);
   HrPage *p = j->pages;
   if (p && p->tag && g_str_equal (p->tag, r.tag)) {
@@ -109,8 +113,7 @@
   if (!r.per_page)
     j->pages[0].stamp = stamp;
   HrStance before = j->stance;
-  if (before != HR_WITHDRAWN) /* derived perhaps; what was told stays */
-    j->stance = r.stance;
+  j->stance = r.stance; /* a derived withdrawal is derived again */
   hr_dependencies_read (c, j, (const char *const *)awaits);
   hr_job_open (c, j);
   if (c->leads && r.stance == HR_WITHDRAWN && before != HR_WITHDRAWN)
@@ -330,10 +333,11 @@
     if (sent - c->confirmed_at > UNSERVED_S)
       c->served_since = c->now;
     c->confirmed_at = MAX (c->confirmed_at, sent);
+    c->store_latency = MAX (c->now - sent, LATENCY_KEPT * c->store_latency);
     c->synced_once = TRUE;
   }
   if (status == 410)
-    hr_leader_step_down (c, "the changes since the last reading are gone");
+    hr_leader_begin_anew (c, "the changes since the last reading are gone");
   if (status == 429) { /* there are too many of us just now: the next reading serves them */
     for (guint i = 0; i < c->waiters_now->len; i++) {
       HrWaiter *w = &g_array_index (c->waiters_now, HrWaiter, i);
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -4,6 +4,16 @@
 #include <string.h>
 
 #define MAX_TRIES 6
+/* How long a write of a user's waits for its answer, in seconds: most come within milliseconds,
+ * and one that is lost does not come at all. But where the state service is slow, another try
+ * would only add to what it has to do. */
+#define SHORT_TRY_S 0.15
+#define SHORT_TRIES 3
+#define LATER_TRY_S 1.0
+#define LONGEST_TRY_S 2.0
+#define LATENCIES 4 /* so many times as long as the latest readings took */
+/* Who asks waits 5 s. After so long no further try is made for him. */
+#define GIVE_UP_S 2.5
 
 static const char *const stances[] = {"queued", "done", "withdrawn"};
 
@@ -17,9 +27,9 @@
   guint per_page; /* tasks per page of its record; 0: they stand in the main record */
   double asked;
   guint tries;
-  char *tag;   /* of the write under way */
-  char *never; /* why this submission can never be accepted; NULL: it can */
-  int refusal; /* the status then */
+  char *tag;     /* of the write under way */
+  int refusal;   /* of a submission that can't be accepted: the status, if it is new */
+  char *why_not; /* and why */
 } UserRequest;
 
 static void
@@ -27,8 +37,8 @@
 {
   g_free (request->id);
   g_free (request->tag);
-  g_free (request->never);
   g_strfreev (request->awaits);
+  g_free (request->why_not);
   g_free (request);
 }
 
@@ -86,6 +96,23 @@
   request_free (request);
 }
 
+static double
+try_timeout (const HrCore *c, const UserRequest *request)
+{
+  double least = request->tries < SHORT_TRIES ? SHORT_TRY_S : LATER_TRY_S;
+  return CLAMP (LATENCIES * c->store_latency, least, LONGEST_TRY_S);
+}
+
+/* Was the write not carried out, or is that unknown, and is there time for another? The same write
+ * may be sent again at any time, for it holds on the record's stamp: whichever copy is carried out
+ * second fails. */
+static gboolean
+may_try_again (HrCore *c, UserRequest *request, int status)
+{
+  return (status == 0 || status == 409 || status == 429) && ++request->tries < MAX_TRIES &&
+         c->wall - request->asked < GIVE_UP_S;
+}
+
 static void send_abort (HrCore *c, UserRequest *request);
 
 static void
@@ -93,15 +120,26 @@
 {
   UserRequest *request = data;
   HrJob *j = hr_job_find (c, request->id);
-  if (!ok)
+  if (!ok) {
     refuse_later (c, request, 503, "the state service cannot be read just now; ask again");
-  else if (!j && request->kind == REQUEST_SUBMIT && !request->never)
-    /* It can be accepted and gets here after a 409, so its record exists. */
-    refuse_later (c, request, 503, "its record is being written; ask again");
-  else if (!j) {
-    hr_refuse (c, request->reply_id, request->never ? request->refusal : 404, 0,
-               request->never ? request->never : "no such job was accepted");
-    request_free (request);
+    return;
+  }
+  if (hr_job_unreadable (c, request->id)) {
+    /* It was accepted, and neither 404 nor an older state may be said of it. */
+    refuse_later (c, request, 503, "its record cannot be read; ask again");
+    return;
+  }
+  if (!j) {
+    if (request->refusal) {
+      hr_refuse (c, request->reply_id, request->refusal, 0, request->why_not);
+      request_free (request);
+    } else if (request->kind == REQUEST_SUBMIT)
+      /* It gets here after a 409, so its record exists. */
+      refuse_later (c, request, 503, "its record is being written; ask again");
+    else {
+      hr_refuse (c, request->reply_id, 404, 0, "no such job was accepted");
+      request_free (request);
+    }
   } else if (request->kind == REQUEST_ABORT && j->stance == HR_QUEUED)
     send_abort (c, request);
   else
@@ -121,29 +159,16 @@
 
 /* ---- submissions ---- */
 
-static char *
-impossible (HrCore *c, const HrJobSpec *s)
+/* A job that was accepted stays so whatever its repeated submission says, and a repetition is
+ * known by its id alone. Only a reading sent after it came tells that the job is new here, and
+ * not one that another node has accepted and this one has not followed yet. */
+static void
+refuse_if_new (HrCore *c, UserRequest *request, int status, const char *why)
 {
-  const HrTeam *t = hr_team (c, s->team);
-  if (!t)
-    return g_strdup_printf ("team %s is not known here",
-                            hr_intern_name (&c->names->teams, s->team));
-  gboolean fits = FALSE;
-  for (guint i = 0; i < c->types->len && !fits; i++) {
-    const HrType *ty = &g_array_index (c->types, HrType, i);
-    gboolean zone = s->zone == HR_NONE;
-    for (guint k = 0; k < ty->zones->len; k++)
-      zone |= g_array_index (ty->zones, guint32, k) == s->zone;
-    fits = zone && (!s->types || s->types >> ty->type & 1) && s->cpus <= ty->cpus &&
-           s->gpus <= ty->gpus && s->mem <= ty->mem;
-  }
-  if (!fits)
-    return g_strdup ("a task fits no machine type that the job allows");
-  double n = s->shape == HR_BATCH ? 1 : s->tasks;
-  if ((t->cpus_max > 0 && n * s->cpus > t->cpus_max + 1e-6) ||
-      (t->gpus_max > 0 && n * s->gpus > t->gpus_max + 1e-6))
-    return g_strdup ("it needs more than its team's limit");
-  return NULL;
+  request->refusal = status;
+  request->why_not = g_strdup (why);
+  if (!answer_final (c, request))
+    hr_follow_read (c, on_read, request);
 }
 
 static void send_submit (HrCore *c, UserRequest *request);
@@ -175,6 +200,18 @@
   return room >= 0;
 }
 
+/* A reading costs nothing of what may be written, and tells whether an earlier try of the write
+ * was carried out. If not yet, it may still come: the next one is the same. */
+static void
+on_unsure_read (HrCore *c, gboolean ok, gpointer data)
+{
+  UserRequest *request = data;
+  if (ok && !hr_job_find (c, request->id) && !hr_job_unreadable (c, request->id))
+    send_submit (c, request);
+  else
+    on_read (c, ok, data);
+}
+
 static void
 on_submit (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
@@ -199,8 +236,8 @@
     answer (c, request, j, 201);
   } else if (status == 409)
     hr_follow_read (c, on_read, request); /* there already: by an earlier try, perhaps */
-  else if (status == 429 && ++request->tries < MAX_TRIES && c->wall - request->asked < 1.5)
-    send_submit (c, request); /* the node is pacing its writes, not refusing */
+  else if (may_try_again (c, request, status))
+    hr_follow_read (c, on_unsure_read, request); /* lost, or the service is pacing our writes */
   else
     refuse_later (c, request, status == 429 ? 429 : 503,
                   status == 429 ? "too many jobs at once; submit again"
@@ -216,7 +253,7 @@
   json_t *when = hr_cond (json_array (), key, 0);
   json_t *writes =
       hr_set (json_array (), key, first_record (c, request, request->per_page, request->tag), 0);
-  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, request);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, try_timeout (c, request), on_submit, request);
 }
 
 /* A reading sent after the submission came: what is unknown now was never accepted. */
@@ -226,7 +263,7 @@
   UserRequest *request = data;
   const char *unknown = hr_dependencies_unknown (c, request->awaits);
   HrJob *j = hr_job_find (c, request->id);
-  if (!ok)
+  if (!ok || hr_job_unreadable (c, request->id))
     refuse_later (c, request, 503, "the jobs that it awaits cannot be looked up; submit again");
   else if (j)
     answer (c, request, j, 200); /* an earlier try of this submission */
@@ -249,9 +286,9 @@
   HrJobSpec spec;
   GStrv awaits = NULL;
   json_t *o = hr_json_parse (data, len, &why);
-  if (!o || !hr_jobspec_awaits (o, &awaits, &why) ||
-      !hr_jobspec_parse (o, c->names, &spec, &id, &why)) {
-    g_strfreev (awaits);
+  gboolean valid =
+      o && hr_jobspec_parse (o, c->names, &spec, &id, &why) && hr_jobspec_awaits (o, &awaits, &why);
+  if (!valid && !hr_job_id_valid (id)) {
     hr_refuse (c, cmd->id, 400, 0, why);
     json_decref (o);
     return;
@@ -264,6 +301,10 @@
   request->awaits = awaits;
   request->asked = c->wall;
   json_decref (o);
+  if (!valid) {
+    refuse_if_new (c, request, 400, why);
+    return;
+  }
   if (answer_final (c, request))
     return;
   if (hr_job_find (c, request->id)) {
@@ -274,16 +315,13 @@
     refuse_later (c, request, 503, "this node has only just started; submit again");
     return;
   }
-  request->never = impossible (c, &spec);
-  request->refusal = 422;
-  if (!request->never && !lay_out (c, request)) {
-    request->never = g_strdup ("field awaits: more jobs than the job's record can hold");
-    request->refusal = 400;
+  g_autofree char *never = hr_admission_refusal (c, &spec);
+  if (never) {
+    refuse_if_new (c, request, 422, never);
+    return;
   }
-  /* A repeated submission counts by its id alone, whatever else it says, and another node may
-   * have accepted the job a moment ago: that is known only once the ledger is read. */
-  if (request->never) {
-    hr_follow_read (c, on_read, request);
+  if (!lay_out (c, request)) {
+    refuse_if_new (c, request, 400, "field awaits: more jobs than the job's record can hold");
     return;
   }
   if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
@@ -317,8 +355,8 @@
       hr_dependencies_final (c, j);
     }
     answer (c, request, j, 200);
-  } else if ((status == 409 || status == 429) && ++request->tries < MAX_TRIES)
-    hr_follow_read (c, on_read, request); /* the record moved on: read it and try again */
+  } else if (may_try_again (c, request, status))
+    hr_follow_read (c, on_read, request); /* the record may have moved on: read, then try again */
   else
     refuse_later (c, request, 503, "the cancellation is not confirmed; ask again");
 }
@@ -334,7 +372,7 @@
   json_t *writes =
       hr_set (json_array (), key,
               hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, request->tag, FALSE), 0);
-  hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_abort, request);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, try_timeout (c, request), on_abort, request);
 }
 
 /* ---- the door ---- */
