Team limits hand out starts in order; plans, rentals and spare room count them alone

Cause: hr_rent_for_lists asked whether the limit lets one task start and rented for up to 200 of each job; spare room ignored limits. At its limit the owner rented, waited idle, returned and rented again. Change: each pass hands out what the limit leaves, by rank and deadline, gangs whole (limits.c); a reservation with backfilling for what does not fit; work of lower rank of the same team is stopped for higher.

--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -72,6 +72,11 @@
   double gang_start; /* planned common start of a gang, steady time */
   guint planned;     /* tasks standing in lists */
   gboolean entitled; /* within its team's guarantee, together with the team's earlier jobs */
+  /* Of its team's limit (limits.c). */
+  guint grant;       /* tasks that may start in this pass */
+  double granted_at; /* it could have started something since; 0: it cannot */
+  gboolean lent;     /* others may use what it does not start with */
+  double kept_since; /* only what is reserved for another holds it back since; 0: it does not */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
 } HrJob;
@@ -156,6 +161,8 @@
   HrRank rank;
   gboolean spot, seen;
   guint64 types;
+  guint64 teams;  /* whose jobs are of it: bits, by index modulo 64 */
+  guint headroom; /* tasks that room is kept for in this pass */
 } HrClassStat;
 
 void hr_job_free (HrJob *j);
--- a/src/coordination/claims.c
+++ b/src/coordination/claims.c
@@ -1,4 +1,5 @@
 /* Room kept for services, which stand in no list. */
+#include "coordination/limits.h"
 #include "coordination/plan.h"
 
 /* Takes the room of up to n tasks off a machine for services. */
@@ -53,7 +54,7 @@
     const HrJobSpec *s = &j->spec;
     if (j->stance != HR_QUEUED || s->shape != HR_SERVICE || !j->tasks)
       continue;
-    guint left = j->ntasks - j->nlive;
+    guint left = MIN (j->ntasks - j->nlive, hr_limits_grant (c, j));
     for (guint k = 0; k < c->fleet->len && left; k++) {
       HrMachine *m = c->fleet->pdata[k];
       if (m->state == HR_M_BOOTING && hr_allowed (c, j, m))
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -1,4 +1,4 @@
-#include "coordination/state.h"
+#include "coordination/limits.h"
 #include "protocol/jsonx.h"
 #include <gio/gio.h>
 #include <string.h>
@@ -179,7 +179,8 @@
   c->garbage = g_array_new (FALSE, TRUE, sizeof (HrDirty));
   c->fleet = g_ptr_array_new ();
   c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
-  c->team_waits = g_array_new (FALSE, TRUE, sizeof (guint32));
+  c->teams = g_array_new (FALSE, TRUE, sizeof (HrTeamUse));
+  c->waiting = g_ptr_array_new ();
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
@@ -217,7 +218,8 @@
   g_array_unref (c->dirty);
   g_array_unref (c->garbage);
   g_array_unref (c->wants);
-  g_array_unref (c->team_waits);
+  g_array_unref (c->teams);
+  g_ptr_array_unref (c->waiting);
   g_ptr_array_unref (c->fleet);
   g_clear_pointer (&c->types, g_array_unref);
   g_free (c->sync_after);
@@ -296,7 +298,8 @@
   if (c->leads && c->plan_dirty && now - c->planned_at >= gap) {
     c->plan_dirty = FALSE;
     c->planned_at = now;
-    hr_team_waits (c);
+    hr_limits_pass (c);
+    hr_team_entitle (c);
     hr_plan (c);
     hr_dispatch (c);
   }
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -1,5 +1,6 @@
 /* From the plan to orders: what can start now starts, what cannot is made room
  * for, rented for, or waits; idle machines go back. */
+#include "coordination/limits.h"
 #include "coordination/room.h"
 #include <math.h>
 
@@ -25,6 +26,7 @@
     hr_list_remove (c->machines->pdata[j->tasks[task].list], (HrRef){j->idx, task});
   }
   hr_task_assign (c, j, task, m, attempt);
+  hr_limits_started (c, j);
 }
 
 static guint32
@@ -324,11 +326,9 @@
 by_rank (gconstpointer a, gconstpointer b)
 {
   const HrJob *x = *(HrJob *const *)a, *y = *(HrJob *const *)b;
-  if (x->spec.rank != y->spec.rank)
-    return x->spec.rank < y->spec.rank ? -1 : 1;
-  if (x->submitted != y->submitted)
-    return x->submitted < y->submitted ? -1 : 1;
-  return x->idx < y->idx ? -1 : x->idx > y->idx;
+  if (hr_job_rank (x) != hr_job_rank (y))
+    return hr_job_rank (x) < hr_job_rank (y) ? -1 : 1;
+  return hr_by_submission (a, b);
 }
 
 /* What a team is guaranteed it gets from those that run beyond theirs. Gangs of several tasks
@@ -376,6 +376,7 @@
       g_hash_table_insert (blocked, m, g_memdup2 (&until, sizeof until));
   }
   start_from_any (c, blocked);
+  hr_limits_make_room (c);
 
   /* Machines that boot come first. */
   g_autofree HrRoom *rooms = g_new0 (HrRoom, n + 1);
@@ -400,9 +401,11 @@
     HrJob *j = services->pdata[i];
     HrCursor at = {0};
     gboolean room = TRUE;
-    for (guint32 k = 0; k < j->ntasks; k++) {
-      if (j->tasks[k].state != HR_T_IDLE || j->retry_at > c->now || !hr_team_allows (c, j, 1))
+    guint left = hr_team_allows (c, j, 1) ? hr_limits_grant (c, j) : 0;
+    for (guint32 k = 0; k < j->ntasks && left; k++) {
+      if (j->tasks[k].state != HR_T_IDLE || j->retry_at > c->now)
         continue;
+      left--;
       room = room && hr_preempt (c, j, rooms, FALSE);
       if (!room)
         hr_rent_need (c, rooms, booting, &at, needs, j);
--- /dev/null
+++ b/src/coordination/limits.h
@@ -0,0 +1,13 @@
+/* Limits of teams: what they let start in a pass, and in which order. */
+#pragma once
+#include "coordination/state.h"
+
+/* Hands out what the limits leave to the jobs that wait. Begins each pass. */
+void hr_limits_pass (HrCore *c);
+/* A task of the job was assigned. */
+void hr_limits_started (HrCore *c, HrJob *j);
+/* How many tasks more of the job its team's limit lets start now; G_MAXUINT: no limit. */
+guint hr_limits_grant (HrCore *c, const HrJob *j);
+/* Stops work of lower rank for jobs that their own team's limit holds back. */
+void hr_limits_make_room (HrCore *c);
+HrTeamUse *hr_team_use (HrCore *c, guint32 team);
--- a/src/coordination/planner.c
+++ b/src/coordination/planner.c
@@ -1,6 +1,7 @@
 /* The plan: one deadline-ordered list of tasks per machine. New tasks are placed
  * by MT-EDF; a bounded tabu search then moves tardy ones (Klusacek, Matyska,
  * Rudova: Local Search for Deadline Driven Grid Scheduling, figures 1 to 3). */
+#include "coordination/limits.h"
 #include "coordination/plan.h"
 
 #define WINDOW 64 /* tasks of one job that stand in lists at a time */
@@ -13,6 +14,13 @@
          !j->gang_over && hr_allowed (c, j, m) && hr_zone_ok (c, j, m);
 }
 
+/* Lists hold what the team's limit lets start; what it holds back would seem late there. */
+static guint
+most_listed (HrCore *c, const HrJob *j)
+{
+  return MIN (WINDOW, hr_limits_grant (c, j));
+}
+
 static int
 by_deadline (gconstpointer a, gconstpointer b)
 {
@@ -35,7 +43,8 @@
       HrRef r = g_array_index (m->list, HrRef, k);
       HrJob *j = hr_job_of (c, r);
       /* Gangs are placed anew in each pass: their common start moves with every list. */
-      if (hr_usable (c, m) && stands (c, m, r) && j->spec.shape != HR_GANG) {
+      if (hr_usable (c, m) && stands (c, m, r) && j->spec.shape != HR_GANG &&
+          j->planned <= hr_limits_grant (c, j)) {
         k++;
         continue;
       }
@@ -62,7 +71,7 @@
         j->retry_at <= c->now && hr_team_allows (c, j, 1) && j->nlive + j->ndone < j->ntasks) {
       g_ptr_array_add (fresh, j);
       guint left = j->ntasks - j->nlive - j->ndone - j->planned;
-      queued += j->spec.shape == HR_GANG ? 1 : MIN (left, WINDOW);
+      queued += j->spec.shape == HR_GANG ? 1 : MIN (left, most_listed (c, j));
     }
   }
   g_ptr_array_sort (fresh, by_deadline);
@@ -76,7 +85,8 @@
       continue;
     }
     g_autoptr (GPtrArray) order = NULL;
-    for (guint32 k = 0; k < j->ntasks && j->planned < WINDOW; k++) {
+    guint most = most_listed (c, j);
+    for (guint32 k = 0; k < j->ntasks && j->planned < most; k++) {
       if (j->tasks[k].state != HR_T_IDLE || j->tasks[k].planned)
         continue;
       if (!order)
--- a/src/coordination/preempt.c
+++ b/src/coordination/preempt.c
@@ -16,14 +16,14 @@
 static gboolean
 may_stop (HrCore *c, const HrJob *victim, const HrJob *j)
 {
-  if (victim->spec.rank > j->spec.rank)
+  if (hr_job_rank (victim) > hr_job_rank (j))
     return TRUE;
   return victim->spec.team != j->spec.team && hr_team_beyond (c, victim, 0) &&
          !hr_team_beyond (c, j, 1);
 }
 
-static double
-loss (HrCore *c, const HrJob *v, const HrTask *t)
+double
+hr_stop_loss (HrCore *c, const HrJob *v, const HrTask *t)
 {
   double ran = t->ran_at ? c->now - t->ran_at : 0;
   if (v->spec.checkpoint > 0)
@@ -31,6 +31,17 @@
   return ran + 1 + (v->spec.shape == HR_GANG ? 1000 : 0);
 }
 
+void
+hr_stop_for_room (HrCore *c, HrJob *v, guint32 task)
+{
+  const HrTask *t = &v->tasks[task];
+  double grace = v->spec.checkpoint > 0 && t->shown == HR_W_RUNNING ? v->spec.save + 1 : 0;
+  if (v->spec.shape == HR_GANG)
+    hr_gang_end (c, v, v->spec.save + 1);
+  else
+    hr_task_stop (c, v, task, grace);
+}
+
 /* Batch tasks of the machine that would have to stop for the job, the sum of what is
  * lost with them; INFINITY when that makes no room. stop: stop them. */
 static double
@@ -49,7 +60,7 @@
     cpus += v->spec.cpus;
     gpus += v->spec.gpus;
     mem += v->spec.mem;
-    cost += loss (c, v, t);
+    cost += hr_stop_loss (c, v, t);
     if (stop) {
       g_info ("%s/%u on %s makes room for %s, whose image is there", v->id, x.task, m->name, j->id);
       hr_task_stop (c, v, x.task, 0);
@@ -107,7 +118,7 @@
       cpus += v->spec.cpus;
       gpus += v->spec.gpus;
       mem += v->spec.mem;
-      cost += loss (c, v, t);
+      cost += hr_stop_loss (c, v, t);
     }
     if (cpus + 1e-6 >= j->spec.cpus && gpus + 1e-6 >= j->spec.gpus && mem + 1e-6 >= j->spec.mem &&
         cost < least) {
@@ -131,11 +142,7 @@
     best->cpus += v->spec.cpus;
     best->gpus += v->spec.gpus;
     best->mem += v->spec.mem;
-    double grace = v->spec.checkpoint > 0 && t->shown == HR_W_RUNNING ? v->spec.save + 1 : 0;
-    if (v->spec.shape == HR_GANG)
-      hr_gang_end (c, v, v->spec.save + 1);
-    else
-      hr_task_stop (c, v, x.task, grace);
+    hr_stop_for_room (c, v, x.task);
   }
   return hr_room_take (best, j->spec.cpus, j->spec.gpus, j->spec.mem);
 }
--- a/src/coordination/project.c
+++ b/src/coordination/project.c
@@ -84,8 +84,8 @@
   g_array_index (busy, Busy, i) = b;
 }
 
-static double
-running_end (HrCore *c, HrJob *j, const HrTask *t, HrMachine *m)
+double
+hr_running_end (HrCore *c, const HrJob *j, const HrTask *t, const HrMachine *m)
 {
   if (j->spec.shape == HR_SERVICE)
     return INFINITY;
@@ -117,7 +117,7 @@
   for (guint i = 0; i < m->tasks->len; i++) {
     HrRef r = g_array_index (m->tasks, HrRef, i);
     HrJob *j = hr_job_of (c, r);
-    add_busy (busy, running_end (c, j, &j->tasks[r.task], m), &j->spec);
+    add_busy (busy, hr_running_end (c, j, &j->tasks[r.task], m), &j->spec);
   }
   m->late = 0;
   m->tardiness = 0;
--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -1,7 +1,10 @@
 /* What is to be rented for what waits and for what is expected, and what can go back. */
+#include "coordination/limits.h"
 #include "coordination/room.h"
 #include <math.h>
 
+#define RENT_MOST 200 /* tasks of one job that machines are rented for in a pass */
+
 /* Tasks of one kind that machines must be rented for. */
 typedef struct {
   guint32 type, zone;
@@ -96,7 +99,7 @@
 /* How many tasks of a class cannot wait for a boot: replicas of services, and
  * classes for whose start or end there is an aim. */
 guint
-hr_headroom (HrCore *c, guint32 klass)
+hr_headroom_wanted (HrCore *c, guint32 klass)
 {
   HrClassStat *s = hr_class (c, klass); /* a class known from old records alone has no row yet */
   double boots = 0;
@@ -115,6 +118,12 @@
          hr_class_arrivals (c, s, 0) * boot_time (c) * boots + 0.5;
 }
 
+guint
+hr_headroom (HrCore *c, guint32 klass)
+{
+  return hr_class (c, klass)->headroom;
+}
+
 void
 hr_rent_headroom (HrCore *c, HrRoom *rooms, guint nrooms, GArray *needs)
 {
@@ -204,8 +213,12 @@
     if (j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over || left <= 0 ||
         j->retry_at > c->now || !hr_team_allows (c, j, 1) || beyond_fleet (c, j))
       continue;
+    /* No machine is rented for what the limit holds back; what stands in lists has its part
+     * of the grant. */
+    guint grant = hr_limits_grant (c, j);
+    left = MIN (left, grant < G_MAXINT ? (gint)grant - (gint)j->planned : RENT_MOST);
     HrCursor at = {0};
-    for (gint k = 0; k < MIN (left, 200); k++)
+    for (gint k = 0; k < MIN (left, RENT_MOST); k++)
       hr_rent_need (c, rooms, booting, &at, needs, j);
   }
 }
--- a/src/coordination/room.h
+++ b/src/coordination/room.h
@@ -26,7 +26,12 @@
 gboolean hr_reachable (const HrCore *c, const HrMachine *m);
 /* Does the team run more than it is guaranteed, or would n more tasks stay within? */
 gboolean hr_team_beyond (HrCore *c, const HrJob *j, guint n);
+int hr_by_submission (gconstpointer a, gconstpointer b); /* for arrays of HrJob */
 HrMachine *hr_swap_for_image (HrCore *c, HrJob *j);
+/* What is lost when the task stops now, s. */
+double hr_stop_loss (HrCore *c, const HrJob *v, const HrTask *t);
+/* Stops a task, or the gang that it belongs to; it may save before. */
+void hr_stop_for_room (HrCore *c, HrJob *v, guint32 task);
 /* others: stop other teams' work only. */
 gboolean hr_preempt (HrCore *c, HrJob *j, HrRoom *rooms, gboolean others);
 
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -57,6 +57,23 @@
   double attested; /* by our clock: what it stated was so then; see attested_at in leader.c */
 } HrPeerView;
 
+/* What a limit of a team is about. */
+typedef struct {
+  double cpus, gpus;
+} HrAmount;
+
+/* A team in one pass. */
+typedef struct {
+  gboolean limited;
+  HrAmount limit, used; /* used: by every task that is not proven gone */
+  HrAmount ending;      /* of that, by tasks that are being stopped */
+  HrAmount left;        /* of the limit, not granted yet */
+  HrAmount beside;      /* of that, what the reservation leaves to work without an end in time */
+  HrAmount pool;        /* left over, or soon free, while room is made */
+  gboolean reserved;    /* a job that the limit holds back has what is left reserved */
+  double shadow;        /* running work has made room for that job by then; INFINITY: unknown */
+} HrTeamUse;
+
 struct HrCore {
   const HrSettings *set;
   HrPolicy pol;
@@ -119,7 +136,8 @@
   GPtrArray *fleet; /* the machines that are not gone */
 
   /* Planning and the fleet. */
-  GArray *team_waits;      /* guint32: per team, the gang that waits for the limit, or HR_NONE */
+  GArray *teams;           /* HrTeamUse by team, as of this pass */
+  GPtrArray *waiting;      /* HrJob of limited teams that wait, in the order of their grants */
   gboolean entitled_waits; /* a job within its team's guarantee waits for room */
   gboolean plan_dirty;
   guint nparts;
@@ -253,6 +271,8 @@
 
 /* project.c */
 double hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m);
+/* When a task that is on the machine should end, by its estimate; INFINITY: a service. */
+double hr_running_end (HrCore *c, const HrJob *j, const HrTask *t, const HrMachine *m);
 /* How long the image keeps a task of the job from its work there. */
 double hr_fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m);
 gboolean hr_allowed (const HrCore *c, const HrJob *j, const HrMachine *m);
@@ -266,11 +286,20 @@
 
 /* teams.c */
 gboolean hr_team_allows (HrCore *c, const HrJob *j, guint n);
-void hr_team_waits (HrCore *c);
+void hr_team_entitle (HrCore *c);
+
+/* The rank that counts for the job's order and for what may be stopped. */
+static inline HrRank
+hr_job_rank (const HrJob *j)
+{
+  return j->spec.rank;
+}
 
 /* rent.c */
-/* Tasks of the class that spare room is kept for. */
+/* Tasks of the class that spare room is kept for: as many as cannot wait for a boot, within
+ * what their teams' limits leave. */
 guint hr_headroom (HrCore *c, guint32 klass);
+guint hr_headroom_wanted (HrCore *c, guint32 klass);
 
 /* dispatch.c */
 void hr_dispatch (HrCore *c);
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -345,6 +345,7 @@
   s->rank = j->spec.rank;
   s->spot = j->spec.spot;
   s->types = j->spec.types;
+  s->teams |= G_GUINT64_CONSTANT (1) << j->spec.team % 64;
 }
 
 /* More than any task is tried in one owner's time. */
