--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -404,6 +404,8 @@
     HrJob *j = c->waiting->pdata[i];
     HrTeamUse *u = hr_team_use (c, j->spec.team);
     guint size = unit (j);
+    if (j->lent) /* it lacks a machine, and others use its share meanwhile */
+      continue;
     HrAmount need = amount_of (&j->spec, size), granted = amount_of (&j->spec, j->grant);
     gboolean soon = j->spec.shape != HR_SERVICE && u->shadow - c->now <= PATIENCE_S;
     take (&u->pool, granted);
