Machines are rented for what has no room where it stands, not for a late start alone

A gang planned on a machine that boots, or that waits for one last place, had a machine more rented for each of its tasks while its start was further off than 0.75 boots.

--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -173,31 +173,45 @@
   return TRUE;
 }
 
-/* booting: how many rooms, the first ones, are on machines that boot. */
-void
-hr_rent_for_lists (HrCore *c, HrRoom *rooms, guint booting, GArray *needs)
+/* Takes what has room on its machine, beside those ahead of it in the list, off the room.
+ * Returns how many of the list have: counted twice, that room would keep the fleet short, and
+ * not counted at all, machines would be rented again in each pass for a gang that waits for
+ * those on their way, or for one last place. */
+static guint
+placed (HrCore *c, HrRoom *room)
+{
+  HrMachine *m = room->m;
+  guint n = 0;
+  for (; n < m->list->len; n++) {
+    const HrJobSpec *s = &((HrJob *)c->jobs->pdata[g_array_index (m->list, HrRef, n).job])->spec;
+    if (!hr_room_take (room, s->cpus, s->gpus, s->mem))
+      break;
+  }
+  return n;
+}
+
+/* Machines for what stands in lists where it would start late. rooms: of all machines. */
+static void
+rent_for_late (HrCore *c, HrRoom *rooms, guint booting, GArray *needs)
 {
   double boot = boot_time (c) * c->pol.rent_slack;
-  /* What a booting machine's own list fills is no room for others: counted twice, it
-   * would keep the fleet short, and not counted at all, machines would be rented again
-   * in each pass for a gang that waits for those on their way. */
-  for (guint i = 0; i < booting; i++) {
+  guint n = c->fleet->len;
+  g_autofree guint *first = g_new0 (guint, n + 1);
+  for (guint i = 0; i < n; i++) {
     HrMachine *m = rooms[i].m;
-    for (guint k = 0; k < m->list->len; k++) {
-      const HrJobSpec *s = &((HrJob *)c->jobs->pdata[g_array_index (m->list, HrRef, k).job])->spec;
-      if (!hr_room_take (&rooms[i], s->cpus, s->gpus, s->mem))
-        break;
-    }
+    HrRoom free = {m, m->cpus - m->foreign_cpus - m->claim_cpus,
+                   m->gpus - m->foreign_gpus - m->claim_gpus,
+                   m->mem - m->foreign_mem - m->claim_mem, FALSE};
+    first[i] = placed (c, i < booting ? &rooms[i] : &free);
   }
-  for (guint i = 0; i < c->fleet->len; i++) {
-    HrMachine *m = c->fleet->pdata[i];
-    if (!m->list->len)
+  for (guint i = 0; i < n; i++) {
+    HrMachine *m = rooms[i].m;
+    if (first[i] >= m->list->len)
       continue;
     g_autofree double *starts = g_new (double, m->list->len);
     hr_project (c, m, starts);
-    for (guint k = 0; k < m->list->len; k++) {
-      HrRef r = g_array_index (m->list, HrRef, k);
-      HrJob *j = c->jobs->pdata[r.job];
+    for (guint k = first[i]; k < m->list->len; k++) {
+      HrJob *j = c->jobs->pdata[g_array_index (m->list, HrRef, k).job];
       double end = starts[k] + hr_estimate (c, j, m) - c->now + c->wall;
       /* A machine is rented where it would start the task sooner, and the plan is late. */
       if (starts[k] - c->now <= boot || (end <= j->deadline && j->spec.shape != HR_GANG))
@@ -206,6 +220,13 @@
       hr_rent_need (c, rooms, booting, &at, needs, j);
     }
   }
+}
+
+/* booting: how many rooms, the first ones, are on machines that boot. */
+void
+hr_rent_for_lists (HrCore *c, HrRoom *rooms, guint booting, GArray *needs)
+{
+  rent_for_late (c, rooms, booting, needs);
   /* And for what found no list at all. */
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
