--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -391,6 +391,24 @@
   return holds (*pool, need);
 }
 
+/* Stops what the job's tasks without a grant need, as far as that is enough for them. */
+static void
+make_room (HrCore *c, HrTeamUse *u, HrJob *j)
+{
+  guint size = unit (j), idle = idle_tasks (j);
+  HrAmount need = amount_of (&j->spec, size);
+  gboolean soon = j->spec.shape != HR_SERVICE && u->shadow - c->now <= PATIENCE_S;
+  take (&u->pool, amount_of (&j->spec, j->grant));
+  for (guint n = idle - MIN (j->grant, idle); n >= size && !u->short_of; n -= size) {
+    /* What is stopped for a later job would go to this one, or be filled by shorter work and
+     * stopped again. */
+    if (!holds (u->pool, need) && (soon || !stop_lower (c, j, &u->pool, need)))
+      u->short_of = TRUE;
+    else
+      take (&u->pool, need);
+  }
+}
+
 void
 hr_limits_make_room (HrCore *c)
 {
@@ -403,16 +421,8 @@
   for (guint i = 0; i < c->waiting->len; i++) {
     HrJob *j = c->waiting->pdata[i];
     HrTeamUse *u = hr_team_use (c, j->spec.team);
-    guint size = unit (j);
-    if (j->lent) /* it lacks a machine, and others use its share meanwhile */
-      continue;
-    HrAmount need = amount_of (&j->spec, size), granted = amount_of (&j->spec, j->grant);
-    gboolean soon = j->spec.shape != HR_SERVICE && u->shadow - c->now <= PATIENCE_S;
-    take (&u->pool, granted);
-    for (guint n = idle_tasks (j) - MIN (j->grant, idle_tasks (j)); n >= size; n -= size) {
-      if (!holds (u->pool, need) && (soon || !stop_lower (c, j, &u->pool, need)))
-        break;
-      take (&u->pool, need);
-    }
+    /* One that is lent lacks a machine, and others use its share meanwhile. */
+    if (!u->short_of && !j->lent)
+      make_room (c, u, j);
   }
 }
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -70,6 +70,7 @@
   HrAmount left;        /* of the limit, not granted yet */
   HrAmount beside;      /* of that, what the reservation leaves to work without an end in time */
   HrAmount pool;        /* left over, or soon free, while room is made */
+  gboolean short_of;    /* a job found too little there */
   gboolean reserved;    /* a job that the limit holds back has what is left reserved */
   double shadow;        /* running work has made room for that job by then; INFINITY: unknown */
 } HrTeamUse;
