--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -5,6 +5,9 @@
 
 #define RENT_MOST 200 /* tasks of one job that machines are rented for in a pass */
 
+/* For teams with a limit, this share of the wait that others tolerate. */
+#define LIMITED_SLACK 0.25
+
 /* Tasks of one kind that machines must be rented for. */
 typedef struct {
   guint32 type, zone;
@@ -213,8 +216,12 @@
     for (guint k = first[i]; k < m->list->len; k++) {
       HrJob *j = c->jobs->pdata[g_array_index (m->list, HrRef, k).job];
       double end = starts[k] + hr_estimate (c, j, m) - c->now + c->wall;
-      /* A machine is rented where it would start the task sooner, and the plan is late. */
-      if (starts[k] - c->now <= boot || (end <= j->deadline && j->spec.shape != HR_GANG))
+      gboolean limited = hr_team_use (c, j->spec.team)->limited;
+      /* A machine is rented where it would start the task sooner, and the plan is late. Of what
+       * a limit lets start now, nothing waits for the team's own work to end: that work's end
+       * makes room for the next, and this share of the limit would stay unused. */
+      if (starts[k] - c->now <= (limited ? boot * LIMITED_SLACK : boot) ||
+          (end <= j->deadline && j->spec.shape != HR_GANG))
         continue;
       HrCursor at = {0};
       hr_rent_need (c, rooms, booting, &at, needs, j);
