--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -76,6 +76,7 @@
   guint grant;       /* tasks that may start in this pass */
   double granted_at; /* it could have started something since; 0: it cannot */
   gboolean lent;     /* others may use what it does not start with */
+  double lent_until, lent_pause;
   double kept_since; /* only what is reserved for another holds it back since; 0: it does not */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -10,9 +10,13 @@
 #include "coordination/room.h"
 #include <math.h>
 
-/* A job keeps its grant for so long without a start, s: a boot, mostly. After that others
- * may use that share of the limit until it starts. */
-#define GRANT_HOLD_S 45.0
+/* A job keeps its grant for so long without a start, s: with places in lists (a boot, mostly),
+ * and where no machine of the fleet has one. Then its share is lent, for a pause that doubles:
+ * meanwhile nothing is kept or stopped for it. */
+#define GRANT_HOLD_S 75.0
+#define GRANT_HOLD_UNPLANNED_S 30.0
+#define LENT_S 30.0
+#define LENT_MOST_S 240.0
 /* A job that a reservation alone has held back for so long gets one start, s. */
 #define KEPT_OUT_S 60.0
 /* Work of lower rank is stopped for a job that is no service where the limit would not let it
@@ -214,6 +218,22 @@
   }
 }
 
+/* The job has had its share for long enough and could not use it. */
+static gboolean
+lapsed (HrCore *c, HrJob *j)
+{
+  /* Services stand in no list. */
+  gboolean placed = j->planned || j->spec.shape == HR_SERVICE;
+  double hold = placed ? GRANT_HOLD_S : GRANT_HOLD_UNPLANNED_S;
+  if (c->now < MAX (j->lent_until, j->rent_at))
+    return TRUE;
+  if (!j->granted_at || c->now - j->granted_at <= hold)
+    return FALSE;
+  j->lent_pause = CLAMP (2 * j->lent_pause, LENT_S, LENT_MOST_S);
+  j->lent_until = c->now + j->lent_pause;
+  return TRUE;
+}
+
 /* Hands the job as many starts as the team's limit leaves for it. */
 static void
 grant (HrCore *c, HrTeamUse *u, HrJob *j)
@@ -229,18 +249,18 @@
   } else
     j->kept_since = 0;
   j->grant = n * size;
-  if (!n)
+  j->lent = lapsed (c, j);
+  if (!n || j->lent)
     j->granted_at = 0;
   else if (!j->granted_at)
     j->granted_at = c->now;
-  j->lent = n && c->now - j->granted_at > GRANT_HOLD_S;
   if (n && !j->lent) {
     HrAmount all = amount_of (&j->spec, j->grant);
     take (&u->left, all);
     if (behind || !u->reserved)
       take (&u->beside, all);
   }
-  if (n < most && !u->reserved)
+  if (n < most && !u->reserved && !j->lent)
     reserve (c, u, j);
 }
 
@@ -300,7 +320,7 @@
   HrTeamUse *u = hr_team_use (c, j->spec.team);
   add (&u->used, amount_of (&j->spec, 1));
   j->grant -= j->grant > 0;
-  j->granted_at = j->kept_since = 0;
+  j->granted_at = j->kept_since = j->lent_until = j->lent_pause = 0;
 }
 
 guint
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -113,6 +113,8 @@
   double accepted_at;
   gboolean large, forgotten, lost_place;
   const char *team; /* NULL: the first one */
+  const char *rank; /* NULL: as its shape has it */
+  double due;       /* an array's deadline, s after it was submitted; 0: by its run time */
   guint *done;      /* per task */
   double *progress;
 } SJob;
@@ -255,6 +257,11 @@
 void troubles_job_ended (World *w, SJob *j);
 /* Users were first told that it is accepted, done or withdrawn. */
 void troubles_told (World *w, SJob *j, gboolean accepted);
+/* ---- for other files of users ---- */
+SJob *job_new (World *w);
+/* The job is complete: its user submits it. */
+void job_submit (World *w, SJob *j);
+
 /* Probes every controller as a load balancer does. */
 void users_probe (World *w);
 /* The user of a running service withdraws it, at this node. */
--- /dev/null
+++ b/tests/test_limits.c
@@ -0,0 +1,222 @@
+/* Days of the simulated cluster on which a team is at its limit: what is rented, what starts
+ * next, and that the limit holds whatever else happens. */
+#include "sim/limits.h"
+#include "sim/troubles.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <cmocka.h>
+
+#define LIMIT_GPUS 24.0
+#define MACHINE_GPUS 2.0
+#define DAY_S 900.0
+
+static World *
+world_with_limit (guint32 seed, double gpus)
+{
+  World *w = world_new (seed, 3);
+  w->quota_gpus = gpus;
+  w->capacity = 200;
+  world_restart (w);
+  users_init (w, 0, 0);
+  return w;
+}
+
+static guint
+verdict (World *w, guint32 seed)
+{
+  guint broken = w->broken->len;
+  for (guint i = 0; i < MIN (broken, 12); i++)
+    fprintf (stderr, "seed %u: %s\n", seed, (char *)w->broken->pdata[i]);
+  if (g_getenv ("HR_SIM_VERBOSE"))
+    fprintf (stderr, "seed %u: %u jobs, %u starts, %u machines\n", seed, w->jobs->len, w->starts,
+             w->machines->len);
+  world_free (w);
+  return broken;
+}
+
+static void
+check_done (World *w)
+{
+  for (guint i = 0; i < w->jobs->len; i++) {
+    SJob *j = w->jobs->pdata[i];
+    if (j->asked_cancel ? !j->told_withdrawn && !j->told_done
+                        : j->shape != HR_SERVICE && !j->told_done)
+      w_broken (w, "liveness", "%s (%d, %u tasks) is not done", j->id, j->shape, j->tasks);
+  }
+}
+
+static double
+waited (const World *w, const SJob *j)
+{
+  return (j->first > 0 ? j->first : w->now) - j->accepted_at;
+}
+
+/* Far more work than the limit lets run: machines are rented for what may start, and are not
+ * returned and rented again in cycles. */
+static void
+renting (void **state)
+{
+  static const HrLimitJob work[] = {
+      {5, HR_BATCH, 60, 40, NULL, 0, FALSE},  {6, HR_BATCH, 60, 40, NULL, 0, FALSE},
+      {7, HR_GANG, 4, 40, NULL, 0, FALSE},    {8, HR_GANG, 2, 40, NULL, 0, FALSE},
+      {20, HR_BATCH, 80, 30, NULL, 0, FALSE}, {60, HR_GANG, 6, 40, NULL, 0, FALSE},
+      {90, HR_BATCH, 60, 40, NULL, 0, FALSE}, {120, HR_SERVICE, 4, 0, NULL, 0, FALSE},
+  };
+  const guint needed = LIMIT_GPUS / MACHINE_GPUS;
+  guint broken = 0;
+  for (guint32 s = 1200; s < 1204; s++) {
+    World *w = world_with_limit (s, LIMIT_GPUS);
+    limits_submit (w, work, G_N_ELEMENTS (work));
+    world_run (w, DAY_S);
+    check_done (w);
+    if (w->machines->len > 3 * needed)
+      w_broken (w, "rented", "%u machines where %u hold all that may run", w->machines->len,
+                needed);
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
+/* A gang that wants the whole limit, beside a stream of small ones that alone nearly fills it. */
+static void
+gang_in_a_stream (void **state)
+{
+  static const HrLimitJob gang[] = {{60, HR_GANG, 6, 25, NULL, 0, TRUE}};
+  guint broken = 0;
+  for (guint32 s = 1210; s < 1214; s++) {
+    World *w = world_with_limit (s, LIMIT_GPUS / 2);
+    limits_stream (w, 5, 500, 4.5, 20);
+    limits_submit (w, gang, G_N_ELEMENTS (gang));
+    world_run (w, DAY_S);
+    check_done (w);
+    for (guint i = 0; i < w->jobs->len; i++) {
+      SJob *j = w->jobs->pdata[i];
+      if (waited (w, j) > (j->large ? 180 : 240))
+        w_broken (w, "starved", "%s of %u tasks begins after %.0f s", j->id, j->tasks,
+                  waited (w, j));
+    }
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
+/* Long work of the lowest rank fills the limit. What comes with a higher rank begins at once, by
+ * having that work stopped; of one rank the earlier deadline goes first. */
+static void
+order (void **state)
+{
+  static const HrLimitJob work[] = {
+      {5, HR_BATCH, 24, 250, "low", 900, FALSE},    {120, HR_GANG, 2, 30, NULL, 0, FALSE},
+      {200, HR_SERVICE, 3, 0, NULL, 0, FALSE},      {260, HR_BATCH, 60, 40, "normal", 800, FALSE},
+      {263, HR_BATCH, 20, 40, "normal", 60, FALSE},
+  };
+  guint broken = 0;
+  for (guint32 s = 1220; s < 1224; s++) {
+    World *w = world_with_limit (s, LIMIT_GPUS);
+    limits_submit (w, work, G_N_ELEMENTS (work));
+    world_run (w, 1500);
+    check_done (w);
+    for (guint i = 1; i < 5; i++)
+      if (waited (w, limits_job (w, i)) > 45)
+        w_broken (w, "order", "%s, of a higher rank, begins after %.0f s", limits_job (w, i)->id,
+                  waited (w, limits_job (w, i)));
+    if (limits_job (w, 4)->done_at > limits_job (w, 3)->done_at)
+      w_broken (w, "order", "the later deadline is done first");
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
+/* A gang within the limit that no machines are left for: the others do not wait for it. */
+static void
+gang_without_machines (void **state)
+{
+  static const HrLimitJob work[] = {
+      {5, HR_GANG, 10, 30, NULL, 0, TRUE},     {20, HR_BATCH, 8, 30, NULL, 0, FALSE},
+      {150, HR_BATCH, 8, 30, NULL, 0, FALSE},  {300, HR_GANG, 2, 30, NULL, 0, FALSE},
+      {450, HR_BATCH, 12, 30, NULL, 0, FALSE},
+  };
+  guint broken = 0;
+  for (guint32 s = 1230; s < 1234; s++) {
+    World *w = world_with_limit (s, LIMIT_GPUS);
+    w->capacity = 6;
+    limits_submit (w, work, G_N_ELEMENTS (work));
+    world_run (w, DAY_S);
+    for (guint i = 0; i < w->jobs->len; i++) {
+      SJob *j = w->jobs->pdata[i];
+      if (!j->large && waited (w, j) > 90)
+        w_broken (w, "idle", "%s waits %.0f s beside a machine with room, under the limit", j->id,
+                  waited (w, j));
+    }
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
+/* Every team is at its limit when machines cannot be asked or hang, jobs are cancelled in that
+ * spell and the leader changes: what may still run holds its share until it is proven gone. */
+static void
+leader_changes (void **state)
+{
+  static const HrLimitJob work[] = {
+      {5, HR_BATCH, 40, 60, NULL, 0, FALSE},  {6, HR_BATCH, 30, 60, NULL, 0, FALSE},
+      {7, HR_GANG, 3, 80, NULL, 0, FALSE},    {8, HR_GANG, 2, 80, NULL, 0, FALSE},
+      {60, HR_BATCH, 40, 60, NULL, 0, FALSE}, {62, HR_GANG, 4, 60, NULL, 0, FALSE},
+      {64, HR_BATCH, 30, 50, NULL, 0, FALSE}, {150, HR_GANG, 2, 60, NULL, 0, FALSE},
+  };
+  static const HrTrouble day[] = {
+      {.at_s = 100, .kind = TROUBLE_MACHINE_CUT, .count = 5, .for_s = 30, .hold = TRUE},
+      {.at_s = 102, .kind = TROUBLE_CANCEL_NOW, .count = 3, .hang_s = 24},
+      {.at_s = 102.5, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 200, .kind = TROUBLE_LATE_WRITES, .share = 0.4, .for_s = 30},
+      {.at_s = 205, .kind = TROUBLE_CANCEL_NOW, .count = 2, .hang_s = 24},
+      {.at_s = 206, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+  };
+  guint broken = 0;
+  for (guint32 s = 1240; s < 1248; s++) {
+    World *w = world_with_limit (s, LIMIT_GPUS);
+    users_probe (w);
+    limits_submit (w, work, G_N_ELEMENTS (work));
+    troubles_plan (w, day, G_N_ELEMENTS (day));
+    world_run (w, DAY_S);
+    check_done (w);
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
+/* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
+static GLogWriterOutput
+verbose (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
+{
+  for (gsize i = 0; i < n; i++)
+    if (g_str_equal (f[i].key, "MESSAGE"))
+      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *)f[i].value);
+  return G_LOG_WRITER_HANDLED;
+}
+
+static GLogWriterOutput
+silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
+{
+  return G_LOG_WRITER_HANDLED;
+}
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (renting),        cmocka_unit_test (gang_in_a_stream),
+      cmocka_unit_test (order),          cmocka_unit_test (gang_without_machines),
+      cmocka_unit_test (leader_changes),
+  };
+  g_log_set_writer_func (g_getenv ("HR_SIM_VERBOSE") ? verbose : silent, NULL, NULL);
+  for (guint i = 0; argc == 2 && i < G_N_ELEMENTS (tests); i++)
+    if (g_str_equal (tests[i].name, argv[1])) {
+      const struct CMUnitTest part[] = {tests[i]};
+      return cmocka_run_group_tests_name (argv[1], part, NULL, NULL);
+    }
+  return argc == 2 ? 2 : cmocka_run_group_tests (tests, NULL, NULL);
+}
