A guarantee keeps others waiting for a bounded time; dispatch and limits in smaller files

A job within its team's guarantee that no machine was there for kept every other team from borrowing, beside machines with room, for ever.

--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -72,6 +72,9 @@
   double gang_start; /* planned common start of a gang, steady time */
   guint planned;     /* tasks standing in lists */
   gboolean entitled; /* within its team's guarantee, together with the team's earlier jobs */
+  gboolean claims;   /* and others borrow nothing while it waits */
+  double claim_since, claim_from,
+      claim_pause; /* it has claimed since; not before; pause till then */
   /* Of its team's limit (limits.c). */
   guint grant;       /* tasks that may start in this pass */
   double granted_at; /* it could have started something since; 0: it cannot */
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -247,17 +247,11 @@
   return blocked;
 }
 
-/* A task that stands in a list, and when it should be done there. */
-typedef struct {
-  HrRef r;
-  double end;
-} Listed;
-
 static int
 by_deadline (gconstpointer a, gconstpointer b, gpointer data)
 {
   HrCore *c = data;
-  const HrRef *x = &((const Listed *)a)->r, *y = &((const Listed *)b)->r;
+  const HrRef *x = &((const HrListedTask *)a)->task, *y = &((const HrListedTask *)b)->task;
   const HrJob *p = c->jobs->pdata[x->job], *q = c->jobs->pdata[y->job];
   if (p->deadline != q->deadline)
     return p->deadline < q->deadline ? -1 : 1;
@@ -283,27 +277,18 @@
 start_from_any (HrCore *c, GHashTable *blocked)
 {
   g_autoptr (GPtrArray) rooms = roomy (c);
-  g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (Listed));
-  for (guint i = 0; i < c->fleet->len && rooms->len; i++) {
-    HrMachine *m = c->fleet->pdata[i];
-    if (!m->list->len)
-      continue;
-    g_autofree double *starts = g_new (double, m->list->len);
-    hr_project (c, m, starts);
-    for (guint k = 0; k < m->list->len; k++) {
-      HrRef r = g_array_index (m->list, HrRef, k);
-      HrJob *j = c->jobs->pdata[r.job];
-      Listed l = {r, starts[k] + hr_estimate (c, j, m)};
-      if (j->spec.shape == HR_BATCH)
-        g_array_append_val (all, l);
-    }
-  }
+  g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (HrListedTask));
+  for (guint i = 0; i < c->fleet->len && rooms->len; i++)
+    hr_list_append (c, c->fleet->pdata[i], all);
+  for (guint i = all->len; i > 0; i--)
+    if (hr_listed_job (c, all, i - 1)->spec.shape != HR_BATCH)
+      g_array_remove_index_fast (all, i - 1);
   g_array_sort_with_data (all, by_deadline, c);
   guint32 without = HR_NONE; /* the job whose last task found no room: nor will the next */
   for (guint i = 0; i < all->len; i++) {
-    Listed *l = &g_array_index (all, Listed, i);
-    HrRef r = l->r;
-    HrJob *j = c->jobs->pdata[r.job];
+    const HrListedTask *l = &g_array_index (all, HrListedTask, i);
+    HrRef r = l->task;
+    HrJob *j = hr_listed_job (c, all, i);
     HrMachine *best = NULL;
     if (r.job == without || !hr_team_allows (c, j, 1))
       continue;
@@ -317,7 +302,7 @@
     }
     if (!best)
       without = r.job;
-    else if (c->now + hr_estimate (c, j, best) < l->end)
+    else if (c->now + hr_estimate (c, j, best) < l->start + hr_estimate (c, j, l->machine))
       start (c, j, r.task, best, next_try (&j->tasks[r.task]));
   }
 }
@@ -331,20 +316,28 @@
   return hr_by_submission (a, b);
 }
 
-/* What a team is guaranteed it gets from those that run beyond theirs. Gangs of several tasks
- * begin when all their places are there, so a part of them makes room for nothing. */
-static void
-make_guaranteed_room (HrCore *c, HrRoom *rooms)
+/* The room of all machines, those that boot first. booting: how many do. */
+static HrRoom *
+rooms_of (HrCore *c, guint *booting)
 {
-  for (guint i = 0; c->entitled_waits && i < c->open->len; i++) {
-    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
-    if (!j->entitled || j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
-        c->now < j->retry_at)
-      continue;
-    for (guint32 k = j->nlive + j->ndone; k < j->ntasks; k++)
-      if (!hr_preempt (c, j, rooms, TRUE))
-        break;
+  guint n = c->fleet->len;
+  HrRoom *rooms = g_new0 (HrRoom, n + 1);
+  *booting = 0;
+  for (guint i = 0, up = n; i < n; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    HrRoom *r = &rooms[m->state == HR_M_BOOTING ? (*booting)++ : --up];
+    *r = (HrRoom){m, m->cpus, m->gpus, m->mem, FALSE};
+    for (guint k = 0; k < m->tasks->len; k++) {
+      HrRef x = g_array_index (m->tasks, HrRef, k);
+      HrJob *j = c->jobs->pdata[x.job];
+      if (j->tasks[x.task].kill) {
+        r->cpus += j->spec.cpus;
+        r->gpus += j->spec.gpus;
+        r->mem += j->spec.mem;
+      }
+    }
   }
+  return rooms;
 }
 
 void
@@ -378,23 +371,8 @@
   start_from_any (c, blocked);
   hr_limits_make_room (c);
 
-  /* Machines that boot come first. */
-  g_autofree HrRoom *rooms = g_new0 (HrRoom, n + 1);
-  guint booting = 0;
-  for (guint i = 0, up = n; i < n; i++) {
-    HrMachine *m = c->fleet->pdata[i];
-    HrRoom *r = &rooms[m->state == HR_M_BOOTING ? booting++ : --up];
-    *r = (HrRoom){m, m->cpus, m->gpus, m->mem, FALSE};
-    for (guint k = 0; k < m->tasks->len; k++) {
-      HrRef x = g_array_index (m->tasks, HrRef, k);
-      HrJob *j = c->jobs->pdata[x.job];
-      if (j->tasks[x.task].kill) {
-        r->cpus += j->spec.cpus;
-        r->gpus += j->spec.gpus;
-        r->mem += j->spec.mem;
-      }
-    }
-  }
+  guint booting;
+  g_autofree HrRoom *rooms = rooms_of (c, &booting);
   c->booting = booting;
   g_autoptr (GArray) needs = hr_rent_begin ();
   for (guint i = 0; i < services->len; i++) {
@@ -411,7 +389,7 @@
         hr_rent_need (c, rooms, booting, &at, needs, j);
     }
   }
-  make_guaranteed_room (c, rooms);
+  hr_team_make_room (c, rooms);
   hr_rent_headroom (c, rooms, n, needs);
   hr_rent_for_lists (c, rooms, booting, needs);
   hr_rent_end (c, needs);
--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -7,8 +7,8 @@
  * running work makes room for that job, or what fits beside it then (EASY backfilling: Lifka,
  * The ANL/IBM SP scheduling system). */
 #include "coordination/limits.h"
+#include "coordination/amount.h"
 #include "coordination/room.h"
-#include <math.h>
 
 /* A job keeps its grant for so long without a start, s: with places in lists (a boot, mostly),
  * and where no machine of the fleet has one. Then its share is lent, for a pause that doubles:
@@ -19,55 +19,6 @@
 #define LENT_MOST_S 240.0
 /* A job that a reservation alone has held back for so long gets one start, s. */
 #define KEPT_OUT_S 60.0
-/* Work of lower rank is stopped for a job that is no service where the limit would not let it
- * start within so long, s: what is stopped loses work. */
-#define PATIENCE_S 10.0
-/* From a stop order to the report that shows the task gone, s. */
-#define STOP_S 2.0
-
-static HrAmount
-amount_of (const HrJobSpec *s, guint n)
-{
-  return (HrAmount){n * s->cpus, n * s->gpus};
-}
-
-static void
-add (HrAmount *a, HrAmount b)
-{
-  a->cpus += b.cpus;
-  a->gpus += b.gpus;
-}
-
-static void
-take (HrAmount *a, HrAmount b)
-{
-  a->cpus -= b.cpus;
-  a->gpus -= b.gpus;
-}
-
-static gboolean
-holds (HrAmount a, HrAmount b)
-{
-  return b.cpus <= a.cpus + 1e-6 && b.gpus <= a.gpus + 1e-6;
-}
-
-static HrAmount
-least_of (HrAmount a, HrAmount b)
-{
-  return (HrAmount){MIN (a.cpus, b.cpus), MIN (a.gpus, b.gpus)};
-}
-
-/* How many times it fits, at most n. */
-static guint
-times (HrAmount a, HrAmount one, guint n)
-{
-  double most = n;
-  if (one.cpus > 0)
-    most = MIN (most, floor ((a.cpus + 1e-6) / one.cpus));
-  if (one.gpus > 0)
-    most = MIN (most, floor ((a.gpus + 1e-6) / one.gpus));
-  return most > 0 ? most : 0;
-}
 
 HrTeamUse *
 hr_team_use (HrCore *c, guint32 team)
@@ -98,23 +49,23 @@
     /* Its tasks may be anywhere; none is known. */
     if (j->unreadable && c->now < j->retry_at)
       n = j->ntasks - j->ndone;
-    add (&u->used, amount_of (&j->spec, n));
+    hr_amount_add (&u->used, hr_amount_of (&j->spec, n));
     if (j->stance != HR_QUEUED || !j->tasks || !u->limited)
       continue;
     for (guint32 k = 0; k < j->ntasks && j->nlive; k++)
       if (j->tasks[k].state == HR_T_BOUND && j->tasks[k].kill)
-        add (&u->ending, amount_of (&j->spec, 1));
+        hr_amount_add (&u->ending, hr_amount_of (&j->spec, 1));
   }
   for (guint i = 0; i < c->teams->len; i++) {
     HrTeamUse *u = &g_array_index (c->teams, HrTeamUse, i);
     u->left = u->limited ? u->limit : (HrAmount){INFINITY, INFINITY};
-    take (&u->left, u->used);
+    hr_amount_take (&u->left, u->used);
     u->beside = u->left;
   }
 }
 
-static guint
-idle_tasks (const HrJob *j)
+guint
+hr_limits_idle (const HrJob *j)
 {
   return j->ntasks - MIN (j->ntasks, j->nlive + j->ndone);
 }
@@ -122,16 +73,16 @@
 static gboolean
 waits (const HrCore *c, const HrJob *j)
 {
-  return j->stance == HR_QUEUED && j->tasks && !j->gang_over && idle_tasks (j) &&
+  return j->stance == HR_QUEUED && j->tasks && !j->gang_over && hr_limits_idle (j) &&
          c->now >= j->retry_at;
 }
 
 /* What starts at once or not at all: a gang; of other jobs, and of a gang that lost tasks
  * before its start, one task. */
-static guint
-unit (const HrJob *j)
+guint
+hr_limits_unit (const HrJob *j)
 {
-  return j->spec.shape == HR_GANG && !j->nlive ? idle_tasks (j) : 1;
+  return j->spec.shape == HR_GANG && !j->nlive ? hr_limits_idle (j) : 1;
 }
 
 /* A gang that lost a task occupies the places of the others meanwhile, so it goes first. */
@@ -179,7 +130,7 @@
 {
   HrMachine *m = c->machines->pdata[t->machine];
   if (t->state == HR_T_BOUND && (t->kill || j->stance != HR_QUEUED))
-    return c->now + (hr_reachable (c, m) ? t->grace + STOP_S : hr_absence_lease (c));
+    return c->now + (hr_reachable (c, m) ? t->grace + STOP_AND_START_S : hr_absence_lease (c));
   return hr_running_end (c, j, t, m);
 }
 
@@ -188,7 +139,7 @@
 reserve (HrCore *c, HrTeamUse *u, const HrJob *head)
 {
   g_autoptr (GArray) releases = g_array_new (FALSE, FALSE, sizeof (Release));
-  HrAmount need = amount_of (&head->spec, unit (head)), room = u->left;
+  HrAmount need = hr_amount_of (&head->spec, hr_limits_unit (head)), room = u->left;
   u->reserved = TRUE;
   u->shadow = INFINITY;
   for (guint i = 0; i < c->open->len; i++) {
@@ -199,7 +150,7 @@
       const HrTask *t = &j->tasks[k];
       if (t->state != HR_T_ASSIGNING && t->state != HR_T_BOUND)
         continue;
-      Release r = {release_at (c, j, t), amount_of (&j->spec, 1)};
+      Release r = {release_at (c, j, t), hr_amount_of (&j->spec, 1)};
       g_array_append_val (releases, r);
     }
   }
@@ -208,13 +159,13 @@
     const Release *r = &g_array_index (releases, Release, i);
     if (!isfinite (r->end))
       break;
-    add (&room, r->amount);
-    if (holds (room, need))
+    hr_amount_add (&room, r->amount);
+    if (hr_amount_holds (room, need))
       u->shadow = r->end;
   }
   if (isfinite (u->shadow)) {
-    take (&room, need);
-    u->beside = least_of (u->left, room);
+    hr_amount_take (&room, need);
+    u->beside = hr_amount_least (u->left, room);
   }
 }
 
@@ -238,11 +189,11 @@
 static void
 grant (HrCore *c, HrTeamUse *u, HrJob *j)
 {
-  guint size = unit (j), most = idle_tasks (j) / size;
-  HrAmount one = amount_of (&j->spec, size);
+  guint size = hr_limits_unit (j), most = hr_limits_idle (j) / size;
+  HrAmount one = hr_amount_of (&j->spec, size);
   gboolean behind = u->reserved && c->now + run_time (c, j) > u->shadow;
-  guint n = times (behind ? least_of (u->left, u->beside) : u->left, one, most);
-  if (behind && !n && times (u->left, one, 1)) {
+  guint n = hr_amount_times (behind ? hr_amount_least (u->left, u->beside) : u->left, one, most);
+  if (behind && !n && hr_amount_times (u->left, one, 1)) {
     if (!j->kept_since)
       j->kept_since = c->now;
     n = c->now - j->kept_since > KEPT_OUT_S;
@@ -255,10 +206,10 @@
   else if (!j->granted_at)
     j->granted_at = c->now;
   if (n && !j->lent) {
-    HrAmount all = amount_of (&j->spec, j->grant);
-    take (&u->left, all);
+    HrAmount all = hr_amount_of (&j->spec, j->grant);
+    hr_amount_take (&u->left, all);
     if (behind || !u->reserved)
-      take (&u->beside, all);
+      hr_amount_take (&u->beside, all);
   }
   if (n < most && !u->reserved && !j->lent)
     reserve (c, u, j);
@@ -276,13 +227,13 @@
         continue;
       for (guint t = 0; t < c->teams->len && n < wanted; t++) {
         HrTeamUse *u = &g_array_index (c->teams, HrTeamUse, t);
-        HrAmount one = {s->cpus, s->gpus}, room = least_of (u->left, u->beside);
+        HrAmount one = {s->cpus, s->gpus}, room = hr_amount_least (u->left, u->beside);
         if (!(s->teams >> t % 64 & 1))
           continue;
-        guint more = u->limited ? times (room, one, wanted - n) : wanted - n;
+        guint more = u->limited ? hr_amount_times (room, one, wanted - n) : wanted - n;
         HrAmount all = {more * one.cpus, more * one.gpus};
-        take (&u->left, all);
-        take (&u->beside, all);
+        hr_amount_take (&u->left, all);
+        hr_amount_take (&u->beside, all);
         n += more;
       }
       s->headroom = n;
@@ -318,9 +269,10 @@
 hr_limits_started (HrCore *c, HrJob *j)
 {
   HrTeamUse *u = hr_team_use (c, j->spec.team);
-  add (&u->used, amount_of (&j->spec, 1));
+  hr_amount_add (&u->used, hr_amount_of (&j->spec, 1));
   j->grant -= j->grant > 0;
   j->granted_at = j->kept_since = j->lent_until = j->lent_pause = 0;
+  j->claim_since = j->claim_pause = 0;
 }
 
 guint
@@ -330,119 +282,6 @@
   if (!u->limited)
     return G_MAXUINT;
   HrAmount now = u->limit;
-  take (&now, u->used);
-  return times (now, amount_of (&j->spec, 1), j->grant);
-}
-
-/* What the team runs on a machine at a lower rank than the job's. */
-typedef struct {
-  HrMachine *m;
-  double loss; /* of work, a task */
-  guint n;
-} Stoppable;
-
-static gboolean
-may_stop (const HrCore *c, const HrJob *victim, guint32 task, const HrJob *j)
-{
-  const HrTask *t = &victim->tasks[task];
-  return victim->spec.team == j->spec.team && hr_job_rank (victim) > hr_job_rank (j) &&
-         victim->stance == HR_QUEUED && !victim->gang_over && t->state == HR_T_BOUND && !t->kill;
-}
-
-static int
-by_loss (gconstpointer a, gconstpointer b)
-{
-  double x = ((const Stoppable *)a)->loss, y = ((const Stoppable *)b)->loss;
-  return x < y ? -1 : x > y;
-}
-
-/* The machines with such work, those first where least is lost: stopped machine by machine,
- * it leaves room that a large task fits in. */
-static GArray *
-stoppable (HrCore *c, const HrJob *j, HrAmount *all)
-{
-  GArray *found = g_array_new (FALSE, FALSE, sizeof (Stoppable));
-  *all = (HrAmount){0, 0};
-  for (guint i = 0; i < c->fleet->len; i++) {
-    Stoppable s = {c->fleet->pdata[i], 0, 0};
-    for (guint k = 0; k < s.m->tasks->len; k++) {
-      HrRef r = g_array_index (s.m->tasks, HrRef, k);
-      const HrJob *victim = c->jobs->pdata[r.job];
-      if (!may_stop (c, victim, r.task, j))
-        continue;
-      add (all, amount_of (&victim->spec, 1));
-      s.loss += hr_stop_loss (c, victim, &victim->tasks[r.task]);
-      s.n++;
-    }
-    if (!s.n)
-      continue;
-    s.loss /= s.n;
-    g_array_append_val (found, s);
-  }
-  g_array_sort (found, by_loss);
-  return found;
-}
-
-/* Stops work until the pool holds the need. What is stopped joins the pool. */
-static gboolean
-stop_lower (HrCore *c, HrJob *j, HrAmount *pool, HrAmount need)
-{
-  HrAmount all;
-  g_autoptr (GArray) found = stoppable (c, j, &all);
-  add (&all, *pool);
-  if (!holds (all, need))
-    return FALSE;
-  for (guint i = 0; i < found->len && !holds (*pool, need); i++) {
-    HrMachine *m = g_array_index (found, Stoppable, i).m;
-    for (guint k = 0; k < m->tasks->len && !holds (*pool, need);) {
-      HrRef r = g_array_index (m->tasks, HrRef, k);
-      HrJob *victim = c->jobs->pdata[r.job];
-      if (!may_stop (c, victim, r.task, j)) {
-        k++;
-        continue;
-      }
-      g_info ("%s/%u on %s makes room for %s within their team's limit", victim->id, r.task,
-              m->name, j->id);
-      add (pool, amount_of (&victim->spec, victim->spec.shape == HR_GANG ? victim->nlive : 1));
-      hr_stop_for_room (c, victim, r.task);
-      k = 0; /* a gang's other tasks may have left the machine */
-    }
-  }
-  return holds (*pool, need);
-}
-
-/* Stops what the job's tasks without a grant need, as far as that is enough for them. */
-static void
-make_room (HrCore *c, HrTeamUse *u, HrJob *j)
-{
-  guint size = unit (j), idle = idle_tasks (j);
-  HrAmount need = amount_of (&j->spec, size);
-  gboolean soon = j->spec.shape != HR_SERVICE && u->shadow - c->now <= PATIENCE_S;
-  take (&u->pool, amount_of (&j->spec, j->grant));
-  for (guint n = idle - MIN (j->grant, idle); n >= size && !u->short_of; n -= size) {
-    /* What is stopped for a later job would go to this one, or be filled by shorter work and
-     * stopped again. */
-    if (!holds (u->pool, need) && (soon || !stop_lower (c, j, &u->pool, need)))
-      u->short_of = TRUE;
-    else
-      take (&u->pool, need);
-  }
-}
-
-void
-hr_limits_make_room (HrCore *c)
-{
-  for (guint i = 0; i < c->teams->len; i++) {
-    HrTeamUse *u = &g_array_index (c->teams, HrTeamUse, i);
-    u->pool = u->limited ? u->limit : (HrAmount){INFINITY, INFINITY};
-    take (&u->pool, u->used);
-    add (&u->pool, u->ending);
-  }
-  for (guint i = 0; i < c->waiting->len; i++) {
-    HrJob *j = c->waiting->pdata[i];
-    HrTeamUse *u = hr_team_use (c, j->spec.team);
-    /* One that is lent lacks a machine, and others use its share meanwhile. */
-    if (!u->short_of && !j->lent)
-      make_room (c, u, j);
-  }
+  hr_amount_take (&now, u->used);
+  return hr_amount_times (now, hr_amount_of (&j->spec, 1), j->grant);
 }
--- a/src/coordination/limits.h
+++ b/src/coordination/limits.h
@@ -10,4 +10,9 @@
 guint hr_limits_grant (HrCore *c, const HrJob *j);
 /* Stops work of lower rank for jobs that their own team's limit holds back. */
 void hr_limits_make_room (HrCore *c);
+/* Tasks of the job that are neither on a machine nor done, and how many of them start at once
+ * or not at all. */
+guint hr_limits_idle (const HrJob *j);
+guint hr_limits_unit (const HrJob *j);
+/* The team, as counted in this pass. */
 HrTeamUse *hr_team_use (HrCore *c, guint32 team);
--- a/src/coordination/project.c
+++ b/src/coordination/project.c
@@ -1,5 +1,6 @@
 /* Where a task may go, how long it takes there, and what a list comes to. */
 #include "coordination/plan.h"
+#include "coordination/room.h"
 #include <math.h>
 
 HrJob *
@@ -240,3 +241,22 @@
   }
   return !j->spec.spread || here < (j->ntasks + 1) / 2;
 }
+
+void
+hr_list_append (HrCore *c, HrMachine *m, GArray *listed)
+{
+  if (!m->list->len)
+    return;
+  double *starts = hr_scratch (m->list->len);
+  hr_project (c, m, starts);
+  for (guint k = 0; k < m->list->len; k++) {
+    HrListedTask t = {g_array_index (m->list, HrRef, k), m, starts[k]};
+    g_array_append_val (listed, t);
+  }
+}
+
+HrJob *
+hr_listed_job (HrCore *c, GArray *listed, guint i)
+{
+  return hr_job_of (c, g_array_index (listed, HrListedTask, i).task);
+}
--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -200,6 +200,7 @@
   double boot = boot_time (c) * c->pol.rent_slack;
   guint n = c->fleet->len;
   g_autofree guint *first = g_new0 (guint, n + 1);
+  g_autoptr (GArray) listed = g_array_new (FALSE, FALSE, sizeof (HrListedTask));
   for (guint i = 0; i < n; i++) {
     HrMachine *m = rooms[i].m;
     HrRoom free = {m, m->cpus - m->foreign_cpus - m->claim_cpus,
@@ -211,16 +212,17 @@
     HrMachine *m = rooms[i].m;
     if (first[i] >= m->list->len)
       continue;
-    g_autofree double *starts = g_new (double, m->list->len);
-    hr_project (c, m, starts);
-    for (guint k = first[i]; k < m->list->len; k++) {
-      HrJob *j = c->jobs->pdata[g_array_index (m->list, HrRef, k).job];
-      double end = starts[k] + hr_estimate (c, j, m) - c->now + c->wall;
+    g_array_set_size (listed, 0);
+    hr_list_append (c, m, listed);
+    for (guint k = first[i]; k < listed->len; k++) {
+      HrJob *j = hr_listed_job (c, listed, k);
+      double starts_in = g_array_index (listed, HrListedTask, k).start - c->now;
+      double end = c->wall + starts_in + hr_estimate (c, j, m);
       gboolean limited = hr_team_use (c, j->spec.team)->limited;
       /* A machine is rented where it would start the task sooner, and the plan is late. Of what
        * a limit lets start now, nothing waits for the team's own work to end: that work's end
        * makes room for the next, and this share of the limit would stay unused. */
-      if (starts[k] - c->now <= (limited ? boot * LIMITED_SLACK : boot) ||
+      if (starts_in <= (limited ? boot * LIMITED_SLACK : boot) ||
           (end <= j->deadline && j->spec.shape != HR_GANG))
         continue;
       HrCursor at = {0};
--- a/src/coordination/room.h
+++ b/src/coordination/room.h
@@ -24,9 +24,21 @@
 gboolean hr_room_take (HrRoom *r, double cpus, double gpus, double mem);
 /* Up, and heard of late. */
 gboolean hr_reachable (const HrCore *c, const HrMachine *m);
+/* What a team is guaranteed it gets from those that run beyond theirs. */
+void hr_team_make_room (HrCore *c, HrRoom *rooms);
 /* Does the team run more than it is guaranteed, or would n more tasks stay within? */
 gboolean hr_team_beyond (HrCore *c, const HrJob *j, guint n);
 int hr_by_submission (gconstpointer a, gconstpointer b); /* for arrays of HrJob */
+/* A task in a machine's list, and when it should start there. */
+typedef struct {
+  HrRef task;
+  HrMachine *machine;
+  double start;
+} HrListedTask;
+
+/* Appends the machine's list, as projected. */
+void hr_list_append (HrCore *c, HrMachine *m, GArray *listed);
+HrJob *hr_listed_job (HrCore *c, GArray *listed, guint i);
 HrMachine *hr_swap_for_image (HrCore *c, HrJob *j);
 /* What is lost when the task stops now, s. */
 double hr_stop_loss (HrCore *c, const HrJob *v, const HrTask *t);
--- a/src/coordination/teams.c
+++ b/src/coordination/teams.c
@@ -11,6 +11,35 @@
   return x->idx < y->idx ? -1 : x->idx > y->idx;
 }
 
+/* What a job within its team's guarantee may keep others waiting for, s: by then what was
+ * stopped for it is gone, or no machine is to be had. The pause that follows doubles. */
+#define CLAIM_S 60.0
+#define CLAIM_PAUSE_S 30.0
+#define CLAIM_PAUSE_MOST_S 240.0
+
+/* May the others borrow nothing, as this job waits? */
+static gboolean
+claims_room (HrCore *c, HrJob *j)
+{
+  if (!j->entitled || j->nlive + j->ndone >= j->ntasks || c->now < j->retry_at ||
+      !hr_limits_grant (c, j)) {
+    j->claim_since = 0;
+    return FALSE;
+  }
+  if (c->now < j->claim_from)
+    return FALSE;
+  if (!j->claim_since)
+    j->claim_since = c->now;
+  if (c->now - j->claim_since <= CLAIM_S)
+    return TRUE;
+  j->claim_since = 0;
+  j->claim_pause = CLAMP (2 * j->claim_pause, CLAIM_PAUSE_S, CLAIM_PAUSE_MOST_S);
+  j->claim_from = c->now + j->claim_pause;
+  g_message ("%s is within its team's guarantee and finds no machine; others go on for %.0f s",
+             j->id, j->claim_pause);
+  return FALSE;
+}
+
 /* Marks the jobs that fit into their team's guarantee together with its earlier unfinished
  * ones: they need not wait for other teams. With one team there is nobody to wait for. */
 void
@@ -22,7 +51,7 @@
   g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
-    j->entitled = FALSE;
+    j->entitled = j->claims = FALSE;
     if (j->stance == HR_QUEUED && j->tasks)
       g_ptr_array_add (jobs, j);
   }
@@ -37,12 +66,28 @@
       cpus += (j->ntasks - j->ndone) * j->spec.cpus;
       gpus += (j->ntasks - j->ndone) * j->spec.gpus;
       j->entitled = cpus <= t->cpus + 1e-6 && gpus <= t->gpus + 1e-6;
-      c->entitled_waits |= j->entitled && j->nlive + j->ndone < j->ntasks &&
-                           c->now >= j->retry_at && hr_limits_grant (c, j);
+      j->claims = claims_room (c, j);
+      c->entitled_waits |= j->claims;
     }
   }
 }
 
+/* What a team is guaranteed it gets from those that run beyond theirs. Gangs of several tasks
+ * begin when all their places are there, so a part of them makes room for nothing. */
+void
+hr_team_make_room (HrCore *c, HrRoom *rooms)
+{
+  for (guint i = 0; c->entitled_waits && i < c->open->len; i++) {
+    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    if (!j->claims || j->stance != HR_QUEUED || j->spec.shape == HR_SERVICE || j->gang_over ||
+        c->now < j->retry_at)
+      continue;
+    for (guint32 k = j->nlive + j->ndone; k < j->ntasks; k++)
+      if (!hr_preempt (c, j, rooms, TRUE))
+        break;
+  }
+}
+
 /* May n more tasks of the job be on machines, as far as limits and guarantees go? */
 gboolean
 hr_team_allows (HrCore *c, const HrJob *j, guint n)
--- a/tests/sim/limits.c
+++ b/tests/sim/limits.c
@@ -16,6 +16,7 @@
   j->rank = plan->rank;
   j->due = plan->due_s;
   j->large = plan->large;
+  j->team = plan->team;
   job_submit (w, j);
 }
 
@@ -34,7 +35,7 @@
 stream_gang (World *w, gpointer p)
 {
   Stream *s = p;
-  HrLimitJob gang = {w->now, HR_GANG, 1, s->run_s * w_rand (w, 0.8, 1.2), NULL, 0, FALSE};
+  HrLimitJob gang = {w->now, HR_GANG, 1, s->run_s * w_rand (w, 0.8, 1.2), NULL, 0, FALSE, NULL};
   submit_planned (w, &gang);
   if (w->now + s->gap_s < s->to)
     w_at (w, w->now + s->gap_s, stream_gang, s);
--- a/tests/sim/limits.h
+++ b/tests/sim/limits.h
@@ -12,6 +12,7 @@
   const char *rank; /* NULL: as its shape has it */
   double due_s;
   gboolean large;
+  const char *team; /* NULL: the first one */
 } HrLimitJob;
 
 void limits_submit (World *w, const HrLimitJob *jobs, guint n);
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -60,10 +60,10 @@
 renting (void **state)
 {
   static const HrLimitJob work[] = {
-      {5, HR_BATCH, 60, 40, NULL, 0, FALSE},  {6, HR_BATCH, 60, 40, NULL, 0, FALSE},
-      {7, HR_GANG, 4, 40, NULL, 0, FALSE},    {8, HR_GANG, 2, 40, NULL, 0, FALSE},
-      {20, HR_BATCH, 80, 30, NULL, 0, FALSE}, {60, HR_GANG, 6, 40, NULL, 0, FALSE},
-      {90, HR_BATCH, 60, 40, NULL, 0, FALSE}, {120, HR_SERVICE, 4, 0, NULL, 0, FALSE},
+      {5, HR_BATCH, 60, 40, NULL, 0, FALSE, NULL},  {6, HR_BATCH, 60, 40, NULL, 0, FALSE, NULL},
+      {7, HR_GANG, 4, 40, NULL, 0, FALSE, NULL},    {8, HR_GANG, 2, 40, NULL, 0, FALSE, NULL},
+      {20, HR_BATCH, 80, 30, NULL, 0, FALSE, NULL}, {60, HR_GANG, 6, 40, NULL, 0, FALSE, NULL},
+      {90, HR_BATCH, 60, 40, NULL, 0, FALSE, NULL}, {120, HR_SERVICE, 4, 0, NULL, 0, FALSE, NULL},
   };
   const guint needed = LIMIT_GPUS / MACHINE_GPUS;
   guint broken = 0;
@@ -84,7 +84,7 @@
 static void
 gang_in_a_stream (void **state)
 {
-  static const HrLimitJob gang[] = {{60, HR_GANG, 6, 25, NULL, 0, TRUE}};
+  static const HrLimitJob gang[] = {{60, HR_GANG, 6, 25, NULL, 0, TRUE, NULL}};
   guint broken = 0;
   for (guint32 s = 1210; s < 1214; s++) {
     World *w = world_with_limit (s, LIMIT_GPUS / 2);
@@ -109,9 +109,11 @@
 order (void **state)
 {
   static const HrLimitJob work[] = {
-      {5, HR_BATCH, 24, 250, "low", 900, FALSE},    {120, HR_GANG, 2, 30, NULL, 0, FALSE},
-      {200, HR_SERVICE, 3, 0, NULL, 0, FALSE},      {260, HR_BATCH, 60, 40, "normal", 800, FALSE},
-      {263, HR_BATCH, 20, 40, "normal", 60, FALSE},
+      {5, HR_BATCH, 24, 250, "low", 900, FALSE, NULL},
+      {120, HR_GANG, 2, 30, NULL, 0, FALSE, NULL},
+      {200, HR_SERVICE, 3, 0, NULL, 0, FALSE, NULL},
+      {260, HR_BATCH, 60, 40, "normal", 800, FALSE, NULL},
+      {263, HR_BATCH, 20, 40, "normal", 60, FALSE, NULL},
   };
   guint broken = 0;
   for (guint32 s = 1220; s < 1224; s++) {
@@ -135,9 +137,9 @@
 gang_without_machines (void **state)
 {
   static const HrLimitJob work[] = {
-      {5, HR_GANG, 10, 30, NULL, 0, TRUE},     {20, HR_BATCH, 8, 30, NULL, 0, FALSE},
-      {150, HR_BATCH, 8, 30, NULL, 0, FALSE},  {300, HR_GANG, 2, 30, NULL, 0, FALSE},
-      {450, HR_BATCH, 12, 30, NULL, 0, FALSE},
+      {5, HR_GANG, 10, 30, NULL, 0, TRUE, NULL},     {20, HR_BATCH, 8, 30, NULL, 0, FALSE, NULL},
+      {150, HR_BATCH, 8, 30, NULL, 0, FALSE, NULL},  {300, HR_GANG, 2, 30, NULL, 0, FALSE, NULL},
+      {450, HR_BATCH, 12, 30, NULL, 0, FALSE, NULL},
   };
   guint broken = 0;
   for (guint32 s = 1230; s < 1234; s++) {
@@ -156,16 +158,46 @@
   assert_int_equal (broken, 0);
 }
 
+/* A job within its team's guarantee that no machines are left for: others need not wait for it
+ * beside machines with room. */
+static void
+guarantee_without_machines (void **state)
+{
+  static const HrLimitJob work[] = {
+      {5, HR_GANG, 3, 30, NULL, 0, TRUE, "guests"},
+      {20, HR_BATCH, 6, 30, NULL, 0, FALSE, NULL},
+      {150, HR_GANG, 1, 30, NULL, 0, FALSE, NULL},
+      {300, HR_BATCH, 6, 30, NULL, 0, FALSE, NULL},
+  };
+  guint broken = 0;
+  for (guint32 s = 1250; s < 1254; s++) {
+    World *w = world_new (s, 3);
+    w->guarantee_gpus = 8;
+    w->capacity = 2;
+    world_restart (w);
+    users_init (w, 0, 0);
+    limits_submit (w, work, G_N_ELEMENTS (work));
+    world_run (w, DAY_S);
+    for (guint i = 0; i < w->jobs->len; i++) {
+      SJob *j = w->jobs->pdata[i];
+      if (!j->large && waited (w, j) > 90)
+        w_broken (w, "idle", "%s waits %.0f s beside a machine with room", j->id, waited (w, j));
+    }
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Every team is at its limit when machines cannot be asked or hang, jobs are cancelled in that
  * spell and the leader changes: what may still run holds its share until it is proven gone. */
 static void
 leader_changes (void **state)
 {
   static const HrLimitJob work[] = {
-      {5, HR_BATCH, 40, 60, NULL, 0, FALSE},  {6, HR_BATCH, 30, 60, NULL, 0, FALSE},
-      {7, HR_GANG, 3, 80, NULL, 0, FALSE},    {8, HR_GANG, 2, 80, NULL, 0, FALSE},
-      {60, HR_BATCH, 40, 60, NULL, 0, FALSE}, {62, HR_GANG, 4, 60, NULL, 0, FALSE},
-      {64, HR_BATCH, 30, 50, NULL, 0, FALSE}, {150, HR_GANG, 2, 60, NULL, 0, FALSE},
+      {5, HR_BATCH, 40, 60, NULL, 0, FALSE, NULL},  {6, HR_BATCH, 30, 60, NULL, 0, FALSE, NULL},
+      {7, HR_GANG, 3, 80, NULL, 0, FALSE, NULL},    {8, HR_GANG, 2, 80, NULL, 0, FALSE, NULL},
+      {60, HR_BATCH, 40, 60, NULL, 0, FALSE, NULL}, {62, HR_GANG, 4, 60, NULL, 0, FALSE, NULL},
+      {64, HR_BATCH, 30, 50, NULL, 0, FALSE, NULL}, {150, HR_GANG, 2, 60, NULL, 0, FALSE, NULL},
   };
   static const HrTrouble day[] = {
       {.at_s = 100, .kind = TROUBLE_MACHINE_CUT, .count = 5, .for_s = 30, .hold = TRUE},
@@ -208,8 +240,11 @@
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test (renting),        cmocka_unit_test (gang_in_a_stream),
-      cmocka_unit_test (order),          cmocka_unit_test (gang_without_machines),
+      cmocka_unit_test (renting),
+      cmocka_unit_test (gang_in_a_stream),
+      cmocka_unit_test (order),
+      cmocka_unit_test (gang_without_machines),
+      cmocka_unit_test (guarantee_without_machines),
       cmocka_unit_test (leader_changes),
   };
   g_log_set_writer_func (g_getenv ("HR_SIM_VERBOSE") ? verbose : silent, NULL, NULL);
