--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -80,6 +80,29 @@
   assert_int_equal (broken, 0);
 }
 
+/* Services arrive and find the limit used up: no room is kept for the next ones. */
+static void
+spare_room (void **state)
+{
+  static HrLimitJob work[24];
+  const guint needed = LIMIT_GPUS / MACHINE_GPUS;
+  guint broken = 0;
+  for (guint i = 0; i < G_N_ELEMENTS (work); i++)
+    work[i] = (HrLimitJob){5 + 4 * i, HR_SERVICE, 4, 0, NULL, 0, FALSE, NULL};
+  for (guint32 s = 1260; s < 1264; s++) {
+    World *w = world_with_limit (s, LIMIT_GPUS);
+    limits_submit (w, work, G_N_ELEMENTS (work));
+    world_run (w, 200);
+    guint up = 0;
+    for (guint i = 0; i < w->machines->len; i++)
+      up += !((SMachine *)w->machines->pdata[i])->gone;
+    if (up > needed + needed / 4)
+      w_broken (w, "rented", "%u machines are kept where %u hold all that may run", up, needed);
+    broken += verdict (w, s);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* A gang that wants the whole limit, beside a stream of small ones that alone nearly fills it. */
 static void
 gang_in_a_stream (void **state)
@@ -137,7 +160,7 @@
 gang_without_machines (void **state)
 {
   static const HrLimitJob work[] = {
-      {5, HR_GANG, 10, 30, NULL, 0, TRUE, NULL},     {20, HR_BATCH, 8, 30, NULL, 0, FALSE, NULL},
+      {5, HR_GANG, 12, 30, NULL, 0, TRUE, NULL},     {20, HR_BATCH, 8, 30, NULL, 0, FALSE, NULL},
       {150, HR_BATCH, 8, 30, NULL, 0, FALSE, NULL},  {300, HR_GANG, 2, 30, NULL, 0, FALSE, NULL},
       {450, HR_BATCH, 12, 30, NULL, 0, FALSE, NULL},
   };
@@ -241,6 +264,7 @@
 {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (renting),
+      cmocka_unit_test (spare_room),
       cmocka_unit_test (gang_in_a_stream),
       cmocka_unit_test (order),
       cmocka_unit_test (gang_without_machines),
