--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -83,6 +83,15 @@
   double gang_start; /* planned common start of a gang, steady time */
   guint planned;     /* tasks standing in lists */
   gboolean entitled; /* within its team's guarantee, together with the team's earlier jobs */
+  gboolean claims;   /* and others borrow nothing while it waits */
+  double claim_since, claim_from,
+      claim_pause; /* it has claimed since; not before; pause till then */
+  /* Of its team's limit (limits.c). */
+  guint grant;       /* tasks that may start in this pass */
+  double granted_at; /* it could have started something since; 0: it cannot */
+  gboolean lent;     /* others may use what it does not start with */
+  double lent_until, lent_pause;
+  double kept_since; /* only what is reserved for another holds it back since; 0: it does not */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
   double ends_at;    /* when its last task should end, steady time, as of the latest pass */
@@ -168,6 +177,8 @@
   HrRank rank;
   gboolean spot, seen;
   guint64 types;
+  guint64 teams;  /* whose jobs are of it: bits, by index modulo 64 */
+  guint headroom; /* tasks that room is kept for in this pass */
 } HrClassStat;
 
 void hr_job_free (HrJob *j);
