--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -190,7 +190,11 @@
   j->started = w->now;
   if (!j->first && j->shape != HR_GANG) /* a gang begins when all its tasks run */
     j->first = w->now;
-  w->started_withdrawn += j->heard_withdrawn > 0;
+  if (j->heard_withdrawn) {
+    w->started_withdrawn++;
+    g_debug ("%s/%u starts on %s %.3f s after its user heard that it is withdrawn", j->id, t->task,
+             m->name, w->now - j->told_withdrawn);
+  }
   if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
     w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
   if (m->spot && !j->spot)
