--- a/src/bookkeeping/dependencies.c
+++ b/src/bookkeeping/dependencies.c
@@ -13,10 +13,11 @@
 /* Tombstones of derived withdrawals that are begun in one tick. */
 #define TOMBSTONES_A_TICK 2
 
+/* As the ledger says: what a member told us of a job is not told on to those that await it. */
 static gboolean
 final (const HrJob *j)
 {
-  return j->known && j->stance != HR_QUEUED;
+  return j->known && j->stance != HR_QUEUED && !j->told;
 }
 
 static void
@@ -111,7 +112,7 @@
     derive_withdrawn (c, j, root);
   else if (j->stance == HR_WITHDRAWN && hr_job_waits (j))
     note_for_tombstone (c, j); /* it never was in the list of open jobs */
-  if (j->stance == HR_WITHDRAWN)
+  if (j->stance == HR_WITHDRAWN && !j->told)
     hr_dependencies_final (c, j);
   hr_urgency_read (c, j);
 }
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -57,6 +57,7 @@
   HrPage *pages;
   guint npages;
   gboolean shrunk;
+  gboolean told;       /* withdrawn, as a member told us; its record is still to be read */
   gboolean unreadable; /* what is recorded of its tasks could not be read: they may be anywhere */
   gboolean record_unreadable; /* its latest main record makes no sense: it may be in any state */
   /* Jobs that await others (dependencies.c). Rows live as long as the tables. */
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -266,11 +266,10 @@
   w->nodes[node].hold = FALSE;
 }
 
+/* Leases are to last until just before the cut ends. */
 static void
-all_away (World *w, gpointer p)
+watch_leases (World *w)
 {
-  for (int k = 0; k < w->n; k++)
-    store_away (w, k);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *m = w->machines->pdata[i];
     m->through_cut = m->up && !m->gone && !m->spot && m->tenure == 1;
@@ -278,6 +277,14 @@
   w_at (w, w->now + CUT_ALL_S - 2, still_held, NULL);
 }
 
+static void
+all_away (World *w, gpointer p)
+{
+  for (int k = 0; k < w->n; k++)
+    store_away (w, k);
+  watch_leases (w);
+}
+
 void
 faults_cut_from_store (World *w, double at)
 {
@@ -285,7 +292,8 @@
 }
 
 /* All but one node miss a withdrawal that this one confirms just before it is cut off too,
- * and perhaps restarts: its attestation must not keep the job's tasks alive. */
+ * and perhaps restarts: its attestation must not keep the job's tasks alive, but those of
+ * others, as long as it can name that job to the owner. */
 static void
 others_away (World *w, gpointer p)
 {
@@ -295,6 +303,8 @@
       store_away (w, k);
   if (GPOINTER_TO_INT (p) >= MAX_NODES)
     stumble (w, GINT_TO_POINTER (other));
+  else if (w->nodes[store_owner (w)].frozen <= w->now) /* else that costs leases by itself */
+    watch_leases (w);
 }
 
 static void
@@ -317,6 +327,40 @@
   w_at (w, at, missed_withdrawal, GINT_TO_POINTER (restart));
 }
 
+static void
+withdraw_elsewhere (World *w, gpointer p)
+{
+  int owner = store_owner (w);
+  for (int k = 0; k < w->n; k++)
+    if (k != owner)
+      users_withdraw_at (w, k);
+}
+
+static void
+outage_for_all (World *w, gpointer p)
+{
+  w->outage = w->now + CUT_ALL_S;
+  watch_leases (w);
+}
+
+static void
+withdrawal_gap (World *w, gpointer p)
+{
+  int owner = store_owner (w);
+  if (owner < 0)
+    return;
+  w->nodes[owner].refused = w->now + 14;
+  for (double t = 0.3; t < 1.5; t += 0.4)
+    w_at (w, w->now + t, withdraw_elsewhere, NULL);
+  w_at (w, w->now + 2, outage_for_all, NULL);
+}
+
+void
+faults_withdrawal_gap (World *w, double at)
+{
+  w_at (w, at, withdrawal_gap, NULL);
+}
+
 /* Nothing that runs may be given away because its reports do not reach the owner. */
 static void
 reached_again (World *w, gpointer p)
