--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -8,6 +8,18 @@
 
 typedef void (*WFn) (World *w, gpointer data);
 
+/* What becomes of one request, where a search decides it instead of the drawn losses. */
+typedef enum {
+  FATE_DELIVERED,
+  FATE_LOST,        /* never carried out */
+  FATE_ANSWER_LOST, /* carried out at once; its answer is lost */
+  FATE_LATE,        /* carried out seconds after its sender gave up */
+  FATE_COPIED,      /* carried out at once, and again later */
+  FATE_ENDS_BACK,   /* carried out; the controller concerned ends then, and is back at once */
+  FATE_ENDS_AWAY,   /* the same, and it stays away for longer than a leader's lease */
+  FATE_COUNT
+} WFate;
+
 /* A request on its way, to any server of the world, and its way back. */
 typedef struct {
   int node; /* asking controller, or -1: a worker or user asks a controller */
@@ -100,8 +112,10 @@
   guint64 heard_accepted, heard_done, heard_withdrawn;
   double accepted_at;
   gboolean large, forgotten, lost_place;
-  const char *team; /* NULL: the first one */
-  guint *done;      /* per task */
+  const char *team;     /* NULL: the first one */
+  GPtrArray *awaits;    /* SJob, or NULL */
+  gboolean no_deadline; /* also as an array */
+  guint *done;          /* per task */
   double *progress;
 } SJob;
 
@@ -132,9 +146,13 @@
   /* users */
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
+  guint named; /* jobs that have a name, submitted or not */
   guint streamed;
-  gboolean fickle;   /* users withdraw most jobs soon after they submit them */
-  double gang_image; /* GB, of the gangs of two */
+  gboolean fickle;            /* users withdraw most jobs soon after they submit them */
+  double gang_image;          /* GB, of the gangs of two */
+  double pipelines_cancelled; /* share of pipelines of which some job is withdrawn */
+  gboolean shock;             /* a withdrawal that was told is followed by the end of all nodes */
+  double shocked_at;
   /* judge */
   GPtrArray *broken; /* texts */
   guint starts;
@@ -148,6 +166,9 @@
   guint64 answers;         /* counts what users ask and hear: the one clock of answers */
   guint started_withdrawn; /* starts after a confirmed cancellation */
   guint invented_asked;
+  /* A search's choice for each request; NULL: losses are drawn. */
+  WFate (*choose) (World *w, const Req *r, gpointer data);
+  gpointer choose_data;
 };
 
 /* Who is at work, for logs. */
@@ -171,12 +192,17 @@
 void w_answer (World *w, Req *r, int status, char *body);
 void req_unref (Req *r);
 
+/* fate.c: lets the request meet that fate; it would reach its receiver at time t. */
+void w_meet_fate (World *w, Req *r, WFate fate, double t);
+
 void node_start (World *w, int i);
 void node_kill (World *w, int i);
 
 void store_request (World *w, Req *r);
 void store_init (World *w);
 gboolean store_names (World *w, const char *machine);
+/* The value of a key, as text. */
+const char *store_text (World *w, const char *key);
 guint store_garbage (World *w);
 guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
@@ -207,6 +233,7 @@
 typedef struct {
   SJob *job;
   guint64 sent; /* World.answers then */
+  double sent_at;
 } Question;
 Question *question_new (World *w, SJob *j);
 /* An answer of 200 or 201 to this question: nothing older than was heard before it was sent. */
@@ -242,6 +269,9 @@
 /* Gangs of which one task has its image at once, and others after more than gang_wait_s.
  * fickle: one more is withdrawn while it fetches. */
 void users_long_fetches (World *w, gboolean fickle);
+/* One array of equal tasks of `run` seconds each, sent in at `at`; withdrawn at `cancel_at` (0:
+ * never). */
+void users_array (World *w, guint tasks, double run, double at, double cancel_at);
 /* Services that run until the end, of small images. */
 void users_services (World *w, guint n, guint tasks, double at);
 /* The first team fills the fleet with long work; later the second one wants what it is
@@ -259,6 +289,9 @@
  */
 void users_stream (World *w, HrShape large, double from, double to);
 void users_free (World *w);
+/* A job that has only its name, and its submission once it is complete. */
+SJob *users_new_job (World *w);
+void users_submit (World *w, SJob *j);
 void judge_start (World *w, SMachine *m, STask *t);
 void judge_tick (World *w);
 SJob *job_by_id (World *w, const char *id, guint32 *index);
