--- /dev/null
+++ b/src/coordination/requests.h
@@ -0,0 +1,35 @@
+/* A user's request on its way to an answer, shared by users.c and submissions.c. */
+#pragma once
+#include "coordination/state.h"
+
+typedef enum { HR_REQUEST_POLL, HR_REQUEST_SUBMIT, HR_REQUEST_ABORT } HrRequestKind;
+typedef struct {
+  guint64 reply_id; /* of the command that it came with */
+  HrRequestKind kind;
+  char *id;
+  HrJobSpec spec;
+  GStrv awaits;   /* ids, or NULL */
+  guint per_page; /* tasks per page of its record; 0: they stand in the main record */
+  double asked;
+  guint tries;
+  char *tag;     /* of the write under way */
+  int refusal;   /* of a submission that can't be accepted: the status, if it is new */
+  char *why_not; /* and why */
+} HrUserRequest;
+
+void hr_request_free (HrUserRequest *request);
+/* The answers below take the request. */
+void hr_request_refuse_later (HrCore *c, HrUserRequest *request, int status, const char *why);
+void hr_request_answer (HrCore *c, HrUserRequest *request, HrJob *j, int status);
+/* Final states never change, so they need no reading. FALSE: the job is in none. */
+gboolean hr_request_answer_final (HrCore *c, HrUserRequest *request);
+/* For hr_follow_read: answers from what was read, or goes on with what is left to do. */
+void hr_request_on_read (HrCore *c, gboolean ok, gpointer request);
+/* How long its next write waits for an answer, in seconds. */
+double hr_request_timeout (const HrCore *c, const HrUserRequest *request);
+/* Was the write not carried out, or is that unknown, and is there time for another? The same write
+ * may be sent again at any time, for it holds on the record's stamp: whichever copy is carried out
+ * second fails. */
+gboolean hr_request_may_try_again (HrCore *c, HrUserRequest *request, int status);
+
+void hr_submit (HrCore *c, HrCommand *cmd);
--- /dev/null
+++ b/src/coordination/submissions.c
@@ -0,0 +1,182 @@
+/* Submissions: accepted when the first record of the job is written, or found. */
+#include "coordination/requests.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+/* A job that was accepted stays so whatever its repeated submission says, and a repetition is
+ * known by its id alone. Only a reading sent after it came tells that the job is new here, and
+ * not one that another node has accepted and this one has not followed yet. */
+static void
+refuse_if_new (HrCore *c, HrUserRequest *request, int status, const char *why)
+{
+  request->refusal = status;
+  request->why_not = g_strdup (why);
+  if (!hr_request_answer_final (c, request))
+    hr_follow_read (c, hr_request_on_read, request);
+}
+
+static void send_submit (HrCore *c, HrUserRequest *request);
+
+/* The job's first main record. */
+static char *
+first_record (HrCore *c, const HrUserRequest *request, guint per_page, const char *tag)
+{
+  return hr_record_first (&request->spec, (const char *const *)request->awaits, c->names,
+                          request->asked, per_page, tag);
+}
+
+/* Where the job's tasks stand. FALSE: what it awaits is more than a value of the state service
+ * holds, now or at its next limits; the main record is written many times, and has to fit. */
+static gboolean
+lay_out (HrCore *c, HrUserRequest *request)
+{
+  double limit_kb = c->set->value_kb;
+  guint per_page = hr_tasks_per_page (limit_kb);
+  if (!request->awaits) {
+    request->per_page = request->spec.tasks <= per_page ? 0 : per_page;
+    return TRUE;
+  }
+  limit_kb = MIN (limit_kb, c->set->next_value_kb);
+  per_page = hr_tasks_per_page (limit_kb);
+  g_autofree char *text = first_record (c, request, per_page, HR_LONGEST_TAG);
+  double room = limit_kb * 1024 - strlen (text);
+  request->per_page = request->spec.tasks * HR_PLACED_TASK_BYTES <= room ? 0 : per_page;
+  return room >= 0;
+}
+
+/* A reading costs nothing of what may be written, and tells whether an earlier try of the write
+ * was carried out. If not yet, it may still come: the next one is the same. */
+static void
+on_unsure_read (HrCore *c, gboolean ok, gpointer data)
+{
+  HrUserRequest *request = data;
+  if (ok && !hr_job_find (c, request->id) && !hr_job_unreadable (c, request->id))
+    send_submit (c, request);
+  else
+    hr_request_on_read (c, ok, data);
+}
+
+static void
+on_submit (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  HrUserRequest *request = data;
+  guint64 epoch;
+  if (status == 200 && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
+    HrJob *j = hr_job_get (c, request->id);
+    if (!j->known) {
+      j->known = TRUE;
+      j->stance = HR_QUEUED;
+      j->stamp = epoch;
+      j->submitted = request->asked;
+      g_free (j->tag);
+      j->tag = g_strdup (request->tag);
+      hr_job_set_spec (j, &request->spec, request->per_page);
+      if (!j->per_page)
+        j->pages[0].stamp = epoch;
+      hr_dependencies_read (c, j, (const char *const *)request->awaits);
+      hr_job_open (c, j);
+      c->plan_dirty = TRUE;
+    }
+    hr_request_answer (c, request, j, 201);
+  } else if (status == 409)
+    hr_follow_read (c, hr_request_on_read, request); /* there already: by an earlier try, perhaps */
+  else if (hr_request_may_try_again (c, request, status))
+    hr_follow_read (c, on_unsure_read, request); /* lost, or the service is pacing our writes */
+  else
+    hr_request_refuse_later (c, request, status == 429 ? 429 : 503,
+                             status == 429
+                                 ? "too many jobs at once; submit again"
+                                 : "the state service did not confirm the job; submit again");
+}
+
+static void
+send_submit (HrCore *c, HrUserRequest *request)
+{
+  g_autofree char *key = g_strconcat ("h/j/", request->id, NULL);
+  if (!request->tag)
+    request->tag = hr_new_tag (c);
+  json_t *when = hr_cond (json_array (), key, 0);
+  json_t *writes =
+      hr_set (json_array (), key, first_record (c, request, request->per_page, request->tag), 0);
+  hr_commit (c, HR_TXN_USER, when, writes, 1, hr_request_timeout (c, request), on_submit, request);
+}
+
+/* A reading sent after the submission came: what is unknown now was never accepted. */
+static void
+on_awaits_read (HrCore *c, gboolean ok, gpointer data)
+{
+  HrUserRequest *request = data;
+  const char *unknown = hr_dependencies_unknown (c, request->awaits);
+  HrJob *j = hr_job_find (c, request->id);
+  if (!ok || hr_job_unreadable (c, request->id))
+    hr_request_refuse_later (c, request, 503,
+                             "the jobs that it awaits cannot be looked up; submit again");
+  else if (j)
+    hr_request_answer (c, request, j, 200); /* an earlier try of this submission */
+  else if (!unknown)
+    send_submit (c, request);
+  else {
+    g_autofree char *why = g_strdup_printf ("it awaits %s, which was never accepted", unknown);
+    hr_refuse (c, request->reply_id, 422, 0, why);
+    hr_request_free (request);
+  }
+}
+
+void
+hr_submit (HrCore *c, HrCommand *cmd)
+{
+  gsize len = 0;
+  const char *data = cmd->body ? g_bytes_get_data (cmd->body, &len) : NULL;
+  g_autofree char *why = NULL;
+  const char *id = NULL;
+  HrJobSpec spec;
+  GStrv awaits = NULL;
+  json_t *o = hr_json_parse (data, len, &why);
+  gboolean valid =
+      o && hr_jobspec_parse (o, c->names, &spec, &id, &why) && hr_jobspec_awaits (o, &awaits, &why);
+  if (!valid && !hr_job_id_valid (id)) {
+    hr_refuse (c, cmd->id, 400, 0, why);
+    json_decref (o);
+    return;
+  }
+  HrUserRequest *request = g_new0 (HrUserRequest, 1);
+  request->reply_id = cmd->id;
+  request->kind = HR_REQUEST_SUBMIT;
+  request->id = g_strdup (id);
+  request->spec = spec;
+  request->awaits = awaits;
+  request->asked = c->wall;
+  json_decref (o);
+  if (!valid) {
+    refuse_if_new (c, request, 400, why);
+    return;
+  }
+  if (hr_request_answer_final (c, request))
+    return;
+  if (hr_job_find (c, request->id)) {
+    hr_follow_read (c, hr_request_on_read, request);
+    return;
+  }
+  if (!c->types || !c->synced_once) {
+    hr_request_refuse_later (c, request, 503, "this node has only just started; submit again");
+    return;
+  }
+  g_autofree char *never = hr_admission_refusal (c, &spec);
+  if (never) {
+    refuse_if_new (c, request, 422, never);
+    return;
+  }
+  if (!lay_out (c, request)) {
+    refuse_if_new (c, request, 400, "field awaits: more jobs than the job's record can hold");
+    return;
+  }
+  if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
+    hr_request_refuse_later (c, request, 503, "the state service does not answer; submit again");
+    return;
+  }
+  /* Known jobs never vanish; what is not known may have been accepted elsewhere just now. */
+  if (hr_dependencies_unknown (c, request->awaits))
+    hr_follow_read (c, on_awaits_read, request);
+  else
+    send_submit (c, request);
+}
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -135,12 +135,14 @@
   ScriptWorker *w = script_worker (s, "m-000001");
   script_report (s, w, leader);
   script_report (s, w, leader);
-  script_place (s, w, leader, "job-b"); /* its worker does not report its end: no tombstone */
+  script_place (s, w, leader, "job-b");
+  script_hold (s, leader, "/do", NULL); /* its worker does not hear that it is to end */
   script_submit (s, leader, "job-a", 1);
   script_run (s, 0.5);
   guint64 gone = script_abort (s, other, "job-b");
   script_run (s, 0.5);
   assert_string_equal (script_stance (s, other, gone), "withdrawn");
+  assert_null (strstr (script_value (s, "h/j/job-b"), "\"n\":1")); /* no tombstone yet */
   script_hold (s, other, READING, NULL);
   script_hold (s, other, WATCH, NULL);
   script_hold (s, other, "/kv?", NULL);
