--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -55,8 +55,15 @@
   HrHint hint;
   double at;
   double attested; /* by our clock: what it stated was so then; see attested_at in leader.c */
+  guint64 taken;   /* of this process of it: position up to which we took in its withdrawals */
 } HrPeerView;
 
+/* A withdrawal that this node confirmed to its user, or read. */
+typedef struct {
+  guint32 job;
+  guint64 stamp;
+} HrWithdrawal;
+
 struct HrCore {
   const HrSettings *set;
   HrPolicy pol;
@@ -84,6 +91,11 @@
   guint store_fails;
   guint64 withdrawn; /* stamp of the latest withdrawal that we have read or confirmed */
 
+  /* The log of withdrawals (withdrawals.c). */
+  GArray *withdrawals;         /* HrWithdrawal, in the order in which we learnt of them */
+  guint64 withdrawals_begin;   /* position of the first one kept */
+  guint64 withdrawals_dropped; /* stamp up to which some may have been dropped */
+
   /* Writing to it. */
   GQueue txns[HR_TXN_KINDS];
   GArray *dirty;      /* HrDirty: pages with something to record */
@@ -106,7 +118,8 @@
   gboolean raise_wanted;
   GArray *peers; /* HrPeerView */
   double hint_at;
-  GArray *contacts; /* times of workers' reports, a ring */
+  gboolean hint_soon; /* there is news for a member that the state service does not serve */
+  GArray *contacts;   /* times of workers' reports, a ring */
   double contact_at;
   guint contact_count, contact_last;
 
@@ -137,6 +150,7 @@
   GArray *wants;   /* HrWant */
   GArray *refused; /* HrRefusal: where the cloud had no capacity, until when */
   guint asks_out;
+  GQueue rentals_again; /* of fleet.c: not answered clearly, to be asked for again at rent_at */
   guint deletes_out;
 };
 
@@ -207,6 +221,7 @@
 double hr_absence_lease (const HrCore *c);
 gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
 gboolean hr_absence_orders_settled (const HrMachine *m);
+gboolean hr_absence_withdrawn_may_start (const HrCore *c, const HrMachine *m);
 void hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token);
 gboolean hr_absence_may_clear (const HrCore *c, HrMachine *m, guint32 job, guint32 task,
                                guint32 try);
@@ -231,6 +246,13 @@
 /* admission.c: why a job can never run here; NULL when it can. The machine types are known. */
 char *hr_admission_refusal (HrCore *c, const HrJobSpec *s);
 
+/* withdrawals.c: naming withdrawals to a leader that cannot read them */
+void hr_withdrawals_note (HrCore *c, const HrJob *j, guint64 stamp);
+void hr_withdrawals_name (HrCore *c, HrHint *h);
+void hr_withdrawals_take (HrCore *c, HrPeerView *p);
+gboolean hr_withdrawals_all_taken (const HrCore *c, const HrPeerView *p);
+void hr_withdrawals_answered (HrCore *c, const HrPeerView *p);
+
 /* users.c */
 void hr_users_request (HrCore *c, HrCommand *cmd);
 
@@ -260,6 +282,7 @@
 /* fleet.c */
 void hr_fleet_add (HrCore *c, HrMachine *m);
 void hr_fleet_tick (HrCore *c);
+void hr_fleet_clear (HrCore *c);
 void hr_fleet_delete (HrCore *c, HrMachine *m, const char *why);
 void hr_machine_gone (HrCore *c, HrMachine *m, const char *why);
 /* zone HR_NONE: refused in all of them. */
@@ -281,6 +304,8 @@
 
 /* project.c */
 double hr_estimate (HrCore *c, const HrJob *j, const HrMachine *m);
+/* When a task that is on the machine should end, steady time; INFINITY of a service. */
+double hr_running_end (HrCore *c, HrJob *j, const HrTask *t, HrMachine *m);
 /* How long the image keeps a task of the job from its work there. */
 double hr_fetch_time (const HrCore *c, const HrJob *j, const HrMachine *m);
 gboolean hr_allowed (const HrCore *c, const HrJob *j, const HrMachine *m);
--- a/tests/sim/pipeline.c
+++ b/tests/sim/pipeline.c
@@ -45,6 +45,15 @@
   return asked;
 }
 
+gboolean
+pipeline_ready (const SJob *j)
+{
+  for (guint i = 0; j->awaits && i < j->awaits->len; i++)
+    if (!job_all_done (j->awaits->pdata[i]))
+      return FALSE;
+  return !told_before (j);
+}
+
 void
 pipeline_start (World *w, const SJob *j, guint32 task)
 {
@@ -139,7 +148,7 @@
     now &= before->accepted && (!last || !line->late || over (before));
   }
   if (now) {
-    users_submit (w, next);
+    job_submit (w, next);
     line->sent++;
   }
   if (line->sent < line->nsteps)
@@ -151,7 +160,7 @@
 static SJob *
 step_of (World *w, HrShape shape, guint tasks)
 {
-  SJob *j = users_new_job (w);
+  SJob *j = job_new (w);
   j->shape = shape;
   j->tasks = tasks;
   j->cpus = shape == HR_GANG ? 4 : 1;
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -194,13 +194,23 @@
     w_broken (w, "fence", "%s is written without a hold on the map", path);
 }
 
-/* The map's change, and a withdrawal, are what an owner must not miss for long. */
+/* The map's change, and a withdrawal, are what an owner must not miss for long: check_kills in
+ * world.c sees to the latter. */
 static void
 note_decision (World *w, const Req *r, json_t *put)
 {
   const char *path = json_string_value (json_object_get (put, "set"));
   json_t *s = json_object_get (json_object_get (put, "value"), "s");
-  if (g_strcmp0 (path, "h/map") != 0 && json_integer_value (s) != 2)
+  if (json_integer_value (s) == 2 && g_str_has_prefix (path, "h/j/")) {
+    guint32 idx;
+    SJob *j = job_by_id (w, path + strlen ("h/j/"), &idx);
+    if (j && !j->withdrawn_at)
+      j->withdrawn_at = w->now;
+    if (!g_hash_table_contains (w->withdrawn, path + 4))
+      g_hash_table_insert (w->withdrawn, g_strdup (path + 4),
+                           g_memdup2 (&w->epoch, sizeof w->epoch));
+  }
+  if (g_strcmp0 (path, "h/map") != 0)
     return;
   for (int k = 0; k < w->n; k++)
     if (k != r->node) {
@@ -451,6 +461,7 @@
   g_array_set_clear_func (w->log, change_clear);
   w->watches = g_ptr_array_new ();
   w->assigned = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w_at (w, 0.05, leases_tick, NULL);
 }
 
@@ -475,4 +486,5 @@
   g_hash_table_unref (w->leases);
   g_array_unref (w->log);
   g_hash_table_unref (w->assigned);
+  g_hash_table_unref (w->withdrawn);
 }
