--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -67,8 +67,8 @@
     return TRUE; /* known already: our own write, or a change read twice */
   if (!hr_record_read (v, c->names, &r)) {
     g_warning ("%s: its record makes no sense", j->id);
-    hr_record_clear (&r);
     j->record_unreadable = TRUE;
+    hr_record_clear (&r);
     return FALSE;
   }
   j->record_unreadable = FALSE;
