--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -17,7 +17,9 @@
   guint per_page; /* tasks per page of its record; 0: they stand in the main record */
   double asked;
   guint tries;
-  char *tag; /* of the write under way */
+  char *tag;   /* of the write under way */
+  char *never; /* why this submission can never be accepted, NULL: it can; and its status */
+  int never_status;
 } UserRequest;
 
 static void
@@ -25,6 +27,7 @@
 {
   g_free (request->id);
   g_free (request->tag);
+  g_free (request->never);
   g_strfreev (request->awaits);
   g_free (request);
 }
@@ -148,7 +151,6 @@
 
 static void send_submit (HrCore *c, UserRequest *request);
 
-/* The job's first main record. */
 static char *
 first_record (HrCore *c, const UserRequest *request, guint per_page, const char *tag)
 {
@@ -219,24 +221,28 @@
   hr_commit (c, HR_TXN_USER, when, writes, 1, 2, on_submit, request);
 }
 
-/* A reading sent after the submission came: what is unknown now was never accepted. */
+/* After a reading sent since the submission came. A repeated one counts by its id alone,
+ * whatever else it says, and another node may have accepted the job, or one that it awaits, a
+ * moment ago: only now are they known not to have been. */
 static void
-on_awaits_read (HrCore *c, gboolean ok, gpointer data)
+on_submission_read (HrCore *c, gboolean ok, gpointer data)
 {
   UserRequest *request = data;
   const char *unknown = hr_dependencies_unknown (c, request->awaits);
   HrJob *j = hr_job_find (c, request->id);
+  if (ok && !j && unknown && !request->never) {
+    request->never = g_strdup_printf ("it awaits %s, which was never accepted", unknown);
+    request->never_status = 422;
+  }
   if (!ok)
-    refuse_later (c, request, 503, "the jobs that it awaits cannot be looked up; submit again");
+    refuse_later (c, request, 503, "the state service cannot be read just now; submit again");
   else if (j)
-    answer (c, request, j, 200); /* an earlier try of this submission */
-  else if (!unknown)
-    send_submit (c, request);
-  else {
-    g_autofree char *why = g_strdup_printf ("it awaits %s, which was never accepted", unknown);
-    hr_refuse (c, request->reply_id, 422, 0, why);
+    answer (c, request, j, 200);
+  else if (request->never) {
+    hr_refuse (c, request->reply_id, request->never_status, 0, request->never);
     request_free (request);
-  }
+  } else
+    send_submit (c, request);
 }
 
 static void
@@ -274,25 +280,19 @@
     refuse_later (c, request, 503, "this node has only just started; submit again");
     return;
   }
-  g_autofree char *never = impossible (c, &spec);
-  if (never) {
-    hr_refuse (c, request->reply_id, 422, 0, never);
-    request_free (request);
-    return;
-  }
-  if (!lay_out (c, request)) {
-    hr_refuse (c, request->reply_id, 400, 0,
-               "field awaits: more jobs than the job's record can hold");
-    request_free (request);
-    return;
+  request->never = impossible (c, &spec);
+  request->never_status = 422;
+  if (!request->never && !lay_out (c, request)) {
+    request->never = g_strdup ("field awaits: more jobs than the job's record can hold");
+    request->never_status = 400;
   }
   if (c->store_down || c->sync != HR_SYNC_FOLLOWING) {
     refuse_later (c, request, 503, "the state service does not answer; submit again");
     return;
   }
-  /* Known jobs never vanish; what is not known may have been accepted elsewhere just now. */
-  if (hr_dependencies_unknown (c, request->awaits))
-    hr_follow_read (c, on_awaits_read, request);
+  /* Known jobs never vanish, so those need no reading. */
+  if (request->never || hr_dependencies_unknown (c, request->awaits))
+    hr_follow_read (c, on_submission_read, request);
   else
     send_submit (c, request);
 }
--- a/tests/test_awaits.c
+++ b/tests/test_awaits.c
@@ -122,6 +122,26 @@
   return g_string_free (s, FALSE);
 }
 
+/* A repeat at a node that has not read the job yet counts by its id alone, whatever it awaits. */
+static void
+a_repeat_is_known_by_its_id (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (submit (n, "job-1", NULL, NULL), 201);
+  g_autofree char *text = g_strdup (ledger_job (l, "job-1"));
+  g_autofree char *many = many_ids (320);
+  const char *const awaits[] = {"[\"job-9\"]", many};
+  for (guint i = 0; i < G_N_ELEMENTS (awaits); i++) {
+    g_autofree char *id = g_strdup_printf ("job-e%u", i), *path = g_strconcat ("h/j/", id, NULL);
+    l->epoch++;
+    ledger_set (l, path, text); /* accepted elsewhere just now */
+    assert_int_equal (submit (n, id, awaits[i], NULL), 200);
+  }
+  node_free (n);
+  ledger_free (l);
+}
+
 /* The smaller of today's and the announced limit bounds what a job may await. */
 static void
 records_have_room (void **state)
@@ -497,6 +517,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (named_jobs_are_checked),
       cmocka_unit_test (unknown_jobs_cannot_be_judged_in_an_outage),
+      cmocka_unit_test (a_repeat_is_known_by_its_id),
       cmocka_unit_test (records_have_room),
       cmocka_unit_test (a_cancellation_takes_a_chain_along),
       cmocka_unit_test (a_cancellation_takes_thousands_along),
