--- a/src/bookkeeping/dependencies.c
+++ b/src/bookkeeping/dependencies.c
@@ -90,7 +90,7 @@
       g_ptr_array_add (withdrawn, over);
     for (guint i = 0; dependents && i < dependents->len; i++) {
       HrJob *d = dependents->pdata[i];
-      if (d->stance != HR_QUEUED)
+      if (!d->known || d->stance != HR_QUEUED) /* one to be read anew is looked at then */
         continue;
       if (over->stance == HR_WITHDRAWN) {
         derive_withdrawn (c, d, over->withdrawn_with ? over->withdrawn_with : over);
@@ -116,18 +116,6 @@
   hr_urgency_read (c, j);
 }
 
-void
-hr_dependencies_forget (HrCore *c)
-{
-  g_array_set_size (c->tombstones, 0);
-  for (guint i = 0; i < c->jobs->len; i++) {
-    HrJob *j = c->jobs->pdata[i];
-    g_clear_pointer (&j->dependents, g_ptr_array_unref);
-    g_clear_pointer (&j->awaits, g_free);
-    j->nawaits = 0;
-  }
-}
-
 void
 hr_dependencies_tick (HrCore *c)
 {
--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -294,7 +294,7 @@
     }
   }
   g_array_set_size (c->open, 0);
-  hr_dependencies_forget (c);
+  g_array_set_size (c->tombstones, 0);
   c->map_stamp = c->leader_stamp = 0;
   g_clear_pointer (&c->leader_label, g_free);
   g_clear_pointer (&c->leader_inc, g_free);
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -189,8 +189,6 @@
 const char *hr_dependencies_unknown (HrCore *c, GStrv ids);
 /* Which jobs it waits for, or which cancelled one took it along; NULL: neither. */
 char *hr_dependencies_reason (const HrJob *j);
-/* Before everything is read anew. */
-void hr_dependencies_forget (HrCore *c);
 void hr_dependencies_tick (HrCore *c);
 
 /* urgency.c: deadline and rank of jobs that others need */
--- a/tests/sim/lone_node.c
+++ b/tests/sim/lone_node.c
@@ -219,7 +219,6 @@
     step (n);
 }
 
-/* Asks the node, and gives its answer's status; 0 when none came within a minute. */
 int
 node_ask (LoneNode *n, HrMethod method, const char *path, char *body)
 {
@@ -237,3 +236,59 @@
   }
   return GPOINTER_TO_INT (status);
 }
+
+int
+node_submit (LoneNode *n, const char *id, const char *awaits, const char *more)
+{
+  return node_ask (
+      n, HR_POST, "/v1/jobs",
+      g_strdup_printf ("{\"name_id\":\"%s\",\"jobclass\":\"k\",\"crew\":\"crew\","
+                       "\"shape\":\"batch\",\"pieces\":2,\"vcpus\":1,\"accelerators\":0,"
+                       "\"memory_gb\":1,\"bundle\":\"i\",\"size_gb\":1,\"hulls\":null,"
+                       "\"quarry\":null,\"together\":false,\"apart\":false,"
+                       "\"loaners\":false,\"guess_s\":20,\"cairn_s\":0,\"stash_s\":0%s%s%s}",
+                       id, awaits ? ",\"awaits\":" : "", awaits ? awaits : "",
+                       more ? more : ",\"due_s\":null,\"rank\":\"low\""));
+}
+
+const char *
+node_poll (LoneNode *n, const char *id)
+{
+  g_autofree char *path = g_strconcat ("/v1/jobs/", id, NULL);
+  int status = node_ask (n, HR_GET, path, NULL);
+  return status == 200 ? hr_json_str (n->body, "stance") : status == 404 ? "unknown" : "none";
+}
+
+int
+node_cancel (LoneNode *n, const char *id)
+{
+  g_autofree char *path = g_strconcat ("/v1/jobs/", id, "/abort", NULL);
+  return node_ask (n, HR_POST, path, NULL);
+}
+
+LoneNode *
+node_up (Ledger *l)
+{
+  LoneNode *n = node_new (l, "");
+  node_run (n, 5);
+  assert_true (n->core->leads);
+  return n;
+}
+
+gboolean
+node_opens (LoneNode *n, const char *id)
+{
+  const HrJob *j = hr_job_find (n->core, id);
+  for (guint i = 0; j && i < n->core->open->len; i++)
+    if (g_array_index (n->core->open, guint32, i) == j->idx)
+      return TRUE;
+  return FALSE;
+}
+
+void
+ledger_done (Ledger *l, const char *id)
+{
+  g_autofree char *path = g_strconcat ("h/j/", id, NULL);
+  l->epoch++;
+  ledger_set (l, path, "{\"w\":\"x.1\",\"s\":1,\"n\":2,\"d\":2}");
+}
--- a/tests/sim/lone_node.h
+++ b/tests/sim/lone_node.h
@@ -41,3 +41,15 @@
 void node_run (LoneNode *n, double for_s);
 /* Asks the node, and gives its answer's status; 0 when none came within a minute. */
 int node_ask (LoneNode *n, HrMethod method, const char *path, char *body);
+/* A node that leads. */
+LoneNode *node_up (Ledger *l);
+/* Submits a job with these fields beside the usual ones (an array of two small tasks of 20 s).
+ * awaits: an array, or NULL; more: `due_s` and `rank` with a comma before them, or NULL. */
+int node_submit (LoneNode *n, const char *id, const char *awaits, const char *more);
+/* The job's stance as the node tells it; "unknown" with a 404. */
+const char *node_poll (LoneNode *n, const char *id);
+int node_cancel (LoneNode *n, const char *id);
+/* Is the job in the list of those that the owner has to look at? */
+gboolean node_opens (LoneNode *n, const char *id);
+/* The job's record, as if its last task had ended. */
+void ledger_done (Ledger *l, const char *id);
