--- a/tests/sim/lone_node.c
+++ b/tests/sim/lone_node.c
@@ -292,3 +292,15 @@
   l->epoch++;
   ledger_set (l, path, "{\"w\":\"x.1\",\"s\":1,\"n\":2,\"d\":2}");
 }
+
+HrMachine *
+node_machine (LoneNode *n)
+{
+  HrMachine *m = hr_machine_get (n->core, "m-1");
+  m->state = HR_M_UP;
+  m->session = 1;
+  m->heard_at = n->now;
+  hr_machine_describe (m, &g_array_index (n->core->types, HrType, 0), HR_NONE, FALSE);
+  hr_fleet_add (n->core, m);
+  return m;
+}
--- a/tests/sim/lone_node.h
+++ b/tests/sim/lone_node.h
@@ -53,3 +53,5 @@
 gboolean node_opens (LoneNode *n, const char *id);
 /* The job's record, as if its last task had ended. */
 void ledger_done (Ledger *l, const char *id);
+/* m-1, which is up and has room. */
+HrMachine *node_machine (LoneNode *n);
--- a/tests/test_awaits.c
+++ b/tests/test_awaits.c
@@ -194,16 +194,12 @@
   ledger_free (l);
 }
 
-#define BREADTH 3000
-
+/* Jobs that all await job-r, as if other nodes had accepted them. */
 static void
-a_cancellation_takes_thousands_along (void **state)
+submit_many (Ledger *l, guint n)
 {
-  Ledger *l = ledger_new ();
-  LoneNode *n = node_up (l);
-  assert_int_equal (node_submit (n, "job-r", NULL, NULL), 201);
   g_autofree char *root = g_strdup (ledger_job (l, "job-r"));
-  for (guint i = 0; i < BREADTH; i++) { /* as if other nodes had accepted them */
+  for (guint i = 0; i < n; i++) {
     g_autofree char *path = g_strdup_printf ("h/j/job-b%u", i);
     json_t *o = json_loads (root, 0, NULL);
     json_object_set_new (o, "a", json_pack ("[s]", "job-r"));
@@ -211,6 +207,17 @@
     l->epoch++;
     ledger_set (l, path, text);
   }
+}
+
+#define BREADTH 3000
+
+static void
+a_cancellation_takes_thousands_along (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (node_submit (n, "job-r", NULL, NULL), 201);
+  submit_many (l, BREADTH);
   assert_string_equal (node_poll (n, "job-b2999"), "queued");
   assert_false (node_opens (n, "job-b2999"));
   assert_int_equal (node_cancel (n, "job-r"), 200);
@@ -222,6 +229,33 @@
   ledger_free (l);
 }
 
+/* Their records are shortened when nothing else is to be written: a task's end is recorded at
+ * once, also where the state service takes 15 changes a second. */
+static void
+thousands_hold_nobody_up (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_new (l, ",\"write_rps\":15");
+  node_run (n, 5);
+  assert_int_equal (node_submit (n, "job-r", NULL, NULL), 201);
+  assert_int_equal (node_submit (n, "job-e", NULL, NULL), 201);
+  submit_many (l, 1000);
+  HrJob *j = hr_job_find (n->core, "job-e");
+  HrMachine *m = node_machine (n);
+  for (guint i = 0; i < j->ntasks; i++)
+    hr_task_assign (n->core, j, i, m, 1);
+  node_run (n, 3);
+  assert_int_equal (node_cancel (n, "job-r"), 200);
+  node_run (n, 3);
+  for (guint i = 0; i < j->ntasks; i++)
+    hr_task_done (n->core, j, i);
+  assert_int_equal (j->ndone, j->ntasks);
+  node_run (n, 2);
+  assert_string_equal (node_poll (n, "job-e"), "done");
+  node_free (n);
+  ledger_free (l);
+}
+
 int
 main (void)
 {
@@ -232,6 +266,7 @@
       cmocka_unit_test (records_have_room),
       cmocka_unit_test (a_cancellation_takes_a_chain_along),
       cmocka_unit_test (a_cancellation_takes_thousands_along),
+      cmocka_unit_test (thousands_hold_nobody_up),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_readiness.c
+++ b/tests/test_readiness.c
@@ -42,18 +42,6 @@
   ledger_free (l);
 }
 
-static HrMachine *
-machine_up (LoneNode *n)
-{
-  HrMachine *m = hr_machine_get (n->core, "m-1");
-  m->state = HR_M_UP;
-  m->session = 1;
-  m->heard_at = n->now;
-  hr_machine_describe (m, &g_array_index (n->core->types, HrType, 0), HR_NONE, FALSE);
-  hr_fleet_add (n->core, m);
-  return m;
-}
-
 /* Its user may still withdraw what its tasks have done but no record says: that decides. */
 static void
 done_means_recorded (void **state)
@@ -63,7 +51,7 @@
   assert_int_equal (node_submit (n, "job-1", NULL, NULL), 201);
   assert_int_equal (node_submit (n, "job-2", "[\"job-1\"]", NULL), 201);
   HrJob *first = hr_job_find (n->core, "job-1"), *second = hr_job_find (n->core, "job-2");
-  HrMachine *m = machine_up (n);
+  HrMachine *m = node_machine (n);
   for (guint i = 0; i < first->ntasks; i++)
     hr_task_assign (n->core, first, i, m, 1);
   node_run (n, 1);
@@ -138,7 +126,7 @@
 static HrTask *
 misplace (LoneNode *n, HrJob *j)
 {
-  hr_task_assign (n->core, j, 0, machine_up (n), 1);
+  hr_task_assign (n->core, j, 0, node_machine (n), 1);
   return &j->tasks[0];
 }
 
@@ -253,7 +241,7 @@
   assert_int_equal (node_submit (n, "job-2", NULL, ",\"due_s\":800,\"rank\":\"low\""), 201);
   hr_job_find (n->core, "job-1")->spec.cpus = 12; /* the whole machine, for each task */
   hr_job_find (n->core, "job-2")->spec.cpus = 12;
-  const HrMachine *m = machine_up (n);
+  const HrMachine *m = node_machine (n);
   assert_string_equal (first_in_list (n, m), "job-2");
   assert_int_equal (node_submit (n, "job-3", "[\"job-1\"]", ",\"due_s\":60,\"rank\":\"low\""), 201);
   assert_string_equal (first_in_list (n, m), "job-1");
@@ -275,7 +263,7 @@
   LoneNode *n = node_up (l);
   assert_int_equal (node_submit (n, "job-1", NULL, ",\"due_s\":900,\"rank\":\"low\""), 201);
   HrJob *j = hr_job_find (n->core, "job-1");
-  HrMachine *m = machine_up (n);
+  HrMachine *m = node_machine (n);
   j->spec.estimate = runs_s;
   for (guint i = 0; i < j->ntasks; i++) {
     hr_task_assign (n->core, j, i, m, 1);
