--- a/tests/scripted.c
+++ b/tests/scripted.c
@@ -112,6 +112,8 @@
 static void
 store (Script *s, const HrEffect *call)
 {
+  g_autofree char *set = g_strdup_printf ("\"set\":\"%s\"", s->watched ? s->watched : "");
+  s->watched_writes += strcmp (call->path, "/commit") == 0 && strstr (call->body, set) != NULL;
   if (!s->served)
     answer (s, call->id, 503, g_strdup ("{\"error\":\"trouble\"}"));
   else if (strcmp (call->path, "/commit") == 0)
--- a/tests/scripted.h
+++ b/tests/scripted.h
@@ -34,7 +34,9 @@
   guint tally, session;
   guint64 token; /* the highest that the worker has seen */
   guint lost_launches;
-  int status; /* of the latest answer to a report or user */
+  const char *watched;  /* key */
+  guint watched_writes; /* of that key that c0 has tried */
+  int status;           /* of the latest answer to a report or user */
   char *answer;
 } Script;
 
--- a/tests/test_attestation.c
+++ b/tests/test_attestation.c
@@ -62,7 +62,9 @@
   assert_int_equal (script_report_for (k.s, 4), 200);
   assert_false (script_runs (k.s, JOB));
   assert_true (script_runs (k.s, OTHER));
+  k.s->watched = "h/j/" JOB; /* has changed: a write of what c0 knows of it would be in vain */
   assert_int_equal (script_report_for (k.s, 60), 200);
+  assert_int_equal (k.s->watched_writes, 0);
   assert_true (script_runs (k.s, OTHER));
   assert_int_equal (script_ask (k.s, HR_GET, "/v1/jobs/" JOB, NULL), 503);
   assert_int_equal (script_ask (k.s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 503);
@@ -70,6 +72,8 @@
   script_run (k.s, 5);
   assert_int_equal (script_ask (k.s, HR_GET, "/v1/jobs/" JOB, NULL), 200);
   assert_non_null (strstr (k.s->answer, "\"withdrawn\""));
+  script_run (k.s, 3);
+  assert_int_equal (k.s->watched_writes, 1); /* its tombstone */
   assert_int_equal (script_report_for (k.s, 4), 200);
   assert_true (script_runs (k.s, OTHER));
   script_free (k.s);
--- a/tests/test_withdrawals.c
+++ b/tests/test_withdrawals.c
@@ -88,6 +88,44 @@
   script_free (s);
 }
 
+/* The leader still echoes a process of c0 that has ended, and how much of its log it had. */
+static void
+an_echo_of_an_earlier_process (void **state)
+{
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  s->members[0].echo_stays = TRUE;
+  g_strlcpy (leader->echoes[0].incarnation, "c0-0", sizeof leader->echoes[0].incarnation);
+  acknowledge (leader, 100);
+  script_run (s, 2);
+  script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL);
+  script_run (s, 3);
+  assert_true (names (s, JOB));
+  script_free (s);
+}
+
+/* Its beginning goes when it grows too long, and the log says so. */
+static void
+a_log_that_grew_too_long (void **state)
+{
+  enum { JOBS = 1200 };
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  guint64 first = 0;
+  for (int i = 0; i < JOBS; i++) {
+    g_autofree char *key = g_strdup_printf ("h/j/job-%06d", i);
+    script_write (s, key, "{\"s\":2,\"w\":\"x\",\"n\":1,\"d\":0}");
+    first = first ? first : s->epoch;
+  }
+  script_run (s, 3);
+  const HrNamedWithdrawals *n = &s->said.named;
+  assert_true (n->ends - n->begins <= 1024);
+  assert_int_equal (s->said.withdrawn, s->epoch);
+  assert_int_equal (s->epoch - n->dropped, n->ends - n->begins);
+  assert_true (n->dropped > first);
+  script_free (s);
+}
+
 /* The write was carried out, but c0 does not know: it tells no user, and no member, until it has
  * read it. */
 static void
@@ -155,7 +193,7 @@
     script_run (s, 0.3);
   }
   assert_int_equal (g_hash_table_size (told), JOBS);
-  assert_true (s->now < from + 3);
+  assert_true (s->now < from + 1.5);
   script_free (s);
 }
 
@@ -190,6 +228,8 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (a_confirmed_withdrawal_is_named_at_once),
       cmocka_unit_test (it_is_named_until_it_is_known),
+      cmocka_unit_test (an_echo_of_an_earlier_process),
+      cmocka_unit_test (a_log_that_grew_too_long),
       cmocka_unit_test (a_write_whose_answer_was_lost),
       cmocka_unit_test (a_withdrawal_that_was_read_is_named),
       cmocka_unit_test (a_long_list_goes_in_parts),
