--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -218,7 +218,7 @@
       {.at_s = 40, .kind = TROUBLE_STATE_SLOW, .for_s = 120, .delay_s = 0.8},
       {.at_s = 40, .kind = TROUBLE_CLOSE_LOOKS, .for_s = 200},
       {.at_s = 80, .kind = TROUBLE_CANCEL_NOW, .count = 8},
-      {.at_s = 60, .kind = TROUBLE_CANCEL_AT_END, .for_s = 140, .share = 0.5},
+      {.at_s = 60, .kind = TROUBLE_CANCEL_AT_END, .for_s = 140, .share = 0.8},
       {.at_s = 130, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER}};
   PLAY (2080, 2084, day);
 }
