--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -150,6 +150,7 @@
   GArray *wants;   /* HrWant */
   GArray *refused; /* HrRefusal: where the cloud had no capacity, until when */
   guint asks_out;
+  GQueue rentals_again; /* of fleet.c: not answered clearly, to be asked for again at rent_at */
   guint deletes_out;
 };
 
@@ -242,6 +243,9 @@
 gboolean hr_leader_outage_for_all (const HrCore *c);
 void hr_leader_raise (HrCore *c, const char *why);
 
+/* admission.c: why a job can never run here; NULL when it can. The machine types are known. */
+char *hr_admission_refusal (HrCore *c, const HrJobSpec *s);
+
 /* withdrawals.c: naming withdrawals to a leader that cannot read them */
 void hr_withdrawals_note (HrCore *c, const HrJob *j, guint64 stamp);
 void hr_withdrawals_name (HrCore *c, HrHint *h);
@@ -249,9 +253,6 @@
 gboolean hr_withdrawals_all_taken (const HrCore *c, const HrPeerView *p);
 void hr_withdrawals_answered (HrCore *c, const HrPeerView *p);
 
-/* admission.c: why a job can never run here; NULL when it can. The machine types are known. */
-char *hr_admission_refusal (HrCore *c, const HrJobSpec *s);
-
 /* users.c */
 void hr_users_request (HrCore *c, HrCommand *cmd);
 
@@ -281,6 +282,7 @@
 /* fleet.c */
 void hr_fleet_add (HrCore *c, HrMachine *m);
 void hr_fleet_tick (HrCore *c);
+void hr_fleet_clear (HrCore *c);
 void hr_fleet_delete (HrCore *c, HrMachine *m, const char *why);
 void hr_machine_gone (HrCore *c, HrMachine *m, const char *why);
 /* zone HR_NONE: refused in all of them. */
--- a/tests/scripted.c
+++ b/tests/scripted.c
@@ -80,8 +80,8 @@
       s->epoch = epoch - 1; /* all changes of a transaction have one stamp */
       script_write (s, hr_json_str (e, "set"), v);
     }
-    if (s->goes_with_write) {
-      s->served = FALSE;
+    if (s->loses_writes) {
+      s->served &= !s->out_after_loss;
       answer (s, call->id, 0, NULL);
     } else
       answer (s, call->id, 200, g_strdup_printf ("{\"epoch\":%" G_GUINT64_FORMAT "}", s->epoch));
--- a/tests/scripted.h
+++ b/tests/scripted.h
@@ -20,9 +20,11 @@
   HrNames names;
   HrPolicy pol;
   double now;
-  gboolean served;          /* by the state service */
-  gboolean goes_with_write; /* it carries a write out, and is gone before it answers */
-  gboolean loses_orders;    /* direct orders get no answer, and are not carried out */
+  gboolean served;       /* by the state service */
+  gboolean loses_writes; /* writes are carried out, but their answers get lost */
+  gboolean
+      out_after_loss;    /* and the state service serves c0 no more from the first such write on */
+  gboolean loses_orders; /* direct orders get no answer, and are not carried out */
   guint64 epoch;
   GPtrArray *log; /* JSON texts of changes */
   GPtrArray *inbox;
--- a/tests/test_withdrawals.c
+++ b/tests/test_withdrawals.c
@@ -134,7 +134,7 @@
   HrHint *leader;
   Script *s = member_new (&leader);
   guint64 before = s->said.withdrawn, epoch = s->epoch;
-  s->goes_with_write = TRUE;
+  s->loses_writes = s->out_after_loss = TRUE;
   assert_int_equal (script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 503);
   assert_int_equal (s->epoch, epoch + 1);
   assert_false (s->served);
@@ -142,7 +142,7 @@
   assert_int_equal (s->said.withdrawn, before);
   assert_false (names (s, JOB));
   assert_int_equal (script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 503);
-  s->goes_with_write = FALSE;
+  s->loses_writes = FALSE;
   s->served = TRUE;
   script_run (s, 2);
   assert_int_equal (script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 200);
@@ -153,6 +153,23 @@
   script_free (s);
 }
 
+/* The same, but c0 can read: the user is told after that reading, and the job is named. */
+static void
+a_write_that_is_read_before_its_user_is_told (void **state)
+{
+  HrHint *leader;
+  Script *s = member_new (&leader);
+  s->loses_writes = TRUE;
+  guint64 epoch = s->epoch;
+  assert_int_equal (script_ask (s, HR_POST, "/v1/jobs/" JOB "/abort", NULL), 200);
+  assert_non_null (strstr (s->answer, "\"withdrawn\""));
+  assert_int_equal (s->epoch, epoch + 1);
+  script_run (s, 1.2);
+  assert_true (names (s, JOB));
+  assert_int_equal (s->said.withdrawn, epoch + 1);
+  script_free (s);
+}
+
 /* What another member confirmed, and c0 read, is c0's to name as well. */
 static void
 a_withdrawal_that_was_read_is_named (void **state)
@@ -235,6 +252,7 @@
       cmocka_unit_test (an_echo_of_an_earlier_process),
       cmocka_unit_test (a_log_that_grew_too_long),
       cmocka_unit_test (a_write_whose_answer_was_lost),
+      cmocka_unit_test (a_write_that_is_read_before_its_user_is_told),
       cmocka_unit_test (a_withdrawal_that_was_read_is_named),
       cmocka_unit_test (a_long_list_goes_in_parts),
       cmocka_unit_test (nothing_is_named_to_an_older_version),
