--- /dev/null
+++ b/tests/script_scene.c
@@ -0,0 +1,510 @@
+#include "script_scene.h"
+#include "protocol/jsonx.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define STEP_S 0.05
+
+static HrCore *frozen[SCRIPT_NODES];
+
+static void G_GNUC_PRINTF (2, 3)
+broken (Scene *scene, const char *format, ...)
+{
+  va_list list;
+  va_start (list, format);
+  g_autofree char *text = g_strdup_vprintf (format, list);
+  va_end (list);
+  g_ptr_array_add (scene->broken, g_strdup_printf ("at %.2f s: %s", scene->s->now, text));
+}
+
+static char *
+job_of (const char *piece)
+{
+  return g_strndup (piece, strrchr (piece, '/') - piece);
+}
+
+/* ---- tasks ---- */
+
+static void
+task_free (gpointer p)
+{
+  SceneTask *t = p;
+  g_free (t->piece);
+  g_free (t);
+}
+
+static SceneTask *
+task_of (const SceneMachine *m, const char *piece, guint attempt, guint *at)
+{
+  for (guint i = 0; i < m->tasks->len; i++) {
+    SceneTask *t = m->tasks->pdata[i];
+    if (g_str_equal (t->piece, piece) && t->attempt == attempt) {
+      if (at)
+        *at = i;
+      return t;
+    }
+  }
+  return NULL;
+}
+
+gboolean
+scene_has (const SceneMachine *m, const char *piece)
+{
+  for (guint i = 0; i < m->tasks->len && !m->gone; i++) {
+    const SceneTask *t = m->tasks->pdata[i];
+    if (!t->exited && g_str_equal (t->piece, piece))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+guint
+scene_count (const Scene *scene, const char *piece)
+{
+  guint n = 0;
+  for (guint i = 0; i < scene->machines->len; i++)
+    n += scene_has (scene->machines->pdata[i], piece);
+  return n;
+}
+
+void
+scene_exit (SceneMachine *m, const char *piece, const char *cause)
+{
+  for (guint i = 0; i < m->tasks->len; i++) {
+    SceneTask *t = m->tasks->pdata[i];
+    if (!t->exited && g_str_equal (t->piece, piece)) {
+      t->exited = TRUE;
+      t->cause = cause;
+    }
+  }
+}
+
+static void
+launch (SceneMachine *m, const char *piece, guint attempt)
+{
+  Scene *scene = m->scene;
+  if (task_of (m, piece, attempt, NULL))
+    return;
+  SceneTask *t = g_new0 (SceneTask, 1);
+  t->piece = g_strdup (piece);
+  t->attempt = attempt;
+  g_autofree char *job = job_of (piece);
+  if (scene_count (scene, piece))
+    broken (scene, "ran_twice: %s try %u starts on %s", piece, attempt, m->name);
+  const double *told = g_hash_table_lookup (scene->withdrawn, job);
+  if (told && scene->s->now > *told + scene->cancel_s)
+    broken (scene, "ran_cancelled: %s starts on %s", piece, m->name);
+  g_ptr_array_add (m->tasks, t);
+  scene->starts++;
+}
+
+static void
+obey (SceneMachine *m, json_t *orders)
+{
+  size_t i;
+  json_t *o;
+  json_array_foreach (orders, i, o)
+  {
+    const char *verb = hr_json_str (o, "verb"), *piece = hr_json_str (o, "piece");
+    guint attempt = json_integer_value (json_object_get (o, "try")), at;
+    if (g_str_equal (verb, "launch")) {
+      launch (m, piece, attempt);
+      continue;
+    }
+    SceneTask *t = task_of (m, piece, attempt, &at);
+    if (t && g_str_equal (verb, "kill") && !t->exited) {
+      t->exited = TRUE;
+      t->cause = "halted";
+    } else if (t && g_str_equal (verb, "clear") && t->exited)
+      g_ptr_array_remove_index (m->tasks, at);
+  }
+}
+
+/* ---- reports ---- */
+
+static json_t *
+report_of (SceneMachine *m)
+{
+  json_t *pieces = json_array ();
+  for (guint i = 0; i < m->tasks->len; i++) {
+    const SceneTask *t = m->tasks->pdata[i];
+    json_t *o = json_pack ("{sssiss}", "piece", t->piece, "try", (int)t->attempt, "stance",
+                           t->exited ? "exited" : "running");
+    if (t->exited)
+      json_object_set_new (o, "cause", json_string (t->cause));
+    json_array_append_new (pieces, o);
+  }
+  json_t *notice = m->notice > 0 ? json_real (m->notice) : json_null ();
+  return json_pack ("{sssssssssbsisisIsoso}", "rockhand", m->name, "addr", m->name, "hull", "g2",
+                    "quarry", m->zone, "loaners", 0, "tenure", (int)m->tenure, "tally",
+                    (int)++m->tally, "baton", (json_int_t)m->baton, "warning_s", notice, "pieces",
+                    pieces);
+}
+
+char *
+scene_write (SceneMachine *m)
+{
+  return hr_json_take_text (report_of (m));
+}
+
+int
+scene_deliver (Scene *scene, int node, const char *text)
+{
+  guint64 id = script_request (scene->s, node, HR_POST, "/hello", text);
+  return script_status (scene->s, node, id);
+}
+
+static void
+next_node (SceneMachine *m, const ScriptReply *r)
+{
+  Script *s = m->scene->s;
+  const char *foreman = r && r->status == 421 ? hr_json_str (r->body, "foreman") : NULL;
+  int to = foreman ? foreman[1] - '0' : -1;
+  m->node = to >= 0 && to != m->node ? to : (m->node + 1) % s->n;
+  m->report_at = s->now + (to >= 0 ? 0.2 : 1);
+}
+
+int
+scene_report (SceneMachine *m, int node)
+{
+  Script *s = m->scene->s;
+  guint tenure = m->tenure;
+  g_autofree char *text = scene_write (m);
+  m->report_at = s->now + m->scene->report_s;
+  if (m->only >= 0 && m->only != node) {
+    next_node (m, NULL);
+    return 0;
+  }
+  guint64 id = script_request (s, node, HR_POST, "/hello", text);
+  const ScriptReply *r = script_reply (s, node, id);
+  int status = r ? r->status : 0;
+  if (!r || !m->hears || status != 200) {
+    next_node (m, m->hears ? r : NULL);
+    return status;
+  }
+  guint64 baton = json_integer_value (json_object_get (r->body, "baton"));
+  if (baton < m->baton || tenure != m->tenure)
+    return status;
+  if (baton > m->baton)
+    m->report_at = s->now + 0.5;
+  m->baton = baton;
+  m->lease_at = s->now;
+  obey (m, json_object_get (r->body, "orders"));
+  return status;
+}
+
+/* ---- direct orders ---- */
+
+ScriptCall *
+scene_direct (SceneMachine *m, int node)
+{
+  GPtrArray *calls = m->scene->s->calls;
+  for (guint i = 0; i < calls->len; i++) {
+    ScriptCall *call = calls->pdata[i];
+    if (call->node == node && call->target == HR_TO_WORKER && g_str_equal (call->addr, m->name))
+      return call;
+  }
+  return NULL;
+}
+
+int
+scene_obey_direct (SceneMachine *m, const char *body)
+{
+  json_t *o = json_loads (body, 0, NULL);
+  guint64 baton = json_integer_value (json_object_get (o, "baton"));
+  gboolean ok = !m->gone && baton >= m->baton &&
+                json_integer_value (json_object_get (o, "tenure")) == (json_int_t)m->tenure;
+  if (ok) {
+    m->baton = baton;
+    obey (m, json_object_get (o, "orders"));
+  }
+  json_decref (o);
+  return ok ? 200 : 409;
+}
+
+static SceneMachine *
+machine_at (Scene *scene, const char *address)
+{
+  for (guint i = 0; i < scene->machines->len; i++) {
+    SceneMachine *m = scene->machines->pdata[i];
+    if (g_str_equal (m->name, address))
+      return m;
+  }
+  return NULL;
+}
+
+/* Direct orders to machines that are reached, and those that were given up. */
+static void
+serve_direct (Scene *scene)
+{
+  GPtrArray *calls = scene->s->calls;
+  for (guint i = 0; i < calls->len;) {
+    ScriptCall *call = calls->pdata[i];
+    SceneMachine *m = call->target == HR_TO_WORKER ? machine_at (scene, call->addr) : NULL;
+    if (m && m->reached && !m->hangs && !m->gone) {
+      int status = scene_obey_direct (m, call->body);
+      g_autofree char *text = scene_write (m);
+      script_answer_with (scene->s, call, status, text);
+      i = 0;
+    } else if (m && scene->s->now - call->sent > 3 && !frozen[call->node]) {
+      script_lose (scene->s, call);
+      i = 0;
+    } else
+      i++;
+  }
+}
+
+/* ---- the cloud's deletions ---- */
+
+static void
+serve_deletions (Scene *scene)
+{
+  for (int node = 0; node < scene->s->n; node++) {
+    ScriptCall *call = script_call (scene->s, node, "/rentals/delete", NULL);
+    if (!call)
+      continue;
+    if (!scene->cloud_deletes) {
+      if (scene->s->now - call->sent > 5)
+        script_lose (scene->s, call);
+      continue;
+    }
+    for (guint i = 0; i < scene->machines->len; i++) {
+      SceneMachine *m = scene->machines->pdata[i];
+      g_autofree char *name = g_strdup_printf ("\"%s\"", m->name);
+      if (!strstr (call->body, name) || m->gone)
+        continue;
+      m->gone = TRUE;
+      scene->deletions++;
+    }
+    script_answer_with (scene->s, call, 200, "{}");
+  }
+}
+
+/* ---- time ---- */
+
+/* What this file answers, not script.c. */
+static gboolean
+always_held (const char *path)
+{
+  return g_str_has_prefix (path, "/do") || g_str_has_prefix (path, "/rentals/delete");
+}
+
+static void
+check_withdrawn (Scene *scene)
+{
+  for (guint i = 0; i < scene->machines->len; i++) {
+    SceneMachine *m = scene->machines->pdata[i];
+    for (guint k = 0; k < m->tasks->len && !m->gone; k++) {
+      const SceneTask *t = m->tasks->pdata[k];
+      g_autofree char *job = job_of (t->piece);
+      const double *told = g_hash_table_lookup (scene->withdrawn, job);
+      if (told && !t->exited && scene->s->now > *told + scene->cancel_s)
+        broken (scene, "ran_cancelled: %s is on %s", t->piece, m->name);
+    }
+  }
+}
+
+static void
+live (Scene *scene, SceneMachine *m)
+{
+  double now = scene->s->now;
+  if (m->gone)
+    return;
+  if (now - m->lease_at > scene->lease_s) {
+    g_ptr_array_set_size (m->tasks, 0);
+    m->tenure++;
+    m->lease_at = now;
+  }
+  if (now >= m->report_at && m->reports && !m->hangs)
+    scene_report (m, m->node);
+}
+
+void
+scene_run (Scene *scene, double seconds)
+{
+  double until = scene->s->now + seconds;
+  while (scene->s->now < until - 1e-9) {
+    script_tick (scene->s, MIN (STEP_S, until - scene->s->now));
+    script_serve (scene->s);
+    for (guint i = 0; i < scene->machines->len; i++)
+      live (scene, scene->machines->pdata[i]);
+    serve_direct (scene);
+    serve_deletions (scene);
+    check_withdrawn (scene);
+  }
+}
+
+void
+scene_until (Scene *scene, SceneCheck check, gpointer data, double seconds)
+{
+  double until = scene->s->now + seconds;
+  while (!check (scene, data)) {
+    if (scene->s->now > until)
+      fail_msg ("it did not come about within %g s", seconds);
+    scene_run (scene, STEP_S);
+  }
+}
+
+void
+scene_freeze (Scene *scene, int node)
+{
+  Script *s = scene->s;
+  frozen[node] = s->nodes[node].core;
+  s->nodes[node].core = NULL;
+  for (guint i = 0; i < s->calls->len; i++) {
+    ScriptCall *call = s->calls->pdata[i];
+    call->held = call->held || call->node == node;
+  }
+}
+
+void
+scene_thaw (Scene *scene, int node)
+{
+  Script *s = scene->s;
+  s->nodes[node].core = frozen[node];
+  frozen[node] = NULL;
+  for (guint i = 0; i < s->calls->len; i++) {
+    ScriptCall *call = s->calls->pdata[i];
+    call->held = call->held && (call->node != node || always_held (call->path));
+  }
+}
+
+void
+scene_release (Scene *scene)
+{
+  Script *s = scene->s;
+  for (guint i = s->holds->len; i-- > 0;) {
+    const ScriptHold *h = s->holds->pdata[i];
+    if (!h->path || !always_held (h->path))
+      g_ptr_array_remove_index (s->holds, i);
+  }
+  for (guint i = 0; i < s->calls->len; i++) {
+    ScriptCall *call = s->calls->pdata[i];
+    call->held = call->held && always_held (call->path);
+  }
+}
+
+/* ---- users ---- */
+
+static void
+wait_status (Scene *scene, int node, guint64 id)
+{
+  for (int i = 0; i < 200 && !script_status (scene->s, node, id); i++)
+    scene_run (scene, STEP_S);
+}
+
+void
+scene_submit (Scene *scene, int node, const char *id, json_t *body)
+{
+  json_t *job = body ? body : script_job (id, 1);
+  g_autofree char *text = hr_json_take_text (job);
+  int status = 0;
+  for (int i = 0; i < 10 && status != 201 && status != 200; i++) {
+    guint64 request = script_request (scene->s, node, HR_POST, HR_JOBS_PATH, text);
+    wait_status (scene, node, request);
+    status = script_status (scene->s, node, request);
+  }
+  assert_true (status == 201 || status == 200);
+}
+
+void
+scene_withdraw (Scene *scene, int node, const char *id)
+{
+  for (int i = 0; i < 40; i++) {
+    guint64 request = script_abort (scene->s, node, id);
+    wait_status (scene, node, request);
+    if (script_status (scene->s, node, request) == 200) {
+      assert_string_equal (script_stance (scene->s, node, request), "withdrawn");
+      g_hash_table_insert (scene->withdrawn, g_strdup (id),
+                           g_memdup2 (&scene->s->now, sizeof (double)));
+      return;
+    }
+    scene_run (scene, 0.5);
+  }
+  fail_msg ("%s was not withdrawn", id);
+}
+
+const char *
+scene_stance (Scene *scene, int node, const char *id)
+{
+  guint64 request = script_poll (scene->s, node, id);
+  wait_status (scene, node, request);
+  return script_stance (scene->s, node, request);
+}
+
+gboolean
+scene_recorded (Scene *scene, const char *job, const char *text)
+{
+  g_autofree char *key = g_strconcat ("h/j/", job, NULL);
+  const char *value = script_value (scene->s, key);
+  return value && strstr (value, text);
+}
+
+/* ---- beginning and end ---- */
+
+SceneMachine *
+scene_machine (Scene *scene, const char *name, const char *zone)
+{
+  SceneMachine *m = g_new0 (SceneMachine, 1);
+  m->scene = scene;
+  m->name = g_strdup (name);
+  m->zone = zone;
+  m->tenure = 1;
+  m->lease_at = scene->s->now;
+  m->reports = m->hears = m->reached = TRUE;
+  m->only = -1;
+  m->node = MAX (0, script_leader (scene->s));
+  m->tasks = g_ptr_array_new_with_free_func (task_free);
+  g_ptr_array_add (scene->machines, m);
+  if (g_str_equal (zone, "z0"))
+    script_worker (scene->s, name); /* for the cloud's list, which knows this zone alone */
+  return m;
+}
+
+static void
+machine_free (gpointer p)
+{
+  SceneMachine *m = p;
+  g_ptr_array_unref (m->tasks);
+  g_free (m->name);
+  g_free (m);
+}
+
+Scene *
+scene_new (int nodes)
+{
+  Scene *scene = g_new0 (Scene, 1);
+  scene->s = script_new (nodes);
+  scene->machines = g_ptr_array_new_with_free_func (machine_free);
+  scene->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  scene->broken = g_ptr_array_new_with_free_func (g_free);
+  scene->cloud_deletes = TRUE;
+  const HrSettings *set = scene->s->nodes[0].set;
+  scene->lease_s = set->lease_s;
+  scene->cancel_s = set->cancel_s;
+  scene->report_s = set->report_s;
+  for (int i = 0; i < nodes; i++) {
+    script_hold (scene->s, i, "/do", NULL);
+    script_hold (scene->s, i, "/rentals/delete", NULL);
+  }
+  scene_run (scene, 6);
+  assert_int_not_equal (script_leader (scene->s), -1);
+  return scene;
+}
+
+void
+scene_end (Scene *scene)
+{
+  guint n = scene->broken->len;
+  for (guint i = 0; i < MIN (n, 8); i++)
+    print_message ("%s\n", (const char *)scene->broken->pdata[i]);
+  g_ptr_array_unref (scene->machines);
+  g_ptr_array_unref (scene->broken);
+  g_hash_table_unref (scene->withdrawn);
+  script_free (scene->s);
+  g_free (scene);
+  assert_int_equal (n, 0);
+}
