--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -222,7 +222,9 @@
   scene_run (scene, 0.5);
   assert_true (scene_has (m1, "job-a/0"));
   scene_withdraw (scene, 1, "job-a");
-  scene_run (scene, scene->cancel_s + 2);
+  scene_run (scene, scene->s->pol.alone_s + scene->lease_s);
+  assert_true (m1->tenure > 1); /* it hears of no outage, so it is cut off, and lets go early */
+  scene_run (scene, scene->cancel_s);
   assert_false (scene_has (m1, "job-a/0"));
   scene_until (scene, on_machine, "job-b/0", 40);
   assert_true (scene_has (m2, "job-b/0"));
@@ -322,8 +324,8 @@
   scene_end (scene);
 }
 
-/* A hanging machine resumes just within its lease, after its job was withdrawn: it is stopped then,
- * and the record goes on naming its place until that is shown. */
+/* A hanging machine resumes within its lease, after its job was withdrawn: it is stopped then, and
+ * the record goes on naming its place until that is shown. */
 static void
 a_machine_that_hung_is_stopped_when_it_resumes (void **state)
 {
@@ -336,12 +338,42 @@
   m1->hangs = TRUE;
   m1->node = 0;
   scene_withdraw (scene, 1, "job-a");
-  scene_run (scene, scene->lease_s - 1);
+  scene_run (scene, 5);
   assert_true (scene_has (m1, "job-a/0"));
   assert_true (scene_recorded (scene, "job-a", "\"x\""));
   m1->hangs = FALSE;
-  scene_run (scene, 4);
+  scene_run (scene, 3);
   assert_false (scene_has (m1, "job-a/0"));
+  assert_int_equal (m1->tenure, 1); /* not by its lease */
+  assert_false (scene_recorded (scene, "job-a", "\"x\""));
+  scene_end (scene);
+}
+
+/* The leader launches what another controller has confirmed as withdrawn a moment before: the task
+ * is stopped as soon as the leader reads that, and does not start again. */
+static void
+a_launch_that_meets_a_withdrawal_is_stopped (void **state)
+{
+  Scene *scene = scene_led (2);
+  Script *s = scene->s;
+  scene_machine (scene, "m-1", "z0");
+  scene_run (scene, 4);
+  script_hold (s, 0, "/commit", "m-1");
+  scene_submit (scene, 1, "job-a", NULL);
+  for (int i = 0; i < 60 && !script_call (s, 0, "/commit", "m-1"); i++)
+    scene_run (scene, 0.05);
+  ScriptCall *write = script_call (s, 0, "/commit", "m-1");
+  assert_non_null (write);
+  script_carry_out (s, write);
+  script_hold (s, 0, "/changes", NULL);
+  scene_withdraw (scene, 1, "job-a");
+  script_answer (s, write); /* the assignment is in the ledger, as far as the leader knows */
+  scene_run (scene, 0.5);
+  assert_int_equal (scene->starts, 1);
+  scene_release (scene);
+  scene_until (scene, on_none, "job-a/0", 2);
+  scene_run (scene, 10);
+  assert_int_equal (scene->starts, 1);
   scene_end (scene);
 }
 
@@ -385,8 +417,8 @@
   scene_end (scene);
 }
 
-/* The leader stands still, wakes, and finds a report before anything else: it has not read the map
- * for so long that it must not answer. */
+/* The leader stands still, wakes, and finds a report before anything else, of a worker that has
+ * heard of no other: it has not read the map for so long that it must not answer. */
 static void
 a_leader_that_stood_still_does_not_answer (void **state)
 {
@@ -394,20 +426,44 @@
   SceneMachine *m1 = scene_machine (scene, "m-1", "z0");
   scene_run (scene, 4);
   running (scene, m1, "job-a");
+  m1->only = 0;
   scene_freeze (scene, 0);
-  scene_run (scene, 20);
+  scene_run (scene, scene->s->pol.alone_s + 2);
   assert_int_equal (script_leader (scene->s), 1);
+  assert_true (m1->baton < baton_of (scene));
   g_autofree char *report = scene_write (m1);
-  script_step (scene->s, 1, hr_command_new (HR_C_TICK));
-  scene->s->nodes[0].served = FALSE;
   scene_thaw (scene, 0);
   assert_int_not_equal (scene_deliver (scene, 0, report), 200);
-  scene->s->nodes[0].served = TRUE;
+  m1->only = -1;
   scene_run (scene, 10);
   assert_int_equal (scene_count (scene, "job-a/0"), 1);
   scene_end (scene);
 }
 
+/* Late copies of what a member told before it ended, while the state service is out: they are as
+ * old as the clock that they echo, and the leader stops answering in time. */
+static void
+late_copies_of_hints_attest_nothing_new (void **state)
+{
+  Scene *scene = scene_led (2);
+  Script *s = scene->s;
+  SceneMachine *m1 = scene_machine (scene, "m-1", "z0");
+  scene_run (scene, 4);
+  running (scene, m1, "job-a");
+  s->outage = TRUE;
+  scene_run (scene, 5);
+  HrHint copy = s->nodes[1].hint;
+  script_end (s, 1);
+  for (int i = 0; i < s->pol.hold_s + 2; i++) {
+    HrCommand *cmd = hr_command_new (HR_C_HINT);
+    cmd->hint = copy;
+    script_step (s, 0, cmd);
+    scene_run (scene, 1);
+  }
+  assert_int_not_equal (scene_report (m1, 0), 200);
+  scene_end (scene);
+}
+
 /* ---- reports ---- */
 
 /* A report of a machine that is gone is kept back until the next leader has begun, and arrives
@@ -513,6 +569,20 @@
   scene_end (scene);
 }
 
+/* Orders go out with the answers to reports alone. */
+static void
+launch_with_reports (Scene *scene)
+{
+  Script *s = scene->s;
+  s->pol.direct_launch = 0;
+  for (int i = s->n - 1; i >= 0; i--) {
+    script_end (s, i);
+    script_start (s, i);
+  }
+  scene_run (scene, 8);
+  assert_int_equal (script_leader (s), 0);
+}
+
 /* A task of two has ended and its leader ends before that is recorded: the worker goes on showing
  * the end, so the task is not run again, and the job is done only with the other one. */
 static void
@@ -520,6 +590,7 @@
 {
   Scene *scene = scene_led (2);
   Script *s = scene->s;
+  launch_with_reports (scene);
   SceneMachine *m1 = scene_machine (scene, "m-1", "z0");
   scene_run (scene, 4);
   scene_submit (scene, 0, "job-a", script_job ("job-a", 2));
@@ -570,8 +641,8 @@
   SceneMachine *m2 = scene_machine (scene, "m-2", "z0");
   scene_run (scene, 4);
   scene->cloud_deletes = FALSE;
-  m1->only = 0;
-  m1->reached = FALSE;
+  scene_report (m1, 0);
+  m1->reports = m1->reached = FALSE;
   scene_withdraw (scene, 1, "job-a");
   script_end (scene->s, 0);
   scene_until (scene, led_by_1, NULL, 12);
@@ -584,17 +655,17 @@
   scene_end (scene);
 }
 
-/* An array bound to one zone has a task on a machine that cannot be asked: no other starts in
- * another zone before that one is proven gone. after: the next leader knows the machine from the
- * record alone, and not its zone. */
+/* An array of two bound to one zone, or spread over two, has a task on a machine that cannot be
+ * asked: the other does not start where that rules it out before it is proven gone. after: the next
+ * leader knows the machine from the record alone, and not its zone. */
 static void
-one_zone (gboolean after)
+bound_zone (gboolean after, const char *rule, const char *other)
 {
   Scene *scene = scene_led (2);
   SceneMachine *m1 = scene_machine (scene, "m-1", "z1");
   scene_run (scene, 4);
   json_t *body = script_job ("job-a", 2);
-  json_object_set_new (body, "together", json_true ());
+  json_object_set_new (body, rule, json_true ());
   json_object_set_new (body, "vcpus", json_real (12));
   scene_submit (scene, 0, "job-a", body);
   scene_until (scene, on_machine, "job-a/0", 8);
@@ -606,7 +677,7 @@
     script_end (scene->s, 0);
     scene_until (scene, led_by_1, NULL, 12);
   }
-  SceneMachine *m2 = scene_machine (scene, "m-2", "z0");
+  SceneMachine *m2 = scene_machine (scene, "m-2", other);
   for (int i = 0; i < 60 && !m2->tasks->len; i++) {
     scene_run (scene, 1);
     assert_true (!scene_has (m1, "job-a/0") || !m2->tasks->len);
@@ -618,13 +689,20 @@
 static void
 a_task_that_may_still_be_there_binds_its_zone (void **state)
 {
-  one_zone (FALSE);
+  bound_zone (FALSE, "together", "z0");
+}
+
+static void
+a_task_that_may_still_be_there_counts_for_the_spread (void **state)
+{
+  bound_zone (FALSE, "apart", "z1");
 }
 
 static void
-an_unknown_zone_binds_too (void **state)
+an_unknown_zone_rules_out_all (void **state)
 {
-  one_zone (TRUE);
+  bound_zone (TRUE, "together", "z0");
+  bound_zone (TRUE, "apart", "z1");
 }
 
 /* ---- many leaders ---- */
@@ -727,9 +805,11 @@
       cmocka_unit_test (a_mute_machine_is_told_directly),
       cmocka_unit_test (a_deletion_without_answer_holds_tasks_no_longer_than_a_lease),
       cmocka_unit_test (a_machine_that_hung_is_stopped_when_it_resumes),
+      cmocka_unit_test (a_launch_that_meets_a_withdrawal_is_stopped),
       cmocka_unit_test (a_withdrawal_that_the_leader_cannot_read_ends_in_time),
       cmocka_unit_test (a_controller_in_a_cut_zone_renews_no_lease),
       cmocka_unit_test (a_leader_that_stood_still_does_not_answer),
+      cmocka_unit_test (late_copies_of_hints_attest_nothing_new),
       cmocka_unit_test (a_report_kept_for_the_next_leader_counts_for_its_order_only),
       cmocka_unit_test (an_old_report_proves_nothing),
       cmocka_unit_test (a_report_of_an_earlier_session_proves_nothing),
@@ -737,7 +817,8 @@
       cmocka_unit_test (an_end_is_shown_until_it_is_recorded),
       cmocka_unit_test (a_withdrawn_task_counts_until_it_is_gone),
       cmocka_unit_test (a_task_that_may_still_be_there_binds_its_zone),
-      cmocka_unit_test (an_unknown_zone_binds_too),
+      cmocka_unit_test (a_task_that_may_still_be_there_counts_for_the_spread),
+      cmocka_unit_test (an_unknown_zone_rules_out_all),
       cmocka_unit_test (ten_leaders_in_two_minutes),
       cmocka_unit_test (all_are_away_longer_than_a_lease),
   };
