--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -65,6 +65,14 @@
   scene->s->hints = FALSE;
 }
 
+static json_t *
+whole_machine (const char *id)
+{
+  json_t *body = script_job (id, 1);
+  json_object_set_new (body, "vcpus", json_real (12));
+  return body;
+}
+
 static guint64
 baton_of (Scene *scene)
 {
@@ -242,9 +250,7 @@
     g_autofree char *name = g_strdup_printf ("m-%u", i), *id = g_strdup_printf ("job-%u", i);
     m[i] = scene_machine (scene, name, "z0");
     scene_run (scene, 4);
-    json_t *body = script_job (id, 1);
-    json_object_set_new (body, "vcpus", json_real (12));
-    scene_submit (scene, 0, id, body);
+    scene_submit (scene, 0, id, whole_machine (id));
     scene_run (scene, 4);
     assert_int_equal (m[i]->tasks->len, 1);
   }
@@ -634,10 +640,12 @@
 a_withdrawn_task_counts_until_it_is_gone (void **state)
 {
   Scene *scene = scene_led (2);
-  limit_cpus (scene, 1);
+  limit_cpus (scene, 12);
   SceneMachine *m1 = scene_machine (scene, "m-1", "z0");
   scene_run (scene, 4);
-  running (scene, m1, "job-a");
+  scene_submit (scene, 0, "job-a", whole_machine ("job-a"));
+  scene_until (scene, on_machine, "job-a/0", 8);
+  scene_run (scene, 3);
   SceneMachine *m2 = scene_machine (scene, "m-2", "z0");
   scene_run (scene, 4);
   scene->cloud_deletes = FALSE;
@@ -646,7 +654,7 @@
   scene_withdraw (scene, 1, "job-a");
   script_end (scene->s, 0);
   scene_until (scene, led_by_1, NULL, 12);
-  scene_submit (scene, 1, "job-b", NULL);
+  scene_submit (scene, 1, "job-b", whole_machine ("job-b"));
   for (int i = 0; i < 60 && !scene_has (m2, "job-b/0"); i++) {
     scene_run (scene, 1);
     assert_true (scene_count (scene, "job-a/0") + scene_count (scene, "job-b/0") <= 1);
