--- a/tests/script_scene.h
+++ b/tests/script_scene.h
@@ -39,10 +39,20 @@
   GPtrArray *tasks; /* SceneTask */
 } SceneMachine;
 
+/* What the rules need to know of a job. */
+typedef struct {
+  guint tasks, ended; /* ended: tasks that exited as done */
+  double cpus;
+  gboolean together, apart;
+  GHashTable *done; /* pieces */
+} SceneJob;
+
 struct Scene {
   Script *s;
   GPtrArray *machines;
   GHashTable *withdrawn; /* job -> double *: when a user was told so */
+  GHashTable *jobs;      /* job -> SceneJob */
+  double cpus_max;       /* of the only team; 0: no limit */
   GPtrArray *broken;     /* rules, as text */
   guint starts, deletions;
   gboolean cloud_deletes; /* the cloud carries out deletions, and answers */
@@ -60,6 +70,10 @@
 typedef gboolean (*SceneCheck) (Scene *scene, gpointer data);
 void scene_until (Scene *scene, SceneCheck check, gpointer data, double seconds);
 
+/* Tells the rules of a job that is about to be submitted. */
+void scene_know (Scene *scene, const char *id, const json_t *body);
+/* A user was told so, then. */
+void scene_told (Scene *scene, const char *id, const char *stance, double at);
 /* Submits, and waits until it is accepted. body: taken; NULL: script_job of one task. */
 void scene_submit (Scene *scene, int node, const char *id, json_t *body);
 /* Withdraws, and waits until the user is told so. */
