--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -3,11 +3,23 @@
  * same seed plays the same day. Every rule of the protocol is checked. */
 #pragma once
 #include "coordination/core.h"
+#include "sim/troubles.h"
 #include <jansson.h>
 
-typedef struct World World;
 typedef void (*WFn) (World *w, gpointer data);
 
+/* What becomes of one request, where a search decides it instead of the drawn losses. */
+typedef enum {
+  FATE_DELIVERED,
+  FATE_LOST,        /* never carried out */
+  FATE_ANSWER_LOST, /* carried out at once; its answer is lost */
+  FATE_LATE,        /* carried out seconds after its sender gave up */
+  FATE_COPIED,      /* carried out at once, and again later */
+  FATE_ENDS_BACK,   /* carried out; the controller concerned ends then, and is back at once */
+  FATE_ENDS_AWAY,   /* the same, and it stays away for longer than a leader's lease */
+  FATE_COUNT
+} WFate;
+
 /* A request on its way, to any server of the world, and its way back. */
 typedef struct {
   int node; /* asking controller, or -1: a worker or user asks a controller */
@@ -19,6 +31,7 @@
   char *addr, *path, *body;
   double timeout;
   gboolean answered;
+  gboolean answer_lost; /* whatever it is answered does not arrive */
   int refs;
   int machine; /* of the asking worker, or -1 */
   void (*done) (World *w, int status, json_t *body, gpointer data);
@@ -77,6 +90,7 @@
   double report_sent, token_told;
   double cut, hang; /* until when */
   double deaf;      /* until when answers and commands do not reach it; reports leave */
+  double mute;      /* until when it reaches no controller; commands reach it */
   gboolean hold;
   double warned; /* taken at; 0: no notice */
   gboolean faulty, through_cut;
@@ -94,10 +108,14 @@
   gboolean cancel, asked_cancel;
   double due_cancel, told_withdrawn, told_done, started, first, done_at;
   double poll_at, ok_at;
+  /* By the clock of answers (World.answers), 0: not yet: when a user first heard that it is */
+  guint64 heard_accepted, heard_done, heard_withdrawn;
   double accepted_at;
   gboolean large, forgotten, lost_place;
-  const char *team; /* NULL: the first one */
-  guint *done;      /* per task */
+  const char *team;     /* NULL: the first one */
+  GPtrArray *awaits;    /* SJob, or NULL */
+  gboolean no_deadline; /* also as an array */
+  guint *done;          /* per task */
   double *progress;
 } SJob;
 
@@ -128,9 +146,13 @@
   /* users */
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
+  guint named; /* jobs that have a name, submitted or not */
   guint streamed;
-  gboolean fickle;   /* users withdraw most jobs soon after they submit them */
-  double gang_image; /* GB, of the gangs of two */
+  gboolean fickle;            /* users withdraw most jobs soon after they submit them */
+  double gang_image;          /* GB, of the gangs of two */
+  double pipelines_cancelled; /* share of pipelines of which some job is withdrawn */
+  gboolean shock;             /* a withdrawal that was told is followed by the end of all nodes */
+  double shocked_at;
   /* judge */
   GPtrArray *broken; /* texts */
   guint starts;
@@ -139,8 +161,14 @@
                          late */
   double copies;      /* share of reports of which a copy comes late */
   gboolean calm;      /* no more faults */
-  double calm_at;
+  double calm_at, faults_to;
+  HrTroubles troubles;
+  guint64 answers;         /* counts what users ask and hear: the one clock of answers */
+  guint started_withdrawn; /* starts after a confirmed cancellation */
   guint invented_asked;
+  /* A search's choice for each request; NULL: losses are drawn. */
+  WFate (*choose) (World *w, const Req *r, gpointer data);
+  gpointer choose_data;
 };
 
 /* Who is at work, for logs. */
@@ -164,12 +192,17 @@
 void w_answer (World *w, Req *r, int status, char *body);
 void req_unref (Req *r);
 
+/* fate.c: lets the request meet that fate; it would reach its receiver at time t. */
+void w_meet_fate (World *w, Req *r, WFate fate, double t);
+
 void node_start (World *w, int i);
 void node_kill (World *w, int i);
 
 void store_request (World *w, Req *r);
 void store_init (World *w);
 gboolean store_names (World *w, const char *machine);
+/* The value of a key, as text. */
+const char *store_text (World *w, const char *key);
 guint store_garbage (World *w);
 guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
@@ -183,6 +216,52 @@
 void worker_boot (World *w, SMachine *m);
 void machine_stop_all (World *w, SMachine *m, const char *why);
 void users_init (World *w, guint jobs, double span);
+/* This user polls, submits again or cancels now, at that node (-1: any). */
+void user_poll_at (World *w, SJob *j, int node);
+void user_submit_at (World *w, SJob *j, int node);
+void user_cancel_at (World *w, SJob *j, int node);
+gboolean job_all_done (const SJob *j);
+/* A request of a worker or user that has left arrives at its controller now, or if it has left
+ * one at the server it asks. Takes a reference. */
+void req_arrive (World *w, gpointer req);
+/* A copy of a worker's report, for whose answer nobody waits. */
+Req *req_copy (const Req *r, int to);
+
+/* ---- answers.c: what users are told, by one clock of answers ---- */
+
+/* The newest fact about a job that any user had heard when a question left. */
+typedef struct {
+  SJob *job;
+  guint64 sent; /* World.answers then */
+  double sent_at;
+} Question;
+Question *question_new (World *w, SJob *j);
+/* An answer of 200 or 201 to this question: nothing older than was heard before it was sent. */
+void answer_check (World *w, const Question *q, int status, json_t *body);
+/* 404, 400 or 422. */
+void answer_unknown (World *w, const Question *q, const char *what, int status);
+
+/* ---- troubles.c: where the stand-ins meet them ---- */
+
+void troubles_init (World *w, guint32 seed);
+void troubles_free (World *w);
+double trouble_rand (World *w, double lo, double hi);
+/* Takes over a request on its way (t: when it would arrive). FALSE: it goes on as always. */
+gboolean troubles_take (World *w, Req *r, double t);
+/* Until when a cut zone parts the two ends of this request; 0: it does not. m: the worker. */
+double troubles_zone_cut (World *w, const Req *r, const SMachine *m);
+/* How much later than usual this request's answer leaves. */
+double troubles_delay (World *w, const Req *r);
+/* When a machine rented now is up. at: as the cloud has drawn it. */
+double troubles_boots (World *w, double at);
+/* The map is written: who leads, and the token. */
+void troubles_map (World *w, json_t *map);
+/* A controller answers a worker with 200. */
+void troubles_reply (World *w, int node, const char *answer);
+/* The last task of this job has ended. */
+void troubles_job_ended (World *w, SJob *j);
+/* Users were first told that it is accepted, done or withdrawn. */
+void troubles_told (World *w, SJob *j, gboolean accepted);
 /* Probes every controller as a load balancer does. */
 void users_probe (World *w);
 /* The user of a running service withdraws it, at this node. */
@@ -190,6 +269,9 @@
 /* Gangs of which one task has its image at once, and others after more than gang_wait_s.
  * fickle: one more is withdrawn while it fetches. */
 void users_long_fetches (World *w, gboolean fickle);
+/* One array of equal tasks of `run` seconds each, sent in at `at`; withdrawn at `cancel_at` (0:
+ * never). */
+void users_array (World *w, guint tasks, double run, double at, double cancel_at);
 /* Services that run until the end, of small images. */
 void users_services (World *w, guint n, guint tasks, double at);
 /* The first team fills the fleet with long work; later the second one wants what it is
@@ -207,10 +289,15 @@
  */
 void users_stream (World *w, HrShape large, double from, double to);
 void users_free (World *w);
+/* A job that has only its name, and its submission once it is complete. */
+SJob *users_new_job (World *w);
+void users_submit (World *w, SJob *j);
 void judge_start (World *w, SMachine *m, STask *t);
 void judge_tick (World *w);
 SJob *job_by_id (World *w, const char *id, guint32 *index);
 void faults_init (World *w, guint n, double from, double to);
+/* No trouble begins any more, unless one is planned for later. */
+void world_calm (World *w, gpointer unused);
 /* All controllers are behind a cut for 30 s that holds packets back. */
 void faults_held_cut (World *w, double at);
 /* The state service answers no controller for 50 s; they hear one another, and workers. */
