--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -365,6 +365,53 @@
   PLAY_SET (2170, 2174, day, .users = too_much, .capacity = 8, .until = 900);
 }
 
+/* The leader ends while machines hear nothing, or cannot be reached, and copies of their reports
+ * are kept for the next one. */
+static void
+deaf_machines_and_the_next_leader (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 60, .kind = TROUBLE_LATE_REPORTS, .for_s = 45, .share = 0.5, .for_next = TRUE},
+      {.at_s = 95, .kind = TROUBLE_MACHINE_DEAF, .share = 0.4, .for_s = 25},
+      {.at_s = 96, .kind = TROUBLE_MACHINE_CUT, .share = 0.3, .for_s = 25, .hold = TRUE},
+      {.at_s = 97, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 99, .kind = TROUBLE_CANCEL_NOW, .count = 8, .hang_s = 11},
+      {.at_s = 170, .kind = TROUBLE_LATE_REPORTS, .for_s = 30, .share = 0.5, .to_all = TRUE},
+      {.at_s = 185, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER, .back_s = 0.3}};
+  PLAY (2300, 2304, day);
+}
+
+/* A leader stands still for seconds and goes on with what it believed, is refused by the state
+ * service alone, and the service is out for all. */
+static void
+standing_leaders_and_refusals (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 70, .kind = TROUBLE_NODE_FREEZE, .who = WHO_LEADER, .for_s = 3.5},
+      {.at_s = 71, .kind = TROUBLE_CANCEL_NOW, .count = 6, .hang_s = 9},
+      {.at_s = 90, .kind = TROUBLE_NODE_FREEZE, .who = WHO_LEADER, .for_s = 9},
+      {.at_s = 93, .kind = TROUBLE_CANCEL_NOW, .count = 8},
+      {.at_s = 150, .kind = TROUBLE_STATE_REFUSES, .who = WHO_LEADER, .for_s = 12},
+      {.at_s = 151, .kind = TROUBLE_CANCEL_NOW, .count = 10},
+      {.at_s = 152, .kind = TROUBLE_STATE_OUTAGE, .for_s = 45},
+      {.at_s = 158, .kind = TROUBLE_NODE_FREEZE, .who = WHO_LEADER, .for_s = 6}};
+  PLAY (2310, 2314, day);
+}
+
+/* Tasks of a job end far apart, across changes of the leader; machines go before their ends are
+ * recorded, and only the answers to writes are lost. */
+static void
+ends_far_apart_and_new_leaders (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 40, .kind = TROUBLE_CLOSE_LOOKS, .for_s = 200},
+      {.at_s = 50, .kind = TROUBLE_CANCEL_AT_END, .for_s = 150, .share = 0.5},
+      {.at_s = 60, .kind = TROUBLE_LATE_WRITES, .for_s = 120, .share = 0.3, .at_once = TRUE},
+      {.at_s = 70, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER, .times = 5, .every_s = 25},
+      {.at_s = 71, .kind = TROUBLE_MACHINE_CRASH, .count = 2, .times = 5, .every_s = 25}};
+  PLAY (2320, 2324, day);
+}
+
 /* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
 static GLogWriterOutput
 log_writer (GLogLevelFlags level, const GLogField *f, gsize n, gpointer verbose)
@@ -400,6 +447,9 @@
       cmocka_unit_test (no_controllers_and_cut_machines),
       cmocka_unit_test (bound_jobs_and_lost_machines),
       cmocka_unit_test (overload_and_slow_links),
+      cmocka_unit_test (deaf_machines_and_the_next_leader),
+      cmocka_unit_test (standing_leaders_and_refusals),
+      cmocka_unit_test (ends_far_apart_and_new_leaders),
   };
   g_log_set_writer_func (log_writer, GINT_TO_POINTER (g_getenv ("HR_SIM_VERBOSE") != NULL), NULL);
   if (argc == 2) { /* one part: the name of a meeting's function */
