A leader that the state service refuses alone launches nothing

Cause: a task that is recorded but not launched yet (its launch was lost, or it waits for the fetches of its gang) was launched by a leader that answers its workers while the state service refuses it alone. Another controller may have confirmed meanwhile that its job is withdrawn, so it started after a confirmed cancellation, and went on until its lease ended.

--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -32,18 +32,27 @@
           (!j->gang_over && hr_gang_ready (j) && !hr_gang_holds_back (c, j, t)));
 }
 
+/* While the state service refuses this owner alone, others confirm withdrawals that it cannot read:
+ * it launches nothing. What is recorded may wait for long, a gang's task for others' fetches. In
+ * an outage for all nobody confirms any. */
+static gboolean
+may_launch (const HrCore *c)
+{
+  return hr_follow_served (c) || hr_leader_outage_for_all (c);
+}
+
 /* Orders for what is recorded on this machine. Returns whether a launch is among them. */
 static gboolean
 orders_for (HrCore *c, HrMachine *m, json_t *orders, gboolean direct)
 {
-  gboolean launch = FALSE;
+  gboolean launch = FALSE, may = may_launch (c);
   for (guint i = 0; i < m->tasks->len; i++) {
     HrRef r = g_array_index (m->tasks, HrRef, i);
     HrJob *j = c->jobs->pdata[r.job];
     HrTask *t = &j->tasks[r.task];
     if (t->state != HR_T_BOUND || t->session != m->session)
       continue;
-    if (t->shown == HR_NOT_SHOWN && launchable (c, j, t)) {
+    if (may && t->shown == HR_NOT_SHOWN && launchable (c, j, t)) {
       hr_order_launch (orders, j->id, r.task, t->try);
       if (direct)
         hr_absence_note_direct (m, r.job, r.task, t->try, c->baton);
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -402,6 +402,25 @@
   scene_end (scene);
 }
 
+/* A task is recorded and its launch was lost; the state service refuses the leader alone while
+ * another controller confirms that the job is withdrawn. The leader, which answers its workers
+ * still, launches nothing. */
+static void
+a_refused_leader_launches_nothing (void **state)
+{
+  Scene *scene = scene_led (2);
+  SceneMachine *m1 = scene_machine (scene, "m-1", "z0");
+  scene_run (scene, 4);
+  m1->reports = FALSE;
+  delayed_launch (scene, m1, "job-a");
+  cut_off (scene, 0);
+  scene_withdraw (scene, 1, "job-a");
+  scene_run (scene, 6);
+  assert_int_equal (scene_report (m1, 0), 200);
+  assert_int_equal (scene->starts, 0);
+  scene_end (scene);
+}
+
 /* A zone with a worker and a controller that does not lead is cut off for longer than a lease:
  * that controller does not renew the worker's lease. */
 static void
@@ -713,6 +732,34 @@
   bound_zone (TRUE, "apart", "z1");
 }
 
+/* ---- figures ---- */
+
+/* The policy as deployed, on platforms of many figures: what an owner that cannot read a withdrawal
+ * still answers ends before cancel_s, clocks that drift apart by 0.05% included, and whoever leads
+ * next counts at least as long. */
+static void
+the_policy_ends_tasks_in_time (void **state)
+{
+  static const double drift = 0.0005;
+  for (double lease = 5; lease < 60; lease += 2.5)
+    for (double more = 8; more < 60; more += 4) {
+      g_autoptr (GHashTable) vars = hr_policy_vars_new ();
+      g_autoptr (GError) e = NULL;
+      HrPolicy p;
+      hr_core_policy_vars (NULL, vars);
+      hr_policy_vars_set (vars, "lease_s", lease);
+      hr_policy_vars_set (vars, "report_s", lease / 5);
+      hr_policy_vars_set (vars, "cancel_s", lease + more);
+      assert_true (hr_policy_load (SOURCE_ROOT "/deploy/policy.hop", vars, &p, &e));
+      assert_true (hr_core_policy_check (&p, vars, &e));
+      double ends = (p.hold_s + lease) * (1 + drift);
+      assert_true (ends < lease + more);
+      assert_true (p.hold_s + lease * 1.002 + p.lease_margin_s > ends);
+      p.hold_s = more;
+      assert_false (hr_core_policy_check (&p, vars, &e));
+    }
+}
+
 /* ---- many leaders ---- */
 
 /* Leaders change ten times in two minutes, also inside an outage; machines fall silent and jobs
@@ -815,6 +862,7 @@
       cmocka_unit_test (a_machine_that_hung_is_stopped_when_it_resumes),
       cmocka_unit_test (a_launch_that_meets_a_withdrawal_is_stopped),
       cmocka_unit_test (a_withdrawal_that_the_leader_cannot_read_ends_in_time),
+      cmocka_unit_test (a_refused_leader_launches_nothing),
       cmocka_unit_test (a_controller_in_a_cut_zone_renews_no_lease),
       cmocka_unit_test (a_leader_that_stood_still_does_not_answer),
       cmocka_unit_test (late_copies_of_hints_attest_nothing_new),
@@ -827,6 +875,7 @@
       cmocka_unit_test (a_task_that_may_still_be_there_binds_its_zone),
       cmocka_unit_test (a_task_that_may_still_be_there_counts_for_the_spread),
       cmocka_unit_test (an_unknown_zone_rules_out_all),
+      cmocka_unit_test (the_policy_ends_tasks_in_time),
       cmocka_unit_test (ten_leaders_in_two_minutes),
       cmocka_unit_test (all_are_away_longer_than_a_lease),
   };
