--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -177,6 +177,7 @@
   c->waiters = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->waiters_now = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->peers = g_array_new (FALSE, TRUE, sizeof (HrPeerView));
+  c->withdrawals = g_array_new (FALSE, FALSE, sizeof (HrWithdrawal));
   hr_intern_init (&c->job_ids);
   hr_intern_init (&c->machine_ids);
   c->jobs = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_job_free);
@@ -192,6 +193,7 @@
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
+  g_queue_init (&c->rentals_again);
   c->write_bucket = (HrBucket){set->state_write_rps, set->state_write_rps, set->state_write_rps, 0};
   c->cloud_bucket = (HrBucket){set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0};
   return c;
@@ -209,6 +211,7 @@
 void
 hr_core_free (HrCore *c)
 {
+  hr_fleet_clear (c);
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_clear_full (&c->txns[i], txn_free);
   g_rand_free (c->rand);
@@ -216,6 +219,7 @@
   g_array_unref (c->waiters);
   g_array_unref (c->waiters_now);
   g_array_unref (c->peers);
+  g_array_unref (c->withdrawals);
   g_ptr_array_unref (c->jobs);
   g_ptr_array_unref (c->machines);
   hr_intern_clear (&c->job_ids);
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -129,11 +129,13 @@
     hr_request_answer (c, request, j, 200);
 }
 
+/* Final states never change, so they need no reading; but what a member said is not told to
+ * users before its record is read. */
 gboolean
 hr_request_answer_final (HrCore *c, HrUserRequest *request)
 {
   HrJob *j = hr_job_find (c, request->id);
-  if (!j || j->stance == HR_QUEUED)
+  if (!j || j->stance == HR_QUEUED || j->told)
     return FALSE;
   hr_request_answer (c, request, j, 200);
   return TRUE;
@@ -148,7 +150,7 @@
   HrJob *j = hr_job_find (c, request->id);
   guint64 epoch;
   if (status == 200 && j && hr_json_count (body, "epoch", G_MAXINT64, &epoch)) {
-    c->withdrawn = MAX (c->withdrawn, epoch);
+    hr_withdrawals_note (c, j, epoch);
     if (j->stance == HR_QUEUED && epoch > j->stamp) {
       j->stance = HR_WITHDRAWN;
       j->stamp = epoch;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -50,7 +50,7 @@
   GHashTable *heard; /* machine -> guint64[2]: newest session and number answered */
   guint64 next;
   double store_at;  /* when the state service last answered it */
-  double behind_at; /* when another changed the map or withdrew a job, not read yet; 0: never */
+  double behind_at; /* when another changed the map, not read yet; 0: never */
   guint64 behind_epoch;
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
   double alone_at;    /* cut off from state service and members since */
@@ -113,6 +113,7 @@
   /* By the clock of answers (World.answers), 0: not yet: when a user first heard that it is */
   guint64 heard_accepted, heard_done, heard_withdrawn;
   double accepted_at;
+  double withdrawn_at; /* its record says so since; 0: it does not */
   gboolean large, forgotten, lost_place;
   const char *team;     /* NULL: the first one */
   GPtrArray *awaits;    /* SJob, or NULL */
@@ -146,6 +147,7 @@
   GPtrArray *machines; /* SMachine */
   GHashTable *asks;
   double cloud_outage;
+  double cloud_calls, cloud_called; /* calls that fill its allowance, as of then */
   guint capacity;
   /* users */
   GPtrArray *jobs; /* SJob */
@@ -340,8 +342,12 @@
 void faults_held_cut (World *w, double at);
 /* The state service answers no controller for 50 s; they hear one another, and workers. */
 void faults_cut_from_store (World *w, double at);
-/* The same, after one of them confirmed a withdrawal that the owner did not read. */
+/* The same, after one of them confirmed a withdrawal that the owner did not read. Leases are to
+ * last all the same, but where that member restarts. */
 void faults_missed_withdrawal (World *w, double at, gboolean restart);
+/* The state service refuses the owner alone while all other members confirm withdrawals, and is
+ * then down for all, for longer than a withdrawn job's tasks may live. */
+void faults_withdrawal_gap (World *w, double at);
 /* No worker reaches the owner for 40 s; other controllers do. */
 void faults_owner_unreached (World *w, double at, gboolean hold);
 /* Half of the machines end without notice, and so does the process of the owner. */
