--- a/src/coordination/requests.h
+++ b/src/coordination/requests.h
@@ -21,7 +21,8 @@
 /* The answers below take the request. */
 void hr_request_refuse_later (HrCore *c, HrUserRequest *request, int status, const char *why);
 void hr_request_answer (HrCore *c, HrUserRequest *request, HrJob *j, int status);
-/* Final states never change, so they need no reading. FALSE: the job is in none. */
+/* Final states never change, so they need no reading; but what a member said is not told to users
+ * before its record is read. FALSE: not answered. */
 gboolean hr_request_answer_final (HrCore *c, HrUserRequest *request);
 /* For hr_follow_read: answers from what was read, or goes on with what is left to do. */
 void hr_request_on_read (HrCore *c, gboolean ok, gpointer request);
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -129,8 +129,6 @@
     hr_request_answer (c, request, j, 200);
 }
 
-/* Final states never change, so they need no reading; but what a member said is not told to
- * users before its record is read. */
 gboolean
 hr_request_answer_final (HrCore *c, HrUserRequest *request)
 {
