--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -520,6 +520,21 @@
   }
 }
 
+static void
+changes_gone (World *w, gpointer p)
+{
+  int owner = store_owner (w);
+  if (owner >= 0)
+    w->nodes[owner].too_old = w->epoch;
+}
+
+void
+faults_changes_gone (World *w, double from, double to)
+{
+  for (double t = from; t < to; t += 10)
+    w_at (w, t, changes_gone, NULL);
+}
+
 void
 faults_owners (World *w, double from, double to)
 {
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -354,6 +354,8 @@
 {
   g_autofree char *prefix = query (r->path, "starts"), *after = query (r->path, "after");
   g_autoptr (GPtrArray) keys = g_ptr_array_new ();
+  if (!after)
+    w->nodes[r->node].too_old = 0; /* it reads everything anew */
   GHashTableIter it;
   gpointer k;
   g_hash_table_iter_init (&it, w->keys);
@@ -420,6 +422,10 @@
                                               (json_int_t)k->stamp)));
   } else if (g_str_has_prefix (r->path, "/changes?")) {
     g_autofree char *after = query (r->path, "after"), *hold = query (r->path, "hold_ms");
+    if (g_ascii_strtoull (after, NULL, 10) <= w->nodes[r->node].too_old) {
+      w_answer (w, r, 410, g_strdup ("{\"error\":\"too old\"}"));
+      return;
+    }
     SWatch *s = g_new0 (SWatch, 1);
     s->r = r;
     r->refs++;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -42,6 +42,7 @@
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
   double alone_at;    /* cut off from state service and members since */
   gboolean hold;      /* cuts hold packets back */
+  guint64 too_old;    /* its changes up to this epoch are no longer kept; 0: they are */
   double frozen;      /* stands still until then, while its clocks run on; 0: it does not */
   double freeze_next; /* stands still so long in the middle of its next batch */
 } Node;
@@ -235,6 +236,8 @@
 void faults_lost_places (World *w, double from, double to);
 /* The process of the owner ends, and is back soon. */
 void faults_owner_ends (World *w, double at);
+/* Again and again the changes that the owner has not read yet are no longer kept. */
+void faults_changes_gone (World *w, double from, double to);
 /* Controllers stand still while their clocks run on: the owner, another, or all of them. */
 typedef enum { FREEZE_OWNER, FREEZE_OTHER, FREEZE_ALL } FreezeWho;
 void faults_freeze (World *w, double at, FreezeWho who, double for_s);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -340,6 +340,22 @@
   assert_int_equal (broken, 0);
 }
 
+/* The owner lags so far behind that it has to read the ledger anew, while direct orders of its
+ * are still on their way: it forgets them, so its token must not stay what they carry. */
+static void
+days_with_changes_gone (void **state)
+{
+  guint broken = 0;
+  for (guint s = 1100; s < 1108; s++) {
+    World *w = world_new (s, 3);
+    w->late_orders = 0.5;
+    w->fickle = TRUE;
+    faults_changes_gone (w, 20, 300);
+    broken += play_on (w, s, 0, 0, 0);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Controllers stand still while their clocks run on: for a moment, for longer than their
  * leadership, than hold_s and than a lease; the owner, the others, or all; also repeated,
  * and beside other troubles. */
@@ -529,13 +545,14 @@
       cmocka_unit_test (days_of_unreadable_pages),
       cmocka_unit_test (days_of_a_guarantee),
       cmocka_unit_test (days_of_two_owners),
+      cmocka_unit_test (days_with_changes_gone),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {
-        "quiet",       "one",        "many",      "limit",  "parts",     "copies",      "nodes",
-        "stream",      "deaf",       "owners",    "cut",    "gangs",     "attestation", "places",
-        "late_orders", "oversized",  "fetch",     "freeze", "unreached", "half",        "large3",
-        "large5",      "unreadable", "guarantee", "two"};
+        "quiet",       "one",        "many",      "limit",  "parts",       "copies",      "nodes",
+        "stream",      "deaf",       "owners",    "cut",    "gangs",       "attestation", "places",
+        "late_orders", "oversized",  "fetch",     "freeze", "unreached",   "half",        "large3",
+        "large5",      "unreadable", "guarantee", "two",    "changes_gone"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
