--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -422,7 +422,8 @@
                                               (json_int_t)k->stamp)));
   } else if (g_str_has_prefix (r->path, "/changes?")) {
     g_autofree char *after = query (r->path, "after"), *hold = query (r->path, "hold_ms");
-    if (g_ascii_strtoull (after, NULL, 10) <= w->nodes[r->node].too_old) {
+    guint64 too_old = w->nodes[r->node].too_old;
+    if (too_old && g_ascii_strtoull (after, NULL, 10) <= too_old) {
       w_answer (w, r, 410, g_strdup ("{\"error\":\"too old\"}"));
       return;
     }
