--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -82,13 +82,8 @@
 void
 hr_leader_step_down (HrCore *c, const char *why)
 {
-  if (c->leads) {
+  if (c->leads)
     g_message ("this node no longer leads: %s", why);
-    /* Which orders are still on their way is forgotten with the term. Under the same token they
-     * would be carried out in the next one, after a report that lacks their task was taken for
-     * proof: only a term with a higher token may follow. */
-    c->fenced = MAX (c->fenced, c->baton);
-  }
   c->leads = FALSE;
   c->raise_wanted = FALSE;
   c->raising = FALSE;
