--- a/src/bookkeeping/absence.c
+++ b/src/bookkeeping/absence.c
@@ -11,6 +11,22 @@
   return m->do_out == 0 && m->do_lost == 0 && m->reply_launch == 0;
 }
 
+/* A launch whose answer was lost, of a job that was withdrawn since, may come at any time while
+ * the worker is in this session and has seen no newer token. */
+gboolean
+hr_absence_withdrawn_may_start (const HrCore *c, const HrMachine *m)
+{
+  for (guint i = 0; m->do_lost && i < m->tasks->len; i++) {
+    HrRef r = g_array_index (m->tasks, HrRef, i);
+    const HrJob *j = c->jobs->pdata[r.job];
+    const HrTask *t = &j->tasks[r.task];
+    if (j->stance == HR_WITHDRAWN && t->state == HR_T_BOUND && t->session == m->session &&
+        t->shown == HR_NOT_SHOWN)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 void
 hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token)
 {
@@ -81,6 +97,15 @@
   return MAX (m->heard_at, c->led_at);
 }
 
+/* A machine that is being returned is answered no more, so its lease runs out like that of a silent
+ * one. While the cloud answers no deletion, that is the only proof about what it held. */
+static void
+give_up_returned (HrCore *c, HrMachine *m)
+{
+  if (m->state == HR_M_DELETING && m->tasks->len && hr_absence_lease_over (c, m))
+    hr_absence_sessions (c, m, G_MAXUINT32, "it is being returned, and its lease is surely over");
+}
+
 static gboolean
 deaf_now (const HrCore *c, const HrMachine *m)
 {
@@ -123,6 +148,7 @@
   g_autoptr (GPtrArray) fleet = g_ptr_array_copy (c->fleet, NULL, NULL);
   for (guint i = 0; i < fleet->len; i++) {
     HrMachine *m = fleet->pdata[i];
+    give_up_returned (c, m);
     if (m->state == HR_M_UP && deaf_now (c, m))
       hr_fleet_delete (c, m, "it reports, but what it is told does not reach it");
     if (m->state == HR_M_UP && c->now - last_heard (c, m) > c->pol.overdue_s && unlisted (c, m) &&
--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -11,6 +11,8 @@
 #define UNSERVED_S 4.0
 /* Who asks waits so long while the service only says that it is busy. */
 #define BUSY_S 1.2
+/* What is left of a reading's latency in the estimate after the next reading. */
+#define LATENCY_KEPT 0.7
 
 static void
 applied_map (HrCore *c, const json_t *v, guint64 stamp)
@@ -65,8 +67,12 @@
     return TRUE; /* known already: our own write, or a change read twice */
   if (!hr_record_read (v, c->names, &r)) {
     g_warning ("%s: its record makes no sense", j->id);
+    j->record_unreadable = TRUE;
+    hr_record_clear (&r);
     return FALSE;
   }
+  j->record_unreadable = FALSE;
+  g_auto (GStrv) awaits = g_steal_pointer (&r.awaits);
   HrPage *p = j->pages;
   if (p && p->tag && g_str_equal (p->tag, r.tag)) {
     hr_record_clear (&r);
@@ -77,17 +83,21 @@
   j->known = TRUE;
   j->stamp = stamp;
   if (r.stance == HR_WITHDRAWN)
-    c->withdrawn = MAX (c->withdrawn, stamp);
+    hr_withdrawals_note (c, j, stamp);
   g_free (j->tag);
   j->tag = g_steal_pointer (&r.tag);
   if (r.tombstone) {
     j->stance = r.stance;
+    j->told = FALSE;
     j->ntasks = r.ntasks;
     j->nrdone = r.ndone;
     j->shrunk = TRUE;
+    if (r.withdrawn_with)
+      j->withdrawn_with = hr_job_get (c, r.withdrawn_with);
     hr_garbage_job (c, j);
     if (!c->leads || !j->nlive)
       hr_job_shrink (j);
+    hr_dependencies_final (c, j);
     return TRUE;
   }
   if (fresh || !j->tasks) {
@@ -110,10 +120,15 @@
   }
   if (!r.per_page)
     j->pages[0].stamp = stamp;
+  /* A reading may be older than what a member told; a withdrawal is final all the same. */
+  gboolean was_told = j->told;
+  j->told = was_told && r.stance == HR_QUEUED;
   HrStance before = j->stance;
-  j->stance = r.stance;
+  j->stance = j->told ? HR_WITHDRAWN : r.stance; /* a derived withdrawal is derived again */
+  hr_dependencies_read (c, j, (const char *const *)awaits);
   hr_job_open (c, j);
-  if (c->leads && r.stance == HR_WITHDRAWN && before != HR_WITHDRAWN)
+  gboolean withdrawn = r.stance == HR_WITHDRAWN || j->told;
+  if (c->leads && withdrawn && (before != HR_WITHDRAWN || was_told))
     hr_job_withdrawn (c, j);
   c->plan_dirty = TRUE;
   return TRUE;
@@ -320,6 +335,7 @@
   g_array_set_size (c->open, 0);
   hr_split_reset (c);
   c->map_stamp = c->leader_stamp = c->format_stamp = 0;
+  g_array_set_size (c->tombstones, 0);
   g_clear_pointer (&c->leader_label, g_free);
   g_clear_pointer (&c->leader_inc, g_free);
   g_clear_pointer (&c->sync_after, g_free);
@@ -353,10 +369,11 @@
     if (sent - c->confirmed_at > UNSERVED_S)
       c->served_since = c->now;
     c->confirmed_at = MAX (c->confirmed_at, sent);
+    c->store_latency = MAX (c->now - sent, LATENCY_KEPT * c->store_latency);
     c->synced_once = TRUE;
   }
   if (status == 410)
-    hr_leader_step_down (c, "the changes since the last reading are gone");
+    hr_leader_begin_anew (c, "the changes since the last reading are gone");
   if (status == 429) { /* there are too many of us just now: the next reading serves them */
     for (guint i = 0; i < c->waiters_now->len; i++) {
       HrWaiter *w = &g_array_index (c->waiters_now, HrWaiter, i);
--- a/src/bookkeeping/layout.c
+++ b/src/bookkeeping/layout.c
@@ -12,7 +12,6 @@
 #define TASK_BYTES_LEAST 24
 /* {"w":"TAG","x":[]} with the longest tag. */
 #define PAGE_BYTES_AROUND 80
-#define LONGEST_TAG "iiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiiii.nnnnnnnnnnnnnnnnnnnn"
 
 gsize
 hr_layout_planned_bytes (const HrCore *c)
@@ -48,7 +47,7 @@
   without.ntasks = 0;
   without.per_page = 0;
   g_autofree char *text =
-      hr_record_main (&without, c->names, &c->machine_ids, HR_QUEUED, LONGEST_TAG, FALSE);
+      hr_record_main (&without, c->names, &c->machine_ids, HR_QUEUED, HR_LONGEST_TAG, FALSE);
   return strlen (text);
 }
 
@@ -62,14 +61,14 @@
 }
 
 guint
-hr_layout_choose (HrCore *c, const HrJobSpec *spec)
+hr_layout_choose (HrCore *c, const HrJobSpec *spec, gsize beside)
 {
   if (!c->speaks) {
     guint per = hr_tasks_per_page (c->limits.value_kb);
     return spec->tasks <= per ? 0 : per;
   }
   HrJob j = {.spec = *spec, .submitted = c->wall};
-  double inline_bytes = main_bytes (c, &j) + (double)spec->tasks * task_bytes (c);
+  double inline_bytes = main_bytes (c, &j) + beside + (double)spec->tasks * task_bytes (c);
   return inline_bytes <= hr_layout_planned_bytes (c) ? 0 : hr_layout_page_size (c, spec->tasks);
 }
 
@@ -88,13 +87,13 @@
   gsize most = hr_layout_planned_bytes (c);
   if (!j->per_page) {
     g_autofree char *text =
-        hr_record_main (j, c->names, &c->machine_ids, j->stance, LONGEST_TAG, FALSE);
+        hr_record_main (j, c->names, &c->machine_ids, j->stance, HR_LONGEST_TAG, FALSE);
     return strlen (text) > most;
   }
   if (PAGE_BYTES_AROUND + (gsize)j->per_page * task_bytes (c) <= most)
     return FALSE; /* whatever its pages hold */
   for (guint i = 0; i < j->npages; i++) {
-    g_autofree char *text = hr_record_page (j, i, &c->machine_ids, LONGEST_TAG, FALSE);
+    g_autofree char *text = hr_record_page (j, i, &c->machine_ids, HR_LONGEST_TAG, FALSE);
     if (strlen (text) > most)
       return TRUE;
   }
--- a/src/bookkeeping/ledger.c
+++ b/src/bookkeeping/ledger.c
@@ -67,10 +67,14 @@
 {
   HrTxn *t = data;
   c->txns_out--;
-  if (status == 429) /* the allowance is shared: step back a little, out of step */
+  if (status == 429) { /* the allowance is shared: step back a little, out of step */
     c->write_pause = c->now + g_rand_double_range (c->rand, 0.05, 0.15);
-  if (status == 429) /* users of other members come first, whose writes we do not see */
+    /* Users of other members come first, whose writes we do not see. */
     c->books_pause = c->now + g_rand_double_range (c->rand, 0.3, 0.6);
+    /* It is used up: what was saved here for a burst would only be refused. */
+    c->write_bucket.tokens = 0;
+    c->write_bucket.at = c->now;
+  }
   t->fn (c, status, body, sent, t->data);
   json_decref (t->when);
   json_decref (t->writes);
@@ -191,6 +195,7 @@
     j->shrunk = TRUE;
     hr_garbage_job (c, j);
     hr_job_shrink (j);
+    hr_dependencies_final (c, j);
   } else if (j->stance == HR_QUEUED && j->nrdone == j->ntasks)
     mark_page (c, j, j->pages);
   c->plan_dirty = TRUE;
@@ -347,10 +352,13 @@
   guint32 from, to;
   guint n = p - j->pages;
   gboolean launch = FALSE, change = FALSE;
+  if (j->told)
+    return; /* its record has changed, and is read before it is written again */
   page_range (j, p, &from, &to);
   for (guint32 i = from; i < to; i++) {
     HrTask *t = &j->tasks[i];
-    gboolean assign = t->state == HR_T_ASSIGNING && j->stance == HR_QUEUED;
+    /* A job that waits for others has no task: the last guard, here and before launches. */
+    gboolean assign = t->state == HR_T_ASSIGNING && j->stance == HR_QUEUED && !hr_job_waits (j);
     t->inflight = assign || (t->state == HR_T_DONE && !t->rdone);
     launch |= assign;
     change |= t->inflight;
@@ -379,7 +387,9 @@
   w->tag = g_steal_pointer (&tag);
   w->when = json_array ();
   w->writes = json_array ();
-  w->kind = launch ? HR_TXN_LAUNCH : HR_TXN_BOOKS;
+  /* Those that await the job start once its end is recorded. */
+  gboolean awaited = j->dependents && j->stance == HR_QUEUED && j->ndone == j->ntasks;
+  w->kind = launch || awaited ? HR_TXN_LAUNCH : HR_TXN_BOOKS;
   p->tag = g_strdup (w->tag);
   p->final = done || gone;
   g_autofree char *key = hr_job_key (j);
--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -38,7 +38,7 @@
 static json_t *
 unknown_members (const json_t *v)
 {
-  static const char *const known[] = {"w", "s", "t", "q", "j", "x", "u", "n", "d"};
+  static const char *const known[] = {"w", "s", "t", "q", "j", "x", "u", "a", "n", "d", "c"};
   json_t *extra = NULL, *e;
   const char *key;
   json_object_foreach ((json_t *)v, key, e)
@@ -55,6 +55,15 @@
   return extra;
 }
 
+static json_t *
+pack_awaits (const HrJob *j)
+{
+  json_t *a = json_array ();
+  for (guint i = 0; i < j->nawaits; i++)
+    json_array_append_new (a, json_string (j->awaits[i]->id));
+  return a;
+}
+
 char *
 hr_record_main (const HrJob *j, const HrNames *names, const HrIntern *machines, HrStance stance,
                 const char *tag, gboolean pending)
@@ -65,15 +74,37 @@
     json_object_set_new (o, "x", pack_tasks (j, 0, j->ntasks, machines, pending));
   else if (j->resplit)
     json_object_set_new (o, "u", json_integer (1));
+  if (j->nawaits)
+    json_object_set_new (o, "a", pack_awaits (j));
   pack_extra (o, j);
   return hr_json_take_text (o);
 }
 
+char *
+hr_record_first (const HrJobSpec *spec, const char *const *awaits, const HrNames *names,
+                 double submitted, guint per_page, const char *tag)
+{
+  guint n = awaits ? g_strv_length ((GStrv)awaits) : 0;
+  g_autofree HrJob *rows = g_new0 (HrJob, n + 1);
+  g_autofree HrJob **named = g_new0 (HrJob *, n + 1);
+  for (guint i = 0; i < n; i++) {
+    rows[i].id = awaits[i];
+    named[i] = &rows[i];
+  }
+  HrJob job = {.submitted = submitted, .awaits = named, .nawaits = n};
+  hr_job_set_spec (&job, spec, per_page);
+  char *text = hr_record_main (&job, names, NULL, HR_QUEUED, tag, FALSE);
+  hr_job_shrink (&job);
+  return text;
+}
+
 char *
 hr_record_tombstone (const HrJob *j, HrStance stance, const char *tag)
 {
   json_t *o = json_pack ("{sssisisi}", "w", tag, "s", (int)stance, "n", (int)j->ntasks, "d",
                          (int)(stance == HR_DONE ? j->ntasks : j->nrdone));
+  if (stance == HR_WITHDRAWN && j->withdrawn_with)
+    json_object_set_new (o, "c", json_string (j->withdrawn_with->id));
   pack_extra (o, j);
   return hr_json_take_text (o);
 }
@@ -109,6 +140,8 @@
     r->tombstone = TRUE;
     r->ntasks = n;
     r->ndone = d;
+    const char *root = hr_json_str (v, "c");
+    r->withdrawn_with = hr_job_id_valid (root) ? root : NULL;
   } else {
     if (!hr_jobspec_unpack (spec, names, &r->spec) || !hr_json_num (v, "t", &r->submitted) ||
         !hr_json_count (v, "q", HR_MAX_TASKS, &n))
@@ -117,6 +150,10 @@
     r->resplit = n && json_integer_value (json_object_get (v, "u")) == 1;
     r->ntasks = r->spec.tasks;
     r->tasks = json_object_get (v, "x");
+    /* A job whose awaited ones cannot be read must not start: it makes no sense as a whole. */
+    const json_t *awaits = json_object_get (v, "a");
+    if (awaits && !(r->awaits = hr_job_ids_read (awaits)))
+      return FALSE;
     r->extra = unknown_members (v);
   }
   r->tag = g_strdup (tag);
@@ -128,6 +165,7 @@
 {
   g_clear_pointer (&r->tag, g_free);
   g_clear_pointer (&r->extra, json_decref);
+  g_clear_pointer (&r->awaits, g_strfreev);
 }
 
 gboolean
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -47,7 +47,8 @@
   json_t *value; /* NULL where only its writer needs it */
 } HrStagedPage;
 
-typedef struct {
+typedef struct HrJob HrJob;
+struct HrJob {
   guint32 idx;
   const char *id;
   gboolean known; /* the record has been read or written */
@@ -55,7 +56,8 @@
   HrJobSpec spec;
   guint64 stamp;                 /* of the main record */
   char *tag;                     /* writer's tag of the main record */
-  double submitted, deadline;    /* time of day */
+  double submitted;              /* time of day */
+  double deadline;               /* time of day, with what those that need it ask (urgency.c) */
   guint32 ntasks, nrdone, ndone; /* ndone: as meant */
   HrTask *tasks;                 /* NULL once final and shrunk */
   guint per_page;                /* 0: tasks stand in the main record */
@@ -65,7 +67,16 @@
   GArray *staged;   /* HrStagedPage; NULL: none */
   json_t *extra;    /* what this version does not know in its main record; NULL: nothing */
   gboolean shrunk;
+  gboolean told;       /* withdrawn, as a member told us; its record is still to be read */
   gboolean unreadable; /* what is recorded of its tasks could not be read: they may be anywhere */
+  gboolean record_unreadable; /* its latest main record makes no sense: it may be in any state */
+  /* Jobs that await others (dependencies.c). Rows live as long as the tables. */
+  HrJob **awaits;
+  guint nawaits;
+  GPtrArray *dependents; /* HrJob whose records name this one; NULL: none, or this one is final */
+  HrJob *withdrawn_with; /* the cancelled job that took this one along; NULL: none did */
+  double ready_since;    /* time of day when its last awaited job was seen done; 0: not yet */
+  HrRank rank;           /* the highest of its own and of those that need it (urgency.c) */
   /* The owner's. */
   gboolean listed;    /* in the owner's list of open jobs */
   guint32 nlive;      /* tasks assigning or bound */
@@ -82,11 +93,21 @@
   double gang_start; /* planned common start of a gang, steady time */
   guint planned;     /* tasks standing in lists */
   gboolean entitled; /* within its team's guarantee, together with the team's earlier jobs */
+  gboolean claims;   /* and others borrow nothing while it waits */
+  double claim_since, claim_from,
+      claim_pause; /* it has claimed since; not before; pause till then */
+  /* Of its team's limit (limits.c). */
+  guint grant;       /* tasks that may start in this pass */
+  double granted_at; /* it could have started something since; 0: it cannot */
+  gboolean lent;     /* others may use what it does not start with */
+  double lent_until, lent_pause;
+  double kept_since; /* only what is reserved for another holds it back since; 0: it does not */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
   gboolean split_wanted, splitting; /* in the queue of records to split; under way */
   double write_at, write_pause;     /* what cannot be written now waits until then, so long */
-} HrJob;
+  double ends_at;    /* when its last task should end, steady time, as of the latest pass */
+};
 
 typedef enum { HR_M_BOOTING, HR_M_UP, HR_M_DELETING, HR_M_GONE } HrMachineState;
 
@@ -168,6 +189,8 @@
   HrRank rank;
   gboolean spot, seen;
   guint64 types;
+  guint64 teams;  /* whose jobs are of it: bits, by index modulo 64 */
+  guint headroom; /* tasks that room is kept for in this pass */
 } HrClassStat;
 
 void hr_job_free (HrJob *j);
@@ -175,7 +198,13 @@
 void hr_job_set_spec (HrJob *j, const HrJobSpec *s, guint per_page);
 /* Drops what a final job no longer needs. */
 void hr_job_shrink (HrJob *j);
+/* Is some job that it awaits not recorded as done? One that was not read yet is not. */
+gboolean hr_job_waits (const HrJob *j);
+/* Time of day from which its times other than `due_s` count. */
+double hr_job_since (const HrJob *j);
 HrPage *hr_job_page (HrJob *j, guint32 task);
+/* A placed task takes a machine's name, a session and an attempt: room for long names. */
+#define HR_PLACED_TASK_BYTES 48
 /* How many tasks a record or page of production holds. */
 guint hr_tasks_per_page (double value_kb);
 /* Counts tasks that use the image; older ones count less and less. */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -1,4 +1,4 @@
-#include "coordination/state.h"
+#include "coordination/limits.h"
 #include "protocol/jsonx.h"
 #include <gio/gio.h>
 #include <string.h>
@@ -81,6 +81,14 @@
   return j && j->known ? j : NULL;
 }
 
+gboolean
+hr_job_unreadable (HrCore *c, const char *id)
+{
+  guint32 i = hr_intern_find (&c->job_ids, id);
+  HrJob *j = i == HR_NONE ? NULL : c->jobs->pdata[i];
+  return j && j->record_unreadable && !(j->known && j->stance != HR_QUEUED);
+}
+
 HrJob *
 hr_job_get (HrCore *c, const char *id)
 {
@@ -169,6 +177,7 @@
   c->waiters = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->waiters_now = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->peers = g_array_new (FALSE, TRUE, sizeof (HrPeerView));
+  c->withdrawals = g_array_new (FALSE, FALSE, sizeof (HrWithdrawal));
   hr_intern_init (&c->job_ids);
   hr_intern_init (&c->machine_ids);
   c->jobs = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_job_free);
@@ -178,13 +187,16 @@
   c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
   c->garbage = g_array_new (FALSE, TRUE, sizeof (HrGarbage));
   c->to_split = g_array_new (FALSE, TRUE, sizeof (guint32));
+  c->tombstones = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->fleet = g_ptr_array_new ();
   c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
-  c->team_waits = g_array_new (FALSE, TRUE, sizeof (guint32));
+  c->teams = g_array_new (FALSE, TRUE, sizeof (HrTeamUse));
+  c->waiting = g_ptr_array_new ();
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
   hr_core_speak (c, HR_FORMAT);
+  g_queue_init (&c->rentals_again);
   c->cloud_bucket = (HrBucket){set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0};
   return c;
 }
@@ -201,6 +213,7 @@
 void
 hr_core_free (HrCore *c)
 {
+  hr_fleet_clear (c);
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_clear_full (&c->txns[i], txn_free);
   g_rand_free (c->rand);
@@ -208,6 +221,7 @@
   g_array_unref (c->waiters);
   g_array_unref (c->waiters_now);
   g_array_unref (c->peers);
+  g_array_unref (c->withdrawals);
   g_ptr_array_unref (c->jobs);
   g_ptr_array_unref (c->machines);
   hr_intern_clear (&c->job_ids);
@@ -218,8 +232,10 @@
   g_array_unref (c->dirty);
   g_array_unref (c->garbage);
   g_array_unref (c->to_split);
+  g_array_unref (c->tombstones);
   g_array_unref (c->wants);
-  g_array_unref (c->team_waits);
+  g_array_unref (c->teams);
+  g_ptr_array_unref (c->waiting);
   g_ptr_array_unref (c->fleet);
   g_clear_pointer (&c->types, g_array_unref);
   g_free (c->sync_after);
@@ -266,6 +282,7 @@
   hr_garbage_tick (c);
   hr_format_tick (c);
   hr_split_scan (c);
+  hr_dependencies_tick (c);
 }
 
 void
@@ -300,7 +317,8 @@
   if (c->leads && c->plan_dirty && now - c->planned_at >= gap) {
     c->plan_dirty = FALSE;
     c->planned_at = now;
-    hr_team_waits (c);
+    hr_limits_pass (c);
+    hr_team_entitle (c);
     hr_plan (c);
     hr_dispatch (c);
   }
--- a/src/coordination/project.c
+++ b/src/coordination/project.c
@@ -1,5 +1,6 @@
 /* Where a task may go, how long it takes there, and what a list comes to. */
 #include "coordination/plan.h"
+#include "coordination/room.h"
 #include <math.h>
 
 HrJob *
@@ -84,8 +85,8 @@
   g_array_index (busy, Busy, i) = b;
 }
 
-static double
-running_end (HrCore *c, HrJob *j, const HrTask *t, HrMachine *m)
+double
+hr_running_end (HrCore *c, const HrJob *j, const HrTask *t, const HrMachine *m)
 {
   if (j->spec.shape == HR_SERVICE)
     return INFINITY;
@@ -117,7 +118,7 @@
   for (guint i = 0; i < m->tasks->len; i++) {
     HrRef r = g_array_index (m->tasks, HrRef, i);
     HrJob *j = hr_job_of (c, r);
-    add_busy (busy, running_end (c, j, &j->tasks[r.task], m), &j->spec);
+    add_busy (busy, hr_running_end (c, j, &j->tasks[r.task], m), &j->spec);
   }
   m->late = 0;
   m->tardiness = 0;
@@ -219,6 +220,17 @@
   }
 }
 
+void
+hr_job_unplan (HrCore *c, HrJob *j)
+{
+  for (guint32 i = 0; j->tasks && j->planned && i < j->ntasks; i++) {
+    if (!j->tasks[i].planned)
+      continue;
+    hr_list_remove (c->machines->pdata[j->tasks[i].list], (HrRef){j->idx, i});
+    hr_unplan (j, i);
+  }
+}
+
 /* Is the machine ruled out by where the job's other tasks are, or stand? */
 gboolean
 hr_zone_ok (HrCore *c, HrJob *j, HrMachine *m)
@@ -240,3 +252,22 @@
   }
   return !j->spec.spread || here < (j->ntasks + 1) / 2;
 }
+
+void
+hr_list_append (HrCore *c, HrMachine *m, GArray *listed)
+{
+  if (!m->list->len)
+    return;
+  double *starts = hr_scratch (m->list->len);
+  hr_project (c, m, starts);
+  for (guint k = 0; k < m->list->len; k++) {
+    HrListedTask t = {g_array_index (m->list, HrRef, k), m, starts[k]};
+    g_array_append_val (listed, t);
+  }
+}
+
+HrJob *
+hr_listed_job (HrCore *c, GArray *listed, guint i)
+{
+  return hr_job_of (c, g_array_index (listed, HrListedTask, i).task);
+}
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -27,23 +27,32 @@
 {
   /* What an earlier owner recorded is not launched: it may have ended and made
    * place for others since. It is seen on its machine, or proven gone. */
-  return j->stance == HR_QUEUED && !t->kill && !t->inherited &&
+  return j->stance == HR_QUEUED && !hr_job_waits (j) && !t->kill && !t->inherited &&
          (j->spec.shape != HR_GANG ||
           (!j->gang_over && hr_gang_ready (j) && !hr_gang_holds_back (c, j, t)));
 }
 
+/* While the state service refuses this owner alone, others confirm withdrawals that it cannot read:
+ * it launches nothing. What is recorded may wait for long, a gang's task for others' fetches. In
+ * an outage for all nobody confirms any. */
+static gboolean
+may_launch (const HrCore *c)
+{
+  return hr_follow_served (c) || hr_leader_outage_for_all (c);
+}
+
 /* Orders for what is recorded on this machine. Returns whether a launch is among them. */
 static gboolean
 orders_for (HrCore *c, HrMachine *m, json_t *orders, gboolean direct)
 {
-  gboolean launch = FALSE;
+  gboolean launch = FALSE, may = may_launch (c);
   for (guint i = 0; i < m->tasks->len; i++) {
     HrRef r = g_array_index (m->tasks, HrRef, i);
     HrJob *j = c->jobs->pdata[r.job];
     HrTask *t = &j->tasks[r.task];
     if (t->state != HR_T_BOUND || t->session != m->session)
       continue;
-    if (t->shown == HR_NOT_SHOWN && launchable (c, j, t)) {
+    if (may && t->shown == HR_NOT_SHOWN && launchable (c, j, t)) {
       hr_order_launch (orders, j->id, r.task, t->try);
       if (direct)
         hr_absence_note_direct (m, r.job, r.task, t->try, c->baton);
@@ -297,6 +306,12 @@
   if (r->token > m->do_lost)
     m->do_lost = 0;
   take_items (c, m, r, TRUE, orders);
+  if (!hr_follow_served (c) && hr_absence_withdrawn_may_start (c, m)) {
+    /* No newer token is to be had to make that launch void: the end of the session does. */
+    json_decref (orders);
+    hr_refuse (c, cmd->id, 503, 0, "an order to this worker may still come");
+    return;
+  }
   notice (c, m, r);
   if (orders_for (c, m, orders, FALSE))
     m->reply_launch = r->seq;
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -214,13 +214,23 @@
     w_broken (w, "fence", "%s is written without a hold on the map", path);
 }
 
-/* The map's change, and a withdrawal, are what an owner must not miss for long. */
+/* The map's change, and a withdrawal, are what an owner must not miss for long: check_kills in
+ * world.c sees to the latter. */
 static void
 note_decision (World *w, const Req *r, json_t *put)
 {
   const char *path = json_string_value (json_object_get (put, "set"));
   json_t *s = json_object_get (json_object_get (put, "value"), "s");
-  if (g_strcmp0 (path, "h/map") != 0 && json_integer_value (s) != 2)
+  if (json_integer_value (s) == 2 && g_str_has_prefix (path, "h/j/")) {
+    guint32 idx;
+    SJob *j = job_by_id (w, path + strlen ("h/j/"), &idx);
+    if (j && !j->withdrawn_at)
+      j->withdrawn_at = w->now;
+    if (!g_hash_table_contains (w->withdrawn, path + 4))
+      g_hash_table_insert (w->withdrawn, g_strdup (path + 4),
+                           g_memdup2 (&w->epoch, sizeof w->epoch));
+  }
+  if (g_strcmp0 (path, "h/map") != 0)
     return;
   for (int k = 0; k < w->n; k++)
     if (k != r->node) {
@@ -344,6 +354,8 @@
     const char *set = json_string_value (json_object_get (e, "set"));
     note_assignments (w, e);
     note_decision (w, r, e);
+    if (g_strcmp0 (set, "h/map") == 0)
+      troubles_map (w, json_object_get (e, "value"));
     if (set)
       change (w, set, hr_json_take_text (json_incref (json_object_get (e, "value"))),
               json_integer_value (json_object_get (e, "claim")));
@@ -432,13 +444,6 @@
   change (w, path, g_strdup (text), 0);
 }
 
-const char *
-store_text (World *w, const char *path)
-{
-  SKey *k = g_hash_table_lookup (w->keys, path);
-  return k ? k->text : NULL;
-}
-
 gboolean
 store_has (World *w, const char *path)
 {
@@ -479,6 +484,8 @@
 {
   g_autofree char *prefix = query (r->path, "starts"), *after = query (r->path, "after");
   g_autoptr (GPtrArray) keys = g_ptr_array_new ();
+  if (!after)
+    w->nodes[r->node].too_old = 0; /* it reads everything anew */
   GHashTableIter it;
   gpointer k;
   g_hash_table_iter_init (&it, w->keys);
@@ -545,6 +552,11 @@
                                               (json_int_t)k->stamp)));
   } else if (g_str_has_prefix (r->path, "/changes?")) {
     g_autofree char *after = query (r->path, "after"), *hold = query (r->path, "hold_ms");
+    guint64 too_old = w->nodes[r->node].too_old;
+    if (too_old && g_ascii_strtoull (after, NULL, 10) <= too_old) {
+      w_answer (w, r, 410, g_strdup ("{\"error\":\"too old\"}"));
+      return;
+    }
     SWatch *s = g_new0 (SWatch, 1);
     s->r = r;
     r->refs++;
@@ -590,9 +602,17 @@
   w->too_large = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w->assigned = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   store_format (w, TRUE);
+  w->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w_at (w, 0.05, leases_tick, NULL);
 }
 
+const char *
+store_text (World *w, const char *key)
+{
+  const SKey *k = g_hash_table_lookup (w->keys, key);
+  return k ? k->text : "";
+}
+
 void
 store_free (World *w)
 {
@@ -608,4 +628,5 @@
   g_array_unref (w->log);
   g_hash_table_unref (w->assigned);
   g_hash_table_unref (w->too_large);
+  g_hash_table_unref (w->withdrawn);
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -3,11 +3,23 @@
  * same seed plays the same day. Every rule of the protocol is checked. */
 #pragma once
 #include "coordination/core.h"
+#include "sim/troubles.h"
 #include <jansson.h>
 
-typedef struct World World;
 typedef void (*WFn) (World *w, gpointer data);
 
+/* What becomes of one request, where a search decides it instead of the drawn losses. */
+typedef enum {
+  FATE_DELIVERED,
+  FATE_LOST,        /* never carried out */
+  FATE_ANSWER_LOST, /* carried out at once; its answer is lost */
+  FATE_LATE,        /* carried out seconds after its sender gave up */
+  FATE_COPIED,      /* carried out at once, and again later */
+  FATE_ENDS_BACK,   /* carried out; the controller concerned ends then, and is back at once */
+  FATE_ENDS_AWAY,   /* the same, and it stays away for longer than a leader's lease */
+  FATE_COUNT
+} WFate;
+
 /* A request on its way, to any server of the world, and its way back. */
 typedef struct {
   int node; /* asking controller, or -1: a worker or user asks a controller */
@@ -19,6 +31,7 @@
   char *addr, *path, *body;
   double timeout;
   gboolean answered;
+  gboolean answer_lost; /* whatever it is answered does not arrive */
   int refs;
   int machine; /* of the asking worker, or -1 */
   void (*done) (World *w, int status, json_t *body, gpointer data);
@@ -38,13 +51,16 @@
   GHashTable *heard; /* machine -> guint64[2]: newest session and number answered */
   guint64 next;
   double store_at;  /* when the state service last answered it */
-  double behind_at; /* when another changed the map or withdrew a job, not read yet; 0: never */
+  double behind_at; /* when another changed the map, not read yet; 0: never */
   guint64 behind_epoch;
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
   double alone_at;    /* cut off from state service and members since */
   gboolean hold;      /* cuts hold packets back */
+  guint64 too_old;    /* its changes up to this epoch are no longer kept; 0: they are */
   double frozen;      /* stands still until then, while its clocks run on; 0: it does not */
   double freeze_next; /* stands still so long in the middle of its next batch */
+  /* Changes of the state service that it was sent, and that earlier batches have read. */
+  guint64 epoch_sent, epoch_read;
 } Node;
 
 #define MAX_NODES 5
@@ -78,6 +94,7 @@
   double report_sent, token_told;
   double cut, hang; /* until when */
   double deaf;      /* until when answers and commands do not reach it; reports leave */
+  double mute;      /* until when it reaches no controller; commands reach it */
   gboolean hold;
   double warned; /* taken at; 0: no notice */
   gboolean faulty, through_cut;
@@ -95,9 +112,18 @@
   gboolean cancel, asked_cancel;
   double due_cancel, told_withdrawn, told_done, started, first, done_at;
   double poll_at, ok_at;
+  /* By the clock of answers (World.answers), 0: not yet: when a user first heard that it is */
+  guint64 heard_accepted, heard_done, heard_withdrawn;
   double accepted_at;
+  double withdrawn_at; /* its record says so since; 0: it does not */
   gboolean large, forgotten, lost_place;
-  const char *team; /* NULL: the first one */
+  const char *team;     /* NULL: the first one */
+  GPtrArray *awaits;    /* SJob, or NULL */
+  gboolean no_deadline; /* also as an array */
+  guint zone;           /* it is bound to, plus one; 0: none */
+  double waits_at;      /* waits beside room since; 0: does not */
+  const char *rank; /* NULL: as its shape has it */
+  double due;       /* an array's deadline, s after it was submitted; 0: by its run time */
   guint *done;      /* per task */
   double *progress;
 } SJob;
@@ -131,24 +157,38 @@
   GPtrArray *machines; /* SMachine */
   GHashTable *asks;
   double cloud_outage;
+  double cloud_calls, cloud_called; /* calls that fill its allowance, as of then */
   guint capacity;
   gboolean long_names; /* of machines */
   /* users */
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
+  guint named; /* jobs that have a name, submitted or not */
   guint streamed;
-  gboolean fickle;   /* users withdraw most jobs soon after they submit them */
-  double gang_image; /* GB, of the gangs of two */
+  gboolean fickle;            /* users withdraw most jobs soon after they submit them */
+  double gang_image;          /* GB, of the gangs of two */
+  double pipelines_cancelled; /* share of pipelines of which some job is withdrawn */
+  gboolean shock;             /* a withdrawal that was told is followed by the end of all nodes */
+  double shocked_at;
   /* judge */
   GPtrArray *broken; /* texts */
   guint starts;
   double loss, dup, late;
-  double late_orders; /* share of direct orders that get no answer and come half a minute or more
-                         late */
-  double copies;      /* share of reports of which a copy comes late */
-  gboolean calm;      /* no more faults */
-  double calm_at;
+  double late_orders;    /* share of direct orders that get no answer and come half a minute or more
+                            late */
+  double copies;         /* share of reports of which a copy comes late */
+  GHashTable *withdrawn; /* job id -> guint64, epoch of its withdrawal */
+  gboolean calm;         /* no more faults */
+  double calm_at, faults_to;
+  double stray_until; /* messages that were held up or copied are on their way until then */
+  double quiet_at;    /* no trouble has a hold on anything since; 0: one has */
+  HrTroubles troubles;
+  guint64 answers;         /* counts what users ask and hear: the one clock of answers */
+  guint started_withdrawn; /* starts after a confirmed cancellation */
   guint invented_asked;
+  /* A search's choice for each request; NULL: losses are drawn. */
+  WFate (*choose) (World *w, const Req *r, gpointer data);
+  gpointer choose_data;
 };
 
 /* Who is at work, for logs. */
@@ -176,6 +216,8 @@
 #define NEXT_VALUE_KB 2.0
 #define NEXT_TXN_OPS 4
 #define NEXT_WRITE_RPS 40.0
+/* fate.c: lets the request meet that fate; it would reach its receiver at time t. */
+void w_meet_fate (World *w, Req *r, WFate fate, double t);
 
 void node_start (World *w, int i);
 void node_kill (World *w, int i);
@@ -193,6 +235,8 @@
 void store_init (World *w);
 void store_format (World *w, gboolean known);
 gboolean store_names (World *w, const char *machine);
+/* The value of a key, as text; NULL: not there. */
+const char *store_text (World *w, const char *key);
 guint store_garbage (World *w);
 /* Records of open jobs that are larger than the announced limit. */
 guint store_large (World *w);
@@ -201,7 +245,6 @@
 gboolean store_has (World *w, const char *path);
 /* As if it had been written before the day began. */
 void store_put (World *w, const char *path, const char *text);
-const char *store_text (World *w, const char *path); /* NULL: not there */
 guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
 void store_free (World *w);
@@ -214,6 +257,91 @@
 void worker_boot (World *w, SMachine *m);
 void machine_stop_all (World *w, SMachine *m, const char *why);
 void users_init (World *w, guint jobs, double span);
+/* This user polls, submits again or cancels now, at that node (-1: any). */
+void user_poll_at (World *w, SJob *j, int node);
+void user_submit_at (World *w, SJob *j, int node);
+void user_cancel_at (World *w, SJob *j, int node);
+gboolean job_all_done (const SJob *j);
+/* A request of a worker or user that has left arrives at its controller now, or if it has left
+ * one at the server it asks. Takes a reference. */
+void req_arrive (World *w, gpointer req);
+/* A copy of a worker's report, for whose answer nobody waits. */
+Req *req_copy (const Req *r, int to);
+/* This request arrives then, later than messages usually do. Takes the reference over. */
+void req_stray (World *w, Req *r, double t);
+
+/* ---- answers.c: what users are told, by one clock of answers ---- */
+
+/* The newest fact about a job that any user had heard when a question left. */
+typedef struct {
+  SJob *job;
+  guint64 sent; /* World.answers then */
+  double sent_at;
+} Question;
+Question *question_new (World *w, SJob *j);
+/* An answer of 200 or 201 to this question: nothing older than was heard before it was sent. */
+void answer_check (World *w, const Question *q, int status, json_t *body);
+/* 404, 400 or 422. */
+void answer_unknown (World *w, const Question *q, const char *what, int status);
+
+/* ---- odd.c: requests that must be turned away or change nothing ---- */
+
+void odd_begin (World *w);
+/* The submission of a job just accepted is repeated with other content, at all controllers. */
+void odd_repeat (World *w, SJob *j);
+
+/* ---- judge.c ---- */
+
+/* At each start of a task, and every half second. */
+void judge_quota (World *w, double starting_gpus);
+/* Every half second: jobs that wait beside room. */
+void judge_waits (World *w);
+/* A user heard that the job is withdrawn: looks when its time is over. */
+void judge_withdrawn (World *w, SJob *j);
+/* Launches that a controller has just decided on, which know of changes up to this epoch. */
+void judge_launches (World *w, int node, guint64 known, const GPtrArray *effects);
+
+/* ---- crowds.c ---- */
+
+SJob *job_new (World *w);
+/* The job is complete: its user submits it. Takes it over. */
+void job_submit (World *w, SJob *j);
+/* Arrays of one task, per_s a second; of these a share is called off within 30 s. */
+void users_singles (World *w, double from, double to, double per_s, double cancelled);
+/* Jobs of all shapes bound to one zone each. */
+void users_bound (World *w, guint n, double span);
+/* More work than room: arrays, urgent gangs and services, of three times the fleet. */
+void users_overload (World *w, double at);
+
+/* ---- troubles.c: where the stand-ins meet them ---- */
+
+void troubles_init (World *w, guint32 seed);
+void troubles_free (World *w);
+double trouble_rand (World *w, double lo, double hi);
+/* Takes over a request on its way (t: when it would arrive). FALSE: it goes on as always. */
+gboolean troubles_take (World *w, Req *r, double t);
+/* Until when a cut zone parts the two ends of this request; 0: it does not. m: the worker. */
+double troubles_zone_cut (World *w, const Req *r, const SMachine *m);
+double troubles_link_delay (World *w);
+/* How much later than usual this request's answer leaves. */
+double troubles_delay (World *w, const Req *r);
+/* A trouble of any kind still has its hold on something. */
+gboolean world_troubled (const World *w);
+/* When a machine rented now is up. at: as the cloud has drawn it. */
+double troubles_boots (World *w, double at);
+/* The map is written: who leads, and the token. */
+void troubles_map (World *w, json_t *map);
+/* A controller answers a worker with 200. */
+void troubles_reply (World *w, int node, const char *answer);
+/* The last task of this job has ended. */
+void troubles_job_ended (World *w, SJob *j);
+/* Users were first told that it is accepted, done or withdrawn. */
+void troubles_told (World *w, SJob *j, gboolean accepted);
+/* ---- for other files of users ---- */
+SJob *job_new (World *w);
+/* The job is complete: its user submits it. */
+void job_submit (World *w, SJob *j);
+
 /* Probes every controller as a load balancer does. */
 void users_probe (World *w);
 /* The user of a running service withdraws it, at this node. */
@@ -221,6 +349,9 @@
 /* Gangs of which one task has its image at once, and others after more than gang_wait_s.
  * fickle: one more is withdrawn while it fetches. */
 void users_long_fetches (World *w, gboolean fickle);
+/* One array of equal tasks of `run` seconds each, sent in at `at`; withdrawn at `cancel_at` (0:
+ * never). */
+void users_array (World *w, guint tasks, double run, double at, double cancel_at);
 /* Services that run until the end, of small images. */
 void users_services (World *w, guint n, guint tasks, double at);
 /* The first team fills the fleet with long work; later the second one wants what it is
@@ -242,12 +373,18 @@
 void judge_tick (World *w);
 SJob *job_by_id (World *w, const char *id, guint32 *index);
 void faults_init (World *w, guint n, double from, double to);
+/* No trouble begins any more, unless one is planned for later. */
+void world_calm (World *w, gpointer unused);
 /* All controllers are behind a cut for 30 s that holds packets back. */
 void faults_held_cut (World *w, double at);
 /* The state service answers no controller for 50 s; they hear one another, and workers. */
 void faults_cut_from_store (World *w, double at);
-/* The same, after one of them confirmed a withdrawal that the owner did not read. */
+/* The same, after one of them confirmed a withdrawal that the owner did not read. Leases are to
+ * last all the same, but where that member restarts. */
 void faults_missed_withdrawal (World *w, double at, gboolean restart);
+/* The state service refuses the owner alone while all other members confirm withdrawals, and is
+ * then down for all, for longer than a withdrawn job's tasks may live. */
+void faults_withdrawal_gap (World *w, double at);
 /* No worker reaches the owner for 40 s; other controllers do. */
 void faults_owner_unreached (World *w, double at, gboolean hold);
 /* Half of the machines end without notice, and so does the process of the owner. */
@@ -266,6 +403,8 @@
 void faults_lost_places (World *w, double from, double to);
 /* The process of the owner ends, and is back soon. */
 void faults_owner_ends (World *w, double at);
+/* Again and again the changes that the owner has not read yet are no longer kept. */
+void faults_changes_gone (World *w, double from, double to);
 /* Controllers stand still while their clocks run on: the owner, another, or all of them. */
 typedef enum { FREEZE_OWNER, FREEZE_OTHER, FREEZE_ALL } FreezeWho;
 void faults_freeze (World *w, double at, FreezeWho who, double for_s);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -158,6 +158,25 @@
   assert_int_equal (broken, 0);
 }
 
+/* Withdrawals that the owner cannot read are named to it, so that no lease has to run out; the
+ * withdrawn jobs' tasks are gone in time all the same, whatever orders come late. */
+static void
+days_of_withdrawal_gaps (void **state)
+{
+  guint broken = 0;
+  for (guint s = 1100; s < 1110; s++) {
+    World *w = world_new (s, s % 2 ? 3 : 5);
+    faults_withdrawal_gap (w, 120);
+    faults_withdrawal_gap (w, 220);
+    if (s >= 1106) {
+      w->fickle = TRUE;
+      w->late_orders = 0.1;
+    }
+    broken += play_on (w, s, 0, 0, 0);
+  }
+  assert_int_equal (broken, 0);
+}
+
 static guint
 play_services (World *w, guint32 seed)
 {
@@ -347,6 +366,22 @@
   assert_int_equal (broken, 0);
 }
 
+/* The owner lags so far behind that it has to read the ledger anew, while direct orders of its
+ * are still on their way: it forgets them, so its token must not stay what they carry. */
+static void
+days_with_changes_gone (void **state)
+{
+  guint broken = 0;
+  for (guint s = 1100; s < 1108; s++) {
+    World *w = world_new (s, 3);
+    w->late_orders = 0.5;
+    w->fickle = TRUE;
+    faults_changes_gone (w, 20, 300);
+    broken += play_on (w, s, 0, 0, 0);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Controllers stand still while their clocks run on: for a moment, for longer than their
  * leadership, than hold_s and than a lease; the owner, the others, or all; also repeated,
  * and beside other troubles. */
@@ -568,14 +603,17 @@
       cmocka_unit_test (days_of_unreadable_pages),
       cmocka_unit_test (days_of_a_guarantee),
       cmocka_unit_test (days_of_two_owners),
+      cmocka_unit_test (days_with_changes_gone),
+      cmocka_unit_test (days_of_withdrawal_gaps),
       cmocka_unit_test (days_of_an_upgrade),
   };
   if (argc == 2) { /* one part */
     static const char *const parts[] = {
-        "quiet",       "one",        "many",      "limit",  "parts",     "copies",      "nodes",
-        "stream",      "deaf",       "owners",    "cut",    "gangs",     "attestation", "places",
-        "late_orders", "oversized",  "fetch",     "freeze", "unreached", "half",        "large3",
-        "large5",      "unreadable", "guarantee", "two",    "upgrade"};
+        "quiet",       "one",          "many",        "limit",     "parts",      "copies",
+        "nodes",       "stream",       "deaf",        "owners",    "cut",        "gangs",
+        "attestation", "places",       "late_orders", "oversized", "fetch",      "freeze",
+        "unreached",   "half",         "large3",      "large5",    "unreadable", "guarantee",
+        "two",         "changes_gone", "gap",         "upgrade"};
     for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
       if (g_str_equal (parts[i], argv[1])) {
         const struct CMUnitTest part[] = {tests[i]};
