--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -11,12 +11,12 @@
 #include "coordination/room.h"
 
 /* A job keeps its grant for so long without a start, s: with places in lists (a boot, mostly),
- * and where no machine of the fleet has one. Then its share is lent, for a pause that doubles:
- * meanwhile nothing is kept or stopped for it. */
+ * and where no machine of the fleet has one. Then its share is lent, for a pause that doubles
+ * and is long enough for a boot: meanwhile nothing is kept or stopped for the job. */
 #define GRANT_HOLD_S 75.0
 #define GRANT_HOLD_UNPLANNED_S 30.0
-#define LENT_S 30.0
-#define LENT_MOST_S 240.0
+#define LENT_S 90.0
+#define LENT_MOST_S 360.0
 /* A job that a reservation alone has held back for so long gets one start, s. */
 #define KEPT_OUT_S 60.0
 
--- a/src/coordination/rent.c
+++ b/src/coordination/rent.c
@@ -176,12 +176,12 @@
   return TRUE;
 }
 
-/* Takes what has room on its machine, beside those ahead of it in the list, off the room.
- * Returns how many of the list have: counted twice, that room would keep the fleet short, and
- * not counted at all, machines would be rented again in each pass for a gang that waits for
- * those on their way, or for one last place. */
+/* Takes what has room on its machine, beside those ahead of it in the list, off the room: it is
+ * no room for others. Counted twice, it would keep the fleet short, and not counted at all,
+ * machines would be rented again in each pass for a gang that waits for those on their way.
+ * Returns how many of the list have room. */
 static guint
-placed (HrCore *c, HrRoom *room)
+take_listed (HrCore *c, HrRoom *room)
 {
   HrMachine *m = room->m;
   guint n = 0;
@@ -193,40 +193,41 @@
   return n;
 }
 
-/* Machines for what stands in lists where it would start late. rooms: of all machines. */
+/* Would a machine that is rented now start the task sooner, and is the plan late? placed: it has
+ * room where it stands. Of what a limit lets start, nothing waits for the team's own work to end:
+ * that end makes room for the next job, and this share of the limit would stay unused. */
+static gboolean
+late (HrCore *c, const HrListedTask *t, gboolean placed)
+{
+  HrJob *j = c->jobs->pdata[t->task.job];
+  gboolean limited = hr_team_use (c, j->spec.team)->limited;
+  double boot = boot_time (c) * c->pol.rent_slack, wait = t->start - c->now;
+  if (wait <= (limited ? boot * LIMITED_SLACK : boot) || (limited && placed))
+    return FALSE;
+  return j->spec.shape == HR_GANG || c->wall + wait + hr_estimate (c, j, t->machine) > j->deadline;
+}
+
+/* Machines for what stands in lists and would start late there. */
 static void
 rent_for_late (HrCore *c, HrRoom *rooms, guint booting, GArray *needs)
 {
-  double boot = boot_time (c) * c->pol.rent_slack;
   guint n = c->fleet->len;
-  g_autofree guint *first = g_new0 (guint, n + 1);
+  g_autofree guint *placed = g_new0 (guint, n + 1);
   g_autoptr (GArray) listed = g_array_new (FALSE, FALSE, sizeof (HrListedTask));
   for (guint i = 0; i < n; i++) {
     HrMachine *m = rooms[i].m;
-    HrRoom free = {m, m->cpus - m->foreign_cpus - m->claim_cpus,
+    HrRoom room = {m, m->cpus - m->foreign_cpus - m->claim_cpus,
                    m->gpus - m->foreign_gpus - m->claim_gpus,
                    m->mem - m->foreign_mem - m->claim_mem, FALSE};
-    first[i] = placed (c, i < booting ? &rooms[i] : &free);
+    placed[i] = take_listed (c, i < booting ? &rooms[i] : &room);
   }
   for (guint i = 0; i < n; i++) {
-    HrMachine *m = rooms[i].m;
-    if (first[i] >= m->list->len)
-      continue;
     g_array_set_size (listed, 0);
-    hr_list_append (c, m, listed);
-    for (guint k = first[i]; k < listed->len; k++) {
-      HrJob *j = hr_listed_job (c, listed, k);
-      double starts_in = g_array_index (listed, HrListedTask, k).start - c->now;
-      double end = c->wall + starts_in + hr_estimate (c, j, m);
-      gboolean limited = hr_team_use (c, j->spec.team)->limited;
-      /* A machine is rented where it would start the task sooner, and the plan is late. Of what
-       * a limit lets start now, nothing waits for the team's own work to end: that work's end
-       * makes room for the next, and this share of the limit would stay unused. */
-      if (starts_in <= (limited ? boot * LIMITED_SLACK : boot) ||
-          (end <= j->deadline && j->spec.shape != HR_GANG))
-        continue;
+    hr_list_append (c, rooms[i].m, listed);
+    for (guint k = 0; k < listed->len; k++) {
       HrCursor at = {0};
-      hr_rent_need (c, rooms, booting, &at, needs, j);
+      if (late (c, &g_array_index (listed, HrListedTask, k), k < placed[i]))
+        hr_rent_need (c, rooms, booting, &at, needs, hr_listed_job (c, listed, k));
     }
   }
 }
--- a/src/coordination/teams.c
+++ b/src/coordination/teams.c
@@ -12,10 +12,11 @@
 }
 
 /* What a job within its team's guarantee may keep others waiting for, s: by then what was
- * stopped for it is gone, or no machine is to be had. The pause that follows doubles. */
-#define CLAIM_S 60.0
-#define CLAIM_PAUSE_S 30.0
-#define CLAIM_PAUSE_MOST_S 240.0
+ * stopped for it is gone, or no machine is to be had. The pause that follows doubles; it is long
+ * enough for a boot. */
+#define CLAIM_S 45.0
+#define CLAIM_PAUSE_S 90.0
+#define CLAIM_PAUSE_MOST_S 360.0
 
 /* May the others borrow nothing, as this job waits? */
 static gboolean
