--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -81,6 +81,14 @@
   return j && j->known ? j : NULL;
 }
 
+gboolean
+hr_job_unreadable (HrCore *c, const char *id)
+{
+  guint32 i = hr_intern_find (&c->job_ids, id);
+  HrJob *j = i == HR_NONE ? NULL : c->jobs->pdata[i];
+  return j && j->record_unreadable && !(j->known && j->stance != HR_QUEUED);
+}
+
 HrJob *
 hr_job_get (HrCore *c, const char *id)
 {
@@ -169,6 +177,7 @@
   c->waiters = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->waiters_now = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->peers = g_array_new (FALSE, TRUE, sizeof (HrPeerView));
+  c->withdrawals = g_array_new (FALSE, FALSE, sizeof (HrWithdrawal));
   hr_intern_init (&c->job_ids);
   hr_intern_init (&c->machine_ids);
   c->jobs = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_job_free);
@@ -177,6 +186,7 @@
   c->classes = g_array_new (FALSE, TRUE, sizeof (HrClassStat));
   c->dirty = g_array_new (FALSE, TRUE, sizeof (HrDirty));
   c->garbage = g_array_new (FALSE, TRUE, sizeof (HrDirty));
+  c->tombstones = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->fleet = g_ptr_array_new ();
   c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
   c->teams = g_array_new (FALSE, TRUE, sizeof (HrTeamUse));
@@ -184,6 +194,7 @@
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
+  g_queue_init (&c->rentals_again);
   c->write_bucket = (HrBucket){set->state_write_rps, set->state_write_rps, set->state_write_rps, 0};
   c->cloud_bucket = (HrBucket){set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0};
   return c;
@@ -201,6 +212,7 @@
 void
 hr_core_free (HrCore *c)
 {
+  hr_fleet_clear (c);
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_clear_full (&c->txns[i], txn_free);
   g_rand_free (c->rand);
@@ -208,6 +220,7 @@
   g_array_unref (c->waiters);
   g_array_unref (c->waiters_now);
   g_array_unref (c->peers);
+  g_array_unref (c->withdrawals);
   g_ptr_array_unref (c->jobs);
   g_ptr_array_unref (c->machines);
   hr_intern_clear (&c->job_ids);
@@ -217,6 +230,7 @@
   g_array_unref (c->refused);
   g_array_unref (c->dirty);
   g_array_unref (c->garbage);
+  g_array_unref (c->tombstones);
   g_array_unref (c->wants);
   g_array_unref (c->teams);
   g_ptr_array_unref (c->waiting);
@@ -264,6 +278,7 @@
   hr_absence_tick (c);
   hr_fleet_tick (c);
   hr_garbage_tick (c);
+  hr_dependencies_tick (c);
 }
 
 void
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -39,7 +39,7 @@
 static double
 start_left (const HrCore *c, const HrJob *j)
 {
-  double left = INFINITY, waited = c->wall - j->submitted;
+  double left = INFINITY, waited = c->wall - hr_job_since (j);
   for (guint i = 0; i < c->set->aims->len; i++) {
     const HrAim *a = &g_array_index (c->set->aims, HrAim, i);
     if (a->klass == j->spec.klass && (a->kind == HR_AIM_WAIT || a->kind == HR_AIM_UP) &&
@@ -392,6 +392,7 @@
   hr_team_make_room (c, rooms);
   hr_rent_headroom (c, rooms, n, needs);
   hr_rent_for_lists (c, rooms, booting, needs);
+  hr_rent_ahead (c, rooms, n, needs);
   hr_rent_end (c, needs);
   hr_return_idle (c, rooms, n);
 }
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -55,8 +55,15 @@
   HrHint hint;
   double at;
   double attested; /* by our clock: what it stated was so then; see attested_at in leader.c */
+  guint64 taken;   /* of this process of it: position up to which we took in its withdrawals */
 } HrPeerView;
 
+/* A withdrawal that this node confirmed to its user, or read. */
+typedef struct {
+  guint32 job;
+  guint64 stamp;
+} HrWithdrawal;
+
 /* What a limit of a team is about. */
 typedef struct {
   double cpus, gpus;
@@ -95,16 +102,23 @@
   double watch_not_before;
   GArray *waiters, *waiters_now;  /* HrWaiter */
   double read_sent, confirmed_at; /* confirmed_at: when the last good reading was sent */
+  double store_latency;           /* s: what readings took of late, the longest ones for longer */
   double served_since;            /* the state service answers us without a gap */
   double sync_retry_at;
   gboolean store_down;
   guint store_fails;
   guint64 withdrawn; /* stamp of the latest withdrawal that we have read or confirmed */
 
+  /* The log of withdrawals (withdrawals.c). */
+  GArray *withdrawals;         /* HrWithdrawal, in the order in which we learnt of them */
+  guint64 withdrawals_begin;   /* position of the first one kept */
+  guint64 withdrawals_dropped; /* stamp up to which some may have been dropped */
+
   /* Writing to it. */
   GQueue txns[HR_TXN_KINDS];
-  GArray *dirty;   /* HrDirty: pages with something to record */
-  GArray *garbage; /* HrDirty: pages of final jobs, still in the ledger */
+  GArray *dirty;      /* HrDirty: pages with something to record */
+  GArray *garbage;    /* HrDirty: pages of final jobs, still in the ledger */
+  GArray *tombstones; /* guint32: withdrawn jobs that still wait; their record may be shortened */
   gboolean tidying;
   double tidy_at;
   HrBucket write_bucket, cloud_bucket;
@@ -122,7 +136,8 @@
   gboolean raise_wanted;
   GArray *peers; /* HrPeerView */
   double hint_at;
-  GArray *contacts; /* times of workers' reports, a ring */
+  gboolean hint_soon; /* there is news for a member that the state service does not serve */
+  GArray *contacts;   /* times of workers' reports, a ring */
   double contact_at;
   guint contact_count, contact_last;
 
@@ -154,6 +169,7 @@
   GArray *wants;   /* HrWant */
   GArray *refused; /* HrRefusal: where the cloud had no capacity, until when */
   guint asks_out;
+  GQueue rentals_again; /* of fleet.c: not answered clearly, to be asked for again at rent_at */
   guint deletes_out;
 };
 
@@ -166,6 +182,8 @@
 gboolean hr_bucket_take (HrBucket *b, double now, double n, double keep);
 HrJob *hr_job_find (HrCore *c, const char *id);
 HrJob *hr_job_get (HrCore *c, const char *id); /* makes the row when there is none */
+/* Its latest record could not be read, so nothing is known of its present state. */
+gboolean hr_job_unreadable (HrCore *c, const char *id);
 HrMachine *hr_machine_find (HrCore *c, const char *name);
 HrMachine *hr_machine_get (HrCore *c, const char *name);
 HrClassStat *hr_class (HrCore *c, guint32 klass);
@@ -198,11 +216,29 @@
 void hr_garbage_gone (HrCore *c, const HrJob *j, guint page);
 void hr_garbage_tick (HrCore *c);
 
+/* bookkeeping/dependencies.c: jobs that await others */
+/* The job's record was read or written, at the stance now in j; `ids`: what it awaits, or NULL. */
+void hr_dependencies_read (HrCore *c, HrJob *j, const char *const *ids);
+/* The job is done or withdrawn: those that await it become ready, or are withdrawn with it. */
+void hr_dependencies_final (HrCore *c, HrJob *j);
+/* The first of these jobs that this node knows nothing of, or NULL. */
+const char *hr_dependencies_unknown (HrCore *c, GStrv ids);
+/* Which jobs it waits for, or which cancelled one took it along; NULL: neither. */
+char *hr_dependencies_reason (const HrJob *j);
+void hr_dependencies_tick (HrCore *c);
+
+/* urgency.c: deadline and rank of jobs that others need */
+/* The job is known, or has become ready. */
+void hr_urgency_read (HrCore *c, HrJob *j);
+/* These jobs (HrJob) need what they awaited no more. */
+void hr_urgency_withdrawn (HrCore *c, const GPtrArray *jobs);
+
 /* bookkeeping/absence.c: proofs that a task is on no machine */
 /* A lease and its margin: the longest that a worker may keep tasks unanswered. */
 double hr_absence_lease (const HrCore *c);
 gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
 gboolean hr_absence_orders_settled (const HrMachine *m);
+gboolean hr_absence_withdrawn_may_start (const HrCore *c, const HrMachine *m);
 void hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token);
 gboolean hr_absence_may_clear (const HrCore *c, HrMachine *m, guint32 job, guint32 task,
                                guint32 try);
@@ -214,6 +250,8 @@
 void hr_leader_tick (HrCore *c);
 void hr_leader_map_read (HrCore *c);
 void hr_leader_step_down (HrCore *c, const char *why);
+/* The ledger has to be read anew from the start. */
+void hr_leader_begin_anew (HrCore *c, const char *why);
 /* Gives the leader's key back and leaves it to others for a while. */
 void hr_leader_abdicate (HrCore *c, const char *why);
 void hr_leader_hint (HrCore *c, const HrHint *h);
@@ -222,6 +260,16 @@
 gboolean hr_leader_outage_for_all (const HrCore *c);
 void hr_leader_raise (HrCore *c, const char *why);
 
+/* admission.c: why a job can never run here; NULL when it can. The machine types are known. */
+char *hr_admission_refusal (HrCore *c, const HrJobSpec *s);
+
+/* withdrawals.c: naming withdrawals to a leader that cannot read them */
+void hr_withdrawals_note (HrCore *c, const HrJob *j, guint64 stamp);
+void hr_withdrawals_name (HrCore *c, HrHint *h);
+void hr_withdrawals_take (HrCore *c, HrPeerView *p);
+gboolean hr_withdrawals_all_taken (const HrCore *c, const HrPeerView *p);
+void hr_withdrawals_answered (HrCore *c, const HrPeerView *p);
+
 /* users.c */
 void hr_users_request (HrCore *c, HrCommand *cmd);
 
@@ -251,6 +299,7 @@
 /* fleet.c */
 void hr_fleet_add (HrCore *c, HrMachine *m);
 void hr_fleet_tick (HrCore *c);
+void hr_fleet_clear (HrCore *c);
 void hr_fleet_delete (HrCore *c, HrMachine *m, const char *why);
 void hr_machine_gone (HrCore *c, HrMachine *m, const char *why);
 /* zone HR_NONE: refused in all of them. */
@@ -284,6 +333,8 @@
 void hr_project (HrCore *c, HrMachine *m, double *starts);
 void hr_list_remove (HrMachine *m, HrRef r);
 void hr_unplan (HrJob *j, guint32 task);
+/* Takes all its tasks out of the lists: the next pass places them anew. */
+void hr_job_unplan (HrCore *c, HrJob *j);
 
 /* teams.c */
 gboolean hr_team_allows (HrCore *c, const HrJob *j, guint n);
@@ -293,7 +344,7 @@
 static inline HrRank
 hr_job_rank (const HrJob *j)
 {
-  return j->spec.rank;
+  return j->rank;
 }
 
 /* rent.c */
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -1,5 +1,5 @@
 /* Users, and the judge of the protocol's rules. */
-#include "sim/world.h"
+#include "sim/pipeline.h"
 #include "protocol/jsonx.h"
 #include <string.h>
 
@@ -186,14 +186,22 @@
   SJob *j = w->jobs->pdata[t->job];
   guint here = 0;
   w->starts++;
+  pipeline_start (w, j, t->task);
   j->started = w->now;
   if (!j->first && j->shape != HR_GANG) /* a gang begins when all its tasks run */
     j->first = w->now;
-  w->started_withdrawn += j->heard_withdrawn > 0;
+  if (j->heard_withdrawn) {
+    w->started_withdrawn++;
+    g_debug ("%s/%u starts on %s %.3f s after its user heard that it is withdrawn", j->id, t->task,
+             m->name, w->now - j->told_withdrawn);
+  }
   if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
     w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
   if (m->spot && !j->spot)
     w_broken (w, "wrong_place", "%s/%u starts on a spot machine", j->id, t->task);
+  if (j->zone && m->zone + 1 != j->zone)
+    w_broken (w, "wrong_place", "%s/%u starts outside the zone it is bound to", j->id, t->task);
+  judge_quota (w, j->gpus);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *x = w->machines->pdata[i];
     for (guint k = 0; !x->gone && k < x->tasks->len; k++) {
@@ -229,26 +237,20 @@
 void
 judge_tick (World *w)
 {
-  double gpus = 0;
   if (w->calm)
     judge_forgotten (w);
-  g_autoptr (GString) who = g_string_new (NULL);
+  judge_quota (w, 0);
+  judge_waits (w);
   for (guint i = 0; i < w->machines->len; i++) {
     SMachine *m = w->machines->pdata[i];
     for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
       STask *t = &g_array_index (m->tasks, STask, k);
       SJob *j = w->jobs->pdata[t->job];
-      if (!t->on)
-        continue;
-      gpus += j->gpus;
-      if (w->quota_gpus > 0)
-        g_string_append_printf (who, " %s/%u.%u@%s", j->id, t->task, t->try, m->name);
-      if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
+      if (t->on && j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
         w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
+      pipeline_on_machine (w, j, t->task);
     }
   }
-  if (w->quota_gpus > 0 && gpus > w->quota_gpus + 1e-6)
-    w_broken (w, "quota", "%g GPUs are used by%s", gpus, who->str);
 }
 
 /* ---- what is submitted ---- */
@@ -257,7 +259,7 @@
 job_new (World *w)
 {
   SJob *j = g_new0 (SJob, 1);
-  j->id = g_strdup_printf ("job-%06u", 7919 * (w->jobs->len + 1) % 1000000);
+  j->id = g_strdup_printf ("job-%06u", 7919 * ++w->named % 1000000);
   return j;
 }
 
@@ -271,16 +273,24 @@
   static const char *const ranks[] = {"normal", "urgent", "production"};
   static const char *const classes[] = {"array", "gang", "live"};
   g_autofree char *image = g_strdup_printf ("img-%u", j->image);
-  json_t *o = json_pack ("{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass",
-                         classes[j->shape], "crew", j->team ? j->team : "crew", "shape",
-                         shapes[j->shape], "rank", j->rank ? j->rank : ranks[j->shape], "pieces",
-                         (int)j->tasks, "vcpus", j->cpus, "accelerators", j->gpus, "memory_gb",
-                         j->mem, "bundle", image, "size_gb", j->image_gb, "hulls", "quarry",
-                         "together", j->one_zone, "apart", j->spread, "loaners", j->spot, "guess_s",
-                         j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
-                         j->checkpoint, "stash_s", j->save);
-  if (j->shape == HR_BATCH)
+  json_t *o =
+      json_pack ("{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass",
+                 classes[j->shape], "crew", j->team ? j->team : "crew", "shape", shapes[j->shape],
+                 "rank", j->rank ? j->rank : ranks[j->shape], "pieces", (int)j->tasks, "vcpus", j->cpus, "accelerators",
+                 j->gpus, "memory_gb", j->mem, "bundle", image, "size_gb", j->image_gb, "hulls",
+                 "quarry", "together", j->one_zone, "apart", j->spread, "loaners", j->spot,
+                 "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
+                 j->checkpoint, "stash_s", j->save);
+  for (guint i = 0; j->awaits && i < j->awaits->len; i++) {
+    if (!i)
+      json_object_set_new (o, "awaits", json_array ());
+    json_array_append_new (json_object_get (o, "awaits"),
+                           json_string (((SJob *)j->awaits->pdata[i])->id));
+  }
+  if (j->shape == HR_BATCH && !j->no_deadline)
     json_object_set_new (o, "due_s", json_real (j->due > 0 ? j->due : j->run * 2 + 30));
+  if (j->zone)
+    json_object_set_new (o, "quarry", json_string (j->zone == 1 ? "z0" : "z1"));
   j->body = hr_json_take_text (o);
   g_ptr_array_add (w->jobs, j);
   g_hash_table_insert (w->job_index, j->id, GUINT_TO_POINTER (w->jobs->len));
@@ -575,6 +585,8 @@
   SJob *j = p;
   g_free (j->id);
   g_free (j->body);
+  if (j->awaits)
+    g_ptr_array_unref (j->awaits);
   g_free (j->done);
   g_free (j->progress);
   g_free (j);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -50,13 +50,16 @@
   GHashTable *heard; /* machine -> guint64[2]: newest session and number answered */
   guint64 next;
   double store_at;  /* when the state service last answered it */
-  double behind_at; /* when another changed the map or withdrew a job, not read yet; 0: never */
+  double behind_at; /* when another changed the map, not read yet; 0: never */
   guint64 behind_epoch;
   double cut_workers, cut_store, cut_peers, cut_users, refused; /* until when */
   double alone_at;    /* cut off from state service and members since */
   gboolean hold;      /* cuts hold packets back */
+  guint64 too_old;    /* its changes up to this epoch are no longer kept; 0: they are */
   double frozen;      /* stands still until then, while its clocks run on; 0: it does not */
   double freeze_next; /* stands still so long in the middle of its next batch */
+  /* Changes of the state service that it was sent, and that earlier batches have read. */
+  guint64 epoch_sent, epoch_read;
 } Node;
 
 #define MAX_NODES 5
@@ -111,8 +114,13 @@
   /* By the clock of answers (World.answers), 0: not yet: when a user first heard that it is */
   guint64 heard_accepted, heard_done, heard_withdrawn;
   double accepted_at;
+  double withdrawn_at; /* its record says so since; 0: it does not */
   gboolean large, forgotten, lost_place;
-  const char *team; /* NULL: the first one */
+  const char *team;     /* NULL: the first one */
+  GPtrArray *awaits;    /* SJob, or NULL */
+  gboolean no_deadline; /* also as an array */
+  guint zone;           /* it is bound to, plus one; 0: none */
+  double waits_at;      /* waits beside room since; 0: does not */
   const char *rank; /* NULL: as its shape has it */
   double due;       /* an array's deadline, s after it was submitted; 0: by its run time */
   guint *done;      /* per task */
@@ -142,22 +150,30 @@
   GPtrArray *machines; /* SMachine */
   GHashTable *asks;
   double cloud_outage;
+  double cloud_calls, cloud_called; /* calls that fill its allowance, as of then */
   guint capacity;
   /* users */
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
+  guint named; /* jobs that have a name, submitted or not */
   guint streamed;
-  gboolean fickle;   /* users withdraw most jobs soon after they submit them */
-  double gang_image; /* GB, of the gangs of two */
+  gboolean fickle;            /* users withdraw most jobs soon after they submit them */
+  double gang_image;          /* GB, of the gangs of two */
+  double pipelines_cancelled; /* share of pipelines of which some job is withdrawn */
+  gboolean shock;             /* a withdrawal that was told is followed by the end of all nodes */
+  double shocked_at;
   /* judge */
   GPtrArray *broken; /* texts */
   guint starts;
   double loss, dup, late;
-  double late_orders; /* share of direct orders that get no answer and come half a minute or more
-                         late */
-  double copies;      /* share of reports of which a copy comes late */
-  gboolean calm;      /* no more faults */
+  double late_orders;    /* share of direct orders that get no answer and come half a minute or more
+                            late */
+  double copies;         /* share of reports of which a copy comes late */
+  GHashTable *withdrawn; /* job id -> guint64, epoch of its withdrawal */
+  gboolean calm;         /* no more faults */
   double calm_at, faults_to;
+  double stray_until; /* messages that were held up or copied are on their way until then */
+  double quiet_at;    /* no trouble has a hold on anything since; 0: one has */
   HrTroubles troubles;
   guint64 answers;         /* counts what users ask and hear: the one clock of answers */
   guint started_withdrawn; /* starts after a confirmed cancellation */
@@ -222,6 +238,8 @@
 void req_arrive (World *w, gpointer req);
 /* A copy of a worker's report, for whose answer nobody waits. */
 Req *req_copy (const Req *r, int to);
+/* This request arrives then, later than messages usually do. Takes the reference over. */
+void req_stray (World *w, Req *r, double t);
 
 /* ---- answers.c: what users are told, by one clock of answers ---- */
 
@@ -229,6 +247,7 @@
 typedef struct {
   SJob *job;
   guint64 sent; /* World.answers then */
+  double sent_at;
 } Question;
 Question *question_new (World *w, SJob *j);
 /* An answer of 200 or 201 to this question: nothing older than was heard before it was sent. */
@@ -236,6 +255,35 @@
 /* 404, 400 or 422. */
 void answer_unknown (World *w, const Question *q, const char *what, int status);
 
+/* ---- odd.c: requests that must be turned away or change nothing ---- */
+
+void odd_begin (World *w);
+/* The submission of a job just accepted is repeated with other content, at all controllers. */
+void odd_repeat (World *w, SJob *j);
+
+/* ---- judge.c ---- */
+
+/* At each start of a task, and every half second. */
+void judge_quota (World *w, double starting_gpus);
+/* Every half second: jobs that wait beside room. */
+void judge_waits (World *w);
+/* A user heard that the job is withdrawn: looks when its time is over. */
+void judge_withdrawn (World *w, SJob *j);
+/* Launches that a controller has just decided on, which know of changes up to this epoch. */
+void judge_launches (World *w, int node, guint64 known, const GPtrArray *effects);
+
+/* ---- crowds.c ---- */
+
+SJob *job_new (World *w);
+/* The job is complete: its user submits it. Takes it over. */
+void job_submit (World *w, SJob *j);
+/* Arrays of one task, per_s a second; of these a share is called off within 30 s. */
+void users_singles (World *w, double from, double to, double per_s, double cancelled);
+/* Jobs of all shapes bound to one zone each. */
+void users_bound (World *w, guint n, double span);
+/* More work than room: arrays, urgent gangs and services, of three times the fleet. */
+void users_overload (World *w, double at);
+
 /* ---- troubles.c: where the stand-ins meet them ---- */
 
 void troubles_init (World *w, guint32 seed);
@@ -245,8 +293,11 @@
 gboolean troubles_take (World *w, Req *r, double t);
 /* Until when a cut zone parts the two ends of this request; 0: it does not. m: the worker. */
 double troubles_zone_cut (World *w, const Req *r, const SMachine *m);
+double troubles_link_delay (World *w);
 /* How much later than usual this request's answer leaves. */
 double troubles_delay (World *w, const Req *r);
+/* A trouble of any kind still has its hold on something. */
+gboolean world_troubled (const World *w);
 /* When a machine rented now is up. at: as the cloud has drawn it. */
 double troubles_boots (World *w, double at);
 /* The map is written: who leads, and the token. */
@@ -299,8 +350,12 @@
 void faults_held_cut (World *w, double at);
 /* The state service answers no controller for 50 s; they hear one another, and workers. */
 void faults_cut_from_store (World *w, double at);
-/* The same, after one of them confirmed a withdrawal that the owner did not read. */
+/* The same, after one of them confirmed a withdrawal that the owner did not read. Leases are to
+ * last all the same, but where that member restarts. */
 void faults_missed_withdrawal (World *w, double at, gboolean restart);
+/* The state service refuses the owner alone while all other members confirm withdrawals, and is
+ * then down for all, for longer than a withdrawn job's tasks may live. */
+void faults_withdrawal_gap (World *w, double at);
 /* No worker reaches the owner for 40 s; other controllers do. */
 void faults_owner_unreached (World *w, double at, gboolean hold);
 /* Half of the machines end without notice, and so does the process of the owner. */
@@ -319,6 +374,8 @@
 void faults_lost_places (World *w, double from, double to);
 /* The process of the owner ends, and is back soon. */
 void faults_owner_ends (World *w, double at);
+/* Again and again the changes that the owner has not read yet are no longer kept. */
+void faults_changes_gone (World *w, double from, double to);
 /* Controllers stand still while their clocks run on: the owner, another, or all of them. */
 typedef enum { FREEZE_OWNER, FREEZE_OTHER, FREEZE_ALL } FreezeWho;
 void faults_freeze (World *w, double at, FreezeWho who, double for_s);
--- /dev/null
+++ b/tests/test_awaits.c
@@ -0,0 +1,272 @@
+/* Jobs that await others, at nodes whose state service is played: what is refused and why, and
+ * what is derived from the records alone, in any order of reading. */
+#include "sim/lone_node.h"
+#include "protocol/jsonx.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+/* ---- submissions ---- */
+
+static void
+named_jobs_are_checked (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (node_submit (n, "job-1", NULL, NULL), 201);
+  assert_int_equal (node_submit (n, "job-2", "[]", NULL), 201);
+  assert_int_equal (node_submit (n, "job-3", "null", NULL), 201);
+  assert_null (strstr (ledger_job (l, "job-2"), "\"a\":"));
+  assert_int_equal (node_submit (n, "job-4", "[\"job-9\"]", NULL), 422);
+  assert_non_null (strstr (hr_json_str (n->body, "error"), "job-9"));
+  assert_int_equal (node_submit (n, "job-4", "[\"job-1\",\"job-4\"]", NULL), 422);
+  assert_null (ledger_job (l, "job-4"));
+  assert_string_equal (node_poll (n, "job-4"), "unknown");
+  assert_string_equal (node_poll (n, "job-9"), "unknown");
+  assert_int_equal (node_submit (n, "job-5", "[\"job-1\",\"job-2\",\"job-1\"]", NULL), 201);
+  assert_non_null (strstr (ledger_job (l, "job-5"), "\"a\":[\"job-1\",\"job-2\"]"));
+  /* A repeat is compared by its id alone. */
+  assert_int_equal (node_submit (n, "job-5", "[\"job-9\"]", NULL), 200);
+  node_free (n);
+  ledger_free (l);
+}
+
+static void
+unknown_jobs_cannot_be_judged_in_an_outage (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (node_submit (n, "job-1", NULL, NULL), 201);
+  l->down = TRUE;
+  assert_int_equal (node_submit (n, "job-2", "[\"job-9\"]", NULL), 503);
+  l->down = FALSE;
+  node_run (n, 10);
+  /* Accepted elsewhere just now: a reading finds it. */
+  g_autofree char *text = g_strdup (ledger_job (l, "job-1"));
+  l->epoch++;
+  ledger_set (l, "h/j/job-9", text);
+  assert_int_equal (node_submit (n, "job-2", "[\"job-9\"]", NULL), 201);
+  node_free (n);
+  ledger_free (l);
+}
+
+static char *
+many_ids (guint n)
+{
+  GString *s = g_string_new ("[");
+  for (guint i = 0; i < n; i++)
+    g_string_append_printf (s, "%s\"job-%06u\"", i ? "," : "", i);
+  g_string_append_c (s, ']');
+  return g_string_free (s, FALSE);
+}
+
+/* A repeat at a node that has not read the job yet counts by its id alone, whatever it awaits. */
+static void
+a_repeat_is_known_by_its_id (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (node_submit (n, "job-1", NULL, NULL), 201);
+  g_autofree char *text = g_strdup (ledger_job (l, "job-1"));
+  g_autofree char *many = many_ids (320);
+  const char *const awaits[] = {"[\"job-9\"]", many};
+  for (guint i = 0; i < G_N_ELEMENTS (awaits); i++) {
+    g_autofree char *id = g_strdup_printf ("job-e%u", i), *path = g_strconcat ("h/j/", id, NULL);
+    l->epoch++;
+    ledger_set (l, path, text); /* accepted elsewhere just now */
+    assert_int_equal (node_submit (n, id, awaits[i], NULL), 200);
+  }
+  node_free (n);
+  ledger_free (l);
+}
+
+/* The smaller of today's and the announced limit bounds what a job may await. */
+static void
+records_have_room (void **state)
+{
+  static const char *const limits[] = {"", ",\"next\":{\"value_kb\":2}"};
+  guint most[2] = {0, 0};
+  for (guint k = 0; k < 2; k++) {
+    Ledger *l = ledger_new ();
+    LoneNode *n = node_new (l, limits[k]);
+    node_run (n, 5);
+    for (guint i = 0; i < 320; i++) {
+      g_autofree char *id = g_strdup_printf ("job-%06u", i);
+      assert_int_equal (node_submit (n, id, NULL, NULL), 201);
+    }
+    for (guint i = 10; i <= 320; i += 10) {
+      g_autofree char *id = g_strdup_printf ("job-n%u", i), *ids = many_ids (i);
+      int status = node_submit (n, id, ids, NULL);
+      assert_true (status == 201 || status == 400);
+      if (status == 400)
+        assert_non_null (strstr (hr_json_str (n->body, "error"), "awaits"));
+      if (status == 201) {
+        assert_true (strlen (ledger_job (l, id)) <= (k ? 2048 : 4096));
+        assert_true (most[k] == i - 10); /* never one that is larger than a refused one */
+        most[k] = i;
+      }
+    }
+    node_free (n);
+    ledger_free (l);
+  }
+  assert_true (most[0] >= 250 && most[0] < 320);
+  assert_true (most[1] >= 90 && most[1] < 160);
+}
+
+/* ---- what is derived ---- */
+
+/* A pipeline: each awaits the one before. */
+static void
+submit_chain (LoneNode *n, guint from, guint to)
+{
+  for (guint i = from; i < to; i++) {
+    g_autofree char *id = g_strdup_printf ("job-c%u", i);
+    g_autofree char *awaits = i ? g_strdup_printf ("[\"job-c%u\"]", i - 1) : NULL;
+    assert_int_equal (node_submit (n, id, awaits, NULL), 201);
+  }
+}
+
+/* The epoch of the change that withdrew the job. */
+static guint64
+withdrawn_at (const Ledger *l, const char *path)
+{
+  for (guint i = 0; i < l->log->len; i++) {
+    const Change *change = &g_array_index (l->log, Change, i);
+    if (strcmp (change->path, path) == 0 && strstr (change->text, "\"s\":2"))
+      return change->stamp;
+  }
+  return 0;
+}
+
+#define CHAIN 600
+
+static void
+a_cancellation_takes_a_chain_along (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  submit_chain (n, 0, CHAIN);
+  assert_int_equal (node_cancel (n, "job-c0"), 200);
+  guint64 told = withdrawn_at (l, "h/j/job-c0");
+  assert_true (told > 0);
+  for (guint i = 0; i < CHAIN; i += 23) {
+    g_autofree char *id = g_strdup_printf ("job-c%u", i);
+    assert_string_equal (node_poll (n, id), "withdrawn");
+    if (i)
+      assert_non_null (strstr (hr_json_str (n->body, "reason"), "job-c0"));
+  }
+  assert_int_equal (node_cancel (n, "job-c99"), 200);
+  assert_string_equal (hr_json_str (n->body, "stance"), "withdrawn");
+  assert_int_equal (node_submit (n, "job-late", "[\"job-c599\"]", NULL), 201);
+  assert_string_equal (hr_json_str (n->body, "stance"), "withdrawn");
+  /* Nodes that come later and lead nothing: whatever the order in which they read. */
+  for (guint k = 0; k < 2; k++) {
+    Ledger *past = ledger_new (); /* without what the leader wrote since */
+    for (guint i = 0; i < l->log->len; i++) {
+      const Change *change = &g_array_index (l->log, Change, i);
+      past->epoch = change->stamp;
+      if (change->stamp <= told || strstr (change->path, "job-late"))
+        ledger_set (past, change->path, change->text);
+    }
+    past->backwards = k;
+    assert_non_null (strstr (ledger_job (past, "job-c599"), "\"s\":0"));
+    LoneNode *other = node_new (past, "");
+    node_run (other, 1.5);
+    assert_string_equal (node_poll (other, "job-c599"), "withdrawn");
+    assert_string_equal (node_poll (other, "job-late"), "withdrawn");
+    assert_string_equal (node_poll (other, "job-c1"), "withdrawn");
+    node_free (other);
+    ledger_free (past);
+  }
+  /* In the end every record says so by itself. */
+  node_run (n, 120);
+  assert_null (strstr (ledger_job (l, "job-c599"), "\"j\":"));
+  assert_null (strstr (ledger_job (l, "job-late"), "\"j\":"));
+  LoneNode *last = node_new (l, "");
+  node_run (last, 3);
+  assert_string_equal (node_poll (last, "job-c300"), "withdrawn");
+  assert_non_null (strstr (hr_json_str (last->body, "reason"), "job-c0"));
+  node_free (last);
+  node_free (n);
+  ledger_free (l);
+}
+
+/* Jobs that all await job-r, as if other nodes had accepted them. */
+static void
+submit_many (Ledger *l, guint n)
+{
+  g_autofree char *root = g_strdup (ledger_job (l, "job-r"));
+  for (guint i = 0; i < n; i++) {
+    g_autofree char *path = g_strdup_printf ("h/j/job-b%u", i);
+    json_t *o = json_loads (root, 0, NULL);
+    json_object_set_new (o, "a", json_pack ("[s]", "job-r"));
+    g_autofree char *text = hr_json_take_text (o);
+    l->epoch++;
+    ledger_set (l, path, text);
+  }
+}
+
+#define BREADTH 3000
+
+static void
+a_cancellation_takes_thousands_along (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (node_submit (n, "job-r", NULL, NULL), 201);
+  submit_many (l, BREADTH);
+  assert_string_equal (node_poll (n, "job-b2999"), "queued");
+  assert_false (node_opens (n, "job-b2999"));
+  assert_int_equal (node_cancel (n, "job-r"), 200);
+  guint64 before = l->epoch;
+  assert_string_equal (node_poll (n, "job-b2999"), "withdrawn");
+  assert_string_equal (node_poll (n, "job-b0"), "withdrawn");
+  assert_true (l->epoch - before < 20); /* told before any of them was written */
+  node_free (n);
+  ledger_free (l);
+}
+
+/* Their records are shortened when nothing else is to be written: a task's end is recorded at
+ * once, also where the state service takes 15 changes a second. */
+static void
+thousands_hold_nobody_up (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_new (l, ",\"write_rps\":15");
+  node_run (n, 5);
+  assert_int_equal (node_submit (n, "job-r", NULL, NULL), 201);
+  assert_int_equal (node_submit (n, "job-e", NULL, NULL), 201);
+  submit_many (l, 1000);
+  HrJob *j = hr_job_find (n->core, "job-e");
+  HrMachine *m = node_machine (n);
+  for (guint i = 0; i < j->ntasks; i++)
+    hr_task_assign (n->core, j, i, m, 1);
+  node_run (n, 3);
+  assert_int_equal (node_cancel (n, "job-r"), 200);
+  node_run (n, 3);
+  for (guint i = 0; i < j->ntasks; i++)
+    hr_task_done (n->core, j, i);
+  assert_int_equal (j->ndone, j->ntasks);
+  node_run (n, 2);
+  assert_string_equal (node_poll (n, "job-e"), "done");
+  node_free (n);
+  ledger_free (l);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (named_jobs_are_checked),
+      cmocka_unit_test (unknown_jobs_cannot_be_judged_in_an_outage),
+      cmocka_unit_test (a_repeat_is_known_by_its_id),
+      cmocka_unit_test (records_have_room),
+      cmocka_unit_test (a_cancellation_takes_a_chain_along),
+      cmocka_unit_test (a_cancellation_takes_thousands_along),
+      cmocka_unit_test (thousands_hold_nobody_up),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
