--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -386,9 +386,10 @@
 }
 
 /* The state service refuses the leader alone, another controller confirms a withdrawal, and a
- * moment later the service is out for all, for longer than cancel_s. */
+ * moment later the service is out for all, for longer than cancel_s. named: the leader is told of
+ * the withdrawal by the other controller. */
 static void
-a_withdrawal_that_the_leader_cannot_read_ends_in_time (void **state)
+unread_withdrawal (gboolean named)
 {
   Scene *scene = scene_led (3);
   SceneMachine *m1 = scene_machine (scene, "m-1", "z0");
@@ -397,6 +398,7 @@
   m1->only = 0;
   scene->s->nodes[0].served = FALSE;
   scene_run (scene, 0.5);
+  scene->s->hints = named;
   scene_withdraw (scene, 1, "job-a");
   scene->s->outage = TRUE;
   scene_run (scene, scene->cancel_s + 6);
@@ -404,6 +406,13 @@
   scene_end (scene);
 }
 
+static void
+a_withdrawal_that_the_leader_cannot_read_ends_in_time (void **state)
+{
+  unread_withdrawal (FALSE);
+  unread_withdrawal (TRUE);
+}
+
 /* A task is recorded and its launch was lost; the state service refuses the leader alone while
  * another controller confirms that the job is withdrawn. The leader, which answers its workers
  * still, launches nothing. */
