--- /dev/null
+++ b/tests/sim/trouble_parts.h
@@ -0,0 +1,20 @@
+/* What the parts of the planned troubles share: troubles.c begins them, trouble_messages.c meets
+ * them on the way of messages, trouble_users.c plays the users that they bring. */
+#pragma once
+#include "sim/world.h"
+
+#define LATE_WRITE_MIN_S 2.0
+#define LATE_WRITE_MAX_S 12.0
+#define LATE_COMMAND_MIN_S 2.0
+#define LATE_COMMAND_MAX_S 16.0
+#define LATE_REPORT_MIN_S 2.0
+#define LATE_REPORT_MAX_LEASES 2.5
+
+gboolean trouble_on (const World *w, const HrSwitch *s);
+/* Whether it hits this one. Drawn only while it is on. */
+gboolean trouble_strikes (World *w, const HrSwitch *s);
+int trouble_any_node (World *w);
+void trouble_shuffle (World *w, GPtrArray *list);
+/* The controller is in the zone that is cut off. */
+gboolean trouble_inside (const World *w, int node);
+void trouble_cancel_now (World *w, const HrTrouble *t);
