--- a/tests/sim/crowds.c
+++ b/tests/sim/crowds.c
@@ -97,3 +97,35 @@
   for (guint i = 0; i < w->capacity; i++)
     w_at (w, at + 0.3 * i, overload_job, GUINT_TO_POINTER (i));
 }
+
+/* ---- a team at its limit ---- */
+
+#define LIMIT_SERVICES 4
+#define LIMIT_ARRAYS 6
+
+static void
+limit_job (World *w, gpointer p)
+{
+  HrShape shape = GPOINTER_TO_INT (p);
+  SJob *j = job_new (w);
+  j->shape = shape;
+  j->tasks = shape == HR_GANG ? 3 : 2;
+  j->cpus = shape == HR_GANG ? 10 : 4;
+  j->gpus = shape == HR_GANG ? 2 : 1;
+  j->mem = 30;
+  j->image_gb = 1;
+  j->run = 20;
+  j->cancel = shape == HR_GANG; /* it never fits beside the services */
+  j->due_cancel = w->now + 350;
+  job_submit (w, j);
+}
+
+void
+users_at_limit (World *w, double at)
+{
+  for (guint i = 0; i < LIMIT_SERVICES; i++)
+    w_at (w, at + i, limit_job, GINT_TO_POINTER (HR_SERVICE));
+  w_at (w, at + 40, limit_job, GINT_TO_POINTER (HR_GANG));
+  for (guint i = 0; i < LIMIT_ARRAYS; i++)
+    w_at (w, at + 45 + 4 * i, limit_job, GINT_TO_POINTER (HR_BATCH));
+}
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -280,6 +280,9 @@
 void users_bound (World *w, guint n, double span);
 /* More work than room: arrays, urgent gangs and services, of three times the fleet. */
 void users_overload (World *w, double at);
+/* Services take two thirds of a limit of twelve GPUs for good, a gang wants half of it for as
+ * long as its user waits (350 s), and arrays that have room come after it. */
+void users_at_limit (World *w, double at);
 
 /* ---- troubles.c: where the stand-ins meet them ---- */
 
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -363,6 +363,23 @@
   users_overload (w, 5);
 }
 
+static void
+at_their_limit (World *w)
+{
+  users_at_limit (w, 5);
+}
+
+/* A team is near its limit, a gang waits for more of it than there is left, and the leader
+ * changes: arrays for which there is room beside it run. */
+static void
+a_gang_beyond_the_limit_and_new_leaders (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 60, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 70, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER, .back_s = 0.4}};
+  PLAY_SET (2190, 2192, day, .users = at_their_limit, .quota_gpus = 12);
+}
+
 /* There is more work than room, urgent and not, over slow links. */
 static void
 overload_and_slow_links (void **state)
@@ -422,6 +439,7 @@
       cmocka_unit_test (no_controllers_and_cut_machines),
       cmocka_unit_test (bound_jobs_and_lost_machines),
       cmocka_unit_test (overload_and_slow_links),
+      cmocka_unit_test (a_gang_beyond_the_limit_and_new_leaders),
       cmocka_unit_test (cloud_outages_and_lost_machines),
   };
   g_log_set_writer_func (log_writer, GINT_TO_POINTER (g_getenv ("HR_SIM_VERBOSE") != NULL), NULL);
