--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -263,6 +263,7 @@
   return j;
 }
 
+/* The job is complete: its user submits it. */
 void
 job_submit (World *w, SJob *j)
 {
@@ -275,7 +276,7 @@
   json_t *o =
       json_pack ("{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass",
                  classes[j->shape], "crew", j->team ? j->team : "crew", "shape", shapes[j->shape],
-                 "rank", ranks[j->shape], "pieces", (int)j->tasks, "vcpus", j->cpus, "accelerators",
+                 "rank", j->rank ? j->rank : ranks[j->shape], "pieces", (int)j->tasks, "vcpus", j->cpus, "accelerators",
                  j->gpus, "memory_gb", j->mem, "bundle", image, "size_gb", j->image_gb, "hulls",
                  "quarry", "together", j->one_zone, "apart", j->spread, "loaners", j->spot,
                  "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
@@ -287,7 +288,7 @@
                            json_string (((SJob *)j->awaits->pdata[i])->id));
   }
   if (j->shape == HR_BATCH && !j->no_deadline)
-    json_object_set_new (o, "due_s", json_real (j->run * 2 + 30));
+    json_object_set_new (o, "due_s", json_real (j->due > 0 ? j->due : j->run * 2 + 30));
   if (j->zone)
     json_object_set_new (o, "quarry", json_string (j->zone == 1 ? "z0" : "z1"));
   j->body = hr_json_take_text (o);
