--- a/tests/sim/judge.c
+++ b/tests/sim/judge.c
@@ -205,3 +205,78 @@
     }
   }
 }
+
+/* ---- starts, and every half second ---- */
+
+void
+judge_start (World *w, SMachine *m, STask *t)
+{
+  SJob *j = w->jobs->pdata[t->job];
+  guint here = 0;
+  w->starts++;
+  pipeline_start (w, j, t->task);
+  j->started = w->now;
+  if (!j->first && j->shape != HR_GANG) /* a gang begins when all its tasks run */
+    j->first = w->now;
+  if (j->heard_withdrawn) {
+    w->started_withdrawn++;
+    g_debug ("%s/%u starts on %s %.3f s after its user heard that it is withdrawn", j->id, t->task,
+             m->name, w->now - j->told_withdrawn);
+  }
+  if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
+    w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
+  if (m->spot && !j->spot)
+    w_broken (w, "wrong_place", "%s/%u starts on a spot machine", j->id, t->task);
+  if (j->zone && m->zone + 1 != j->zone)
+    w_broken (w, "wrong_place", "%s/%u starts outside the zone it is bound to", j->id, t->task);
+  judge_quota (w, j->gpus);
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *x = w->machines->pdata[i];
+    for (guint k = 0; !x->gone && k < x->tasks->len; k++) {
+      STask *o = &g_array_index (x->tasks, STask, k);
+      if (o == t || !o->on || o->job != t->job)
+        continue;
+      if (o->task == t->task)
+        w_broken (w, "ran_twice", "%s/%u try %u starts on %s while try %u is on %s", j->id, t->task,
+                  t->try, m->name, o->try, x->name);
+      if (j->one_zone && x->zone != m->zone)
+        w_broken (w, "wrong_place", "%s/%u starts in another zone", j->id, t->task);
+      here += x->zone == m->zone;
+    }
+  }
+  if (j->spread && here + 1 > (j->tasks + 1) / 2)
+    w_broken (w, "wrong_place", "%s: %u of %u in one zone", j->id, here + 1, j->tasks);
+}
+
+/* Job by job: however well the others fare, none may stay without an answer for 75 s
+ * once all troubles are over. A user asks every 15 s at the least. */
+static void
+judge_forgotten (World *w)
+{
+  for (guint i = 0; i < w->jobs->len; i++) {
+    SJob *j = w->jobs->pdata[i];
+    if (j->accepted && !j->forgotten && w->now - MAX (j->ok_at, w->calm_at) > 75) {
+      j->forgotten = TRUE;
+      w_broken (w, "forgotten", "no question about %s is answered", j->id);
+    }
+  }
+}
+
+void
+judge_tick (World *w)
+{
+  if (w->calm)
+    judge_forgotten (w);
+  judge_quota (w, 0);
+  judge_waits (w);
+  for (guint i = 0; i < w->machines->len; i++) {
+    SMachine *m = w->machines->pdata[i];
+    for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
+      STask *t = &g_array_index (m->tasks, STask, k);
+      SJob *j = w->jobs->pdata[t->job];
+      if (t->on && j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
+        w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
+      pipeline_on_machine (w, j, t->task);
+    }
+  }
+}
--- /dev/null
+++ b/tests/sim/node_checks.c
@@ -0,0 +1,82 @@
+/* What a controller may send to its workers. */
+#include "sim/messages.h"
+#include <string.h>
+
+/* A process launches only what it recorded itself: what an earlier owner recorded
+ * may have ended since, and others may use its place. */
+void
+node_check_launches (World *w, int i, const char *text)
+{
+  json_t *o = json_loads (text, 0, NULL), *e;
+  size_t k;
+  g_autofree char *inc = g_strdup_printf ("%d-%u", i, w->nodes[i].gen);
+  json_array_foreach (json_object_get (o, "orders"), k, e)
+  {
+    g_autofree char *key =
+        g_strdup_printf ("%s/%d", json_string_value (json_object_get (e, "piece")),
+                         (int)json_integer_value (json_object_get (e, "try")));
+    const char *by = g_hash_table_lookup (w->assigned, key);
+    if (strcmp (json_string_value (json_object_get (e, "verb")), "launch") == 0 &&
+        g_strcmp0 (by, inc) != 0)
+      w_broken (w, "launch", "c%d launches %s, recorded by %s", i, key, by ? by : "nobody");
+  }
+  json_decref (o);
+}
+
+/* Reports are ordered by session and number, not by arrival: one of an earlier session
+ * gets no answer that counts, an overtaken one no orders. */
+void
+node_check_order (World *w, int i, const char *report, const char *answer)
+{
+  json_t *r = json_loads (report, 0, NULL), *a = json_loads (answer, 0, NULL);
+  guint64 session = json_integer_value (json_object_get (r, "tenure")),
+          n = json_integer_value (json_object_get (r, "tally"));
+  const char *name = json_string_value (json_object_get (r, "rockhand"));
+  guint64 *seen = g_hash_table_lookup (w->nodes[i].heard, name);
+  if (!seen) {
+    seen = g_new0 (guint64, 2);
+    g_hash_table_insert (w->nodes[i].heard, g_strdup (name), seen);
+  }
+  if (session < seen[0])
+    w_broken (w, "order", "c%d answers %s in a session that is over", i, name);
+  else if (session == seen[0] && n < seen[1] && json_array_size (json_object_get (a, "orders")))
+    w_broken (w, "order", "c%d gives orders on an overtaken report of %s", i, name);
+  if (session > seen[0] || (session == seen[0] && n > seen[1])) {
+    seen[0] = session;
+    seen[1] = n;
+  }
+  json_decref (r);
+  json_decref (a);
+}
+
+/* What a worker shows running of a job that was withdrawn longer ago than an owner may go on
+ * without knowing is told to stop in the very answer that renews its lease. */
+void
+node_check_kills (World *w, int i, const char *report, const char *answer)
+{
+  json_t *r = json_loads (report, 0, NULL), *a = json_loads (answer, 0, NULL), *item, *order;
+  size_t k, n;
+  guint64 *seen =
+      g_hash_table_lookup (w->nodes[i].heard, json_string_value (json_object_get (r, "rockhand")));
+  gboolean counts = seen &&
+                    seen[0] == (guint64)json_integer_value (json_object_get (r, "tenure")) &&
+                    seen[1] == (guint64)json_integer_value (json_object_get (r, "tally")) &&
+                    json_integer_value (json_object_get (r, "baton")) ==
+                        json_integer_value (json_object_get (a, "baton"));
+  json_array_foreach (json_object_get (r, "pieces"), k, item)
+  {
+    const char *piece = json_string_value (json_object_get (item, "piece"));
+    g_autofree char *id = g_strndup (piece, strrchr (piece, '/') - piece);
+    guint32 idx;
+    SJob *j = job_by_id (w, id, &idx);
+    gboolean killed = strcmp (json_string_value (json_object_get (item, "stance")), "exited") == 0;
+    json_array_foreach (json_object_get (a, "orders"), n, order) killed |=
+        strcmp (json_string_value (json_object_get (order, "verb")), "kill") == 0 &&
+        strcmp (json_string_value (json_object_get (order, "piece")), piece) == 0;
+    if (counts && j && j->withdrawn_at && w->now - j->withdrawn_at > w->pol.hold_s + 3 && !killed)
+      w_broken (w, "hold", "c%d lets %s go on %.1f s after its withdrawal", i, piece,
+                w->now - j->withdrawn_at);
+  }
+  json_decref (r);
+  json_decref (a);
+}
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -1,4 +1,4 @@
-/* Users, and the judge of the protocol's rules. */
+/* Users: what they ask, and the jobs of a usual day. */
 #include "sim/pipeline.h"
 #include "protocol/jsonx.h"
 #include <string.h>
@@ -178,81 +178,6 @@
   w_at (w, 1, probe, NULL);
 }
 
-/* ---- the judge ---- */
-
-void
-judge_start (World *w, SMachine *m, STask *t)
-{
-  SJob *j = w->jobs->pdata[t->job];
-  guint here = 0;
-  w->starts++;
-  pipeline_start (w, j, t->task);
-  j->started = w->now;
-  if (!j->first && j->shape != HR_GANG) /* a gang begins when all its tasks run */
-    j->first = w->now;
-  if (j->heard_withdrawn) {
-    w->started_withdrawn++;
-    g_debug ("%s/%u starts on %s %.3f s after its user heard that it is withdrawn", j->id, t->task,
-             m->name, w->now - j->told_withdrawn);
-  }
-  if (j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
-    w_broken (w, "ran_cancelled", "%s/%u starts on %s", j->id, t->task, m->name);
-  if (m->spot && !j->spot)
-    w_broken (w, "wrong_place", "%s/%u starts on a spot machine", j->id, t->task);
-  if (j->zone && m->zone + 1 != j->zone)
-    w_broken (w, "wrong_place", "%s/%u starts outside the zone it is bound to", j->id, t->task);
-  judge_quota (w, j->gpus);
-  for (guint i = 0; i < w->machines->len; i++) {
-    SMachine *x = w->machines->pdata[i];
-    for (guint k = 0; !x->gone && k < x->tasks->len; k++) {
-      STask *o = &g_array_index (x->tasks, STask, k);
-      if (o == t || !o->on || o->job != t->job)
-        continue;
-      if (o->task == t->task)
-        w_broken (w, "ran_twice", "%s/%u try %u starts on %s while try %u is on %s", j->id, t->task,
-                  t->try, m->name, o->try, x->name);
-      if (j->one_zone && x->zone != m->zone)
-        w_broken (w, "wrong_place", "%s/%u starts in another zone", j->id, t->task);
-      here += x->zone == m->zone;
-    }
-  }
-  if (j->spread && here + 1 > (j->tasks + 1) / 2)
-    w_broken (w, "wrong_place", "%s: %u of %u in one zone", j->id, here + 1, j->tasks);
-}
-
-/* Job by job: however well the others fare, none may stay without an answer for 75 s
- * once all troubles are over. A user asks every 15 s at the least. */
-static void
-judge_forgotten (World *w)
-{
-  for (guint i = 0; i < w->jobs->len; i++) {
-    SJob *j = w->jobs->pdata[i];
-    if (j->accepted && !j->forgotten && w->now - MAX (j->ok_at, w->calm_at) > 75) {
-      j->forgotten = TRUE;
-      w_broken (w, "forgotten", "no question about %s is answered", j->id);
-    }
-  }
-}
-
-void
-judge_tick (World *w)
-{
-  if (w->calm)
-    judge_forgotten (w);
-  judge_quota (w, 0);
-  judge_waits (w);
-  for (guint i = 0; i < w->machines->len; i++) {
-    SMachine *m = w->machines->pdata[i];
-    for (guint k = 0; !m->gone && k < m->tasks->len; k++) {
-      STask *t = &g_array_index (m->tasks, STask, k);
-      SJob *j = w->jobs->pdata[t->job];
-      if (t->on && j->told_withdrawn && w->now > j->told_withdrawn + w->cancel_s)
-        w_broken (w, "ran_cancelled", "%s/%u is still on %s", j->id, t->task, m->name);
-      pipeline_on_machine (w, j, t->task);
-    }
-  }
-}
-
 /* ---- what is submitted ---- */
 
 SJob *
@@ -273,14 +198,14 @@
   static const char *const ranks[] = {"normal", "urgent", "production"};
   static const char *const classes[] = {"array", "gang", "live"};
   g_autofree char *image = g_strdup_printf ("img-%u", j->image);
-  json_t *o =
-      json_pack ("{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass",
-                 classes[j->shape], "crew", j->team ? j->team : "crew", "shape", shapes[j->shape],
-                 "rank", j->rank ? j->rank : ranks[j->shape], "pieces", (int)j->tasks, "vcpus", j->cpus, "accelerators",
-                 j->gpus, "memory_gb", j->mem, "bundle", image, "size_gb", j->image_gb, "hulls",
-                 "quarry", "together", j->one_zone, "apart", j->spread, "loaners", j->spot,
-                 "guess_s", j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
-                 j->checkpoint, "stash_s", j->save);
+  json_t *o = json_pack ("{sssssssssssisfsfsfsssfsnsnsbsbsbsfsfsf}", "name_id", j->id, "jobclass",
+                         classes[j->shape], "crew", j->team ? j->team : "crew", "shape",
+                         shapes[j->shape], "rank", j->rank ? j->rank : ranks[j->shape], "pieces",
+                         (int)j->tasks, "vcpus", j->cpus, "accelerators", j->gpus, "memory_gb",
+                         j->mem, "bundle", image, "size_gb", j->image_gb, "hulls", "quarry",
+                         "together", j->one_zone, "apart", j->spread, "loaners", j->spot, "guess_s",
+                         j->shape == HR_SERVICE ? 0 : j->run * w_rand (w, 0.5, 2), "cairn_s",
+                         j->checkpoint, "stash_s", j->save);
   for (guint i = 0; j->awaits && i < j->awaits->len; i++) {
     if (!i)
       json_object_set_new (o, "awaits", json_array ());
@@ -335,8 +260,8 @@
 }
 
 /* A gang whose tasks each want a whole machine. */
-static SJob *
-gang_of (World *w, guint tasks, double image_gb, double run)
+SJob *
+job_gang (World *w, guint tasks, double image_gb, double run)
 {
   SJob *j = job_new (w);
   j->shape = HR_GANG;
@@ -349,121 +274,6 @@
   return j;
 }
 
-/* One small gang of the stream, and the next one in a while. */
-static void
-stream_job (World *w, gpointer p)
-{
-  double *to = p;
-  guint tasks = 1 + w->streamed++ % 2;
-  job_submit (w, gang_of (w, tasks, 1, w_rand (w, 15, 30)));
-  if (w->now < *to)
-    w_at (w, w->now + w_rand (w, 4, 6.5), stream_job, p);
-  else
-    g_free (p);
-}
-
-static void
-large_job (World *w, gpointer p)
-{
-  SJob *j = job_new (w);
-  j->shape = GPOINTER_TO_INT (p);
-  j->large = TRUE;
-  j->tasks = j->shape == HR_GANG ? 8 : 40;
-  j->cpus = j->shape == HR_GANG ? 10 : 6;
-  j->gpus = j->shape == HR_GANG ? 2 : 1;
-  j->mem = 30;
-  j->image_gb = 1;
-  j->run = 25;
-  job_submit (w, j);
-}
-
-/* A gang of two, for which two machines are enough. */
-static void
-small_gang (World *w, gpointer p)
-{
-  SJob *j = gang_of (w, 2, w->gang_image > 0 ? w->gang_image : 1, 40);
-  j->image = w->jobs->len; /* its own, to be fetched */
-  job_submit (w, j);
-}
-
-/* Of one image, which takes longer than the tasks of a gang wait for one another. */
-static void
-long_fetch (World *w, gpointer p)
-{
-  job_submit (w, gang_of (w, GPOINTER_TO_UINT (p), 40, 20));
-}
-
-static void
-give_up (World *w, gpointer p)
-{
-  SJob *j = w->jobs->pdata[w->jobs->len - 1];
-  j->cancel = TRUE;
-  cancel (w, j);
-}
-
-void
-users_long_fetches (World *w, gboolean fickle)
-{
-  users_init (w, 0, 0);
-  w_at (w, 5, long_fetch, GUINT_TO_POINTER (1));
-  if (fickle) {
-    w_at (w, 70, long_fetch, GUINT_TO_POINTER (3));
-    w_at (w, 115, give_up, NULL);
-  }
-  /* When it ends one machine has the image, and the others have not. */
-  for (guint i = 0; i < 3; i++)
-    w_at (w, (fickle ? 119 : 80) + 100 * i, long_fetch, GUINT_TO_POINTER (2 + i));
-}
-
-static void
-service (World *w, gpointer p)
-{
-  SJob *j = job_new (w);
-  j->shape = HR_SERVICE;
-  j->tasks = GPOINTER_TO_UINT (p);
-  j->cpus = 4;
-  j->gpus = 1;
-  j->mem = 30;
-  j->image = w->jobs->len % 4;
-  j->image_gb = 1 + j->image;
-  job_submit (w, j);
-}
-
-void
-users_services (World *w, guint n, guint tasks, double at)
-{
-  users_init (w, 0, 0);
-  for (guint i = 0; i < n; i++)
-    w_at (w, at + 0.05 * i, service, GUINT_TO_POINTER (tasks));
-}
-
-/* Of all shapes, in about the proportions of a large deployment. */
-static void
-crowd_job (World *w, gpointer p)
-{
-  guint i = GPOINTER_TO_UINT (p);
-  static const guint replicas[] = {2, 4, 6}, gangs[] = {1, 2, 4, 8};
-  SJob *j = job_new (w);
-  j->shape = i % 5 < 2 ? HR_SERVICE : i % 5 < 4 ? HR_GANG : HR_BATCH;
-  j->tasks = j->shape == HR_SERVICE ? replicas[i % 3]
-             : j->shape == HR_GANG  ? gangs[i / 5 % 4]
-                                    : 10 + i % 60;
-  j->cpus = j->shape == HR_GANG ? 10 : 5;
-  j->gpus = j->shape == HR_GANG ? 2 : 1;
-  j->mem = 30;
-  j->image = i % 8;
-  j->image_gb = 1 + j->image;
-  j->run = w_rand (w, 20, 90);
-  j->checkpoint = 10;
-  j->save = 2;
-  j->one_zone = j->shape == HR_GANG;
-  j->spread = j->shape == HR_SERVICE && i % 2;
-  j->spot = j->shape == HR_BATCH;
-  j->cancel = i % 9 == 0;
-  j->due_cancel = w->now + w_rand (w, 20, 200);
-  job_submit (w, j);
-}
-
 /* An array, of which two tasks fit on a machine. */
 static SJob *
 batch_of (World *w, guint tasks, double run)
@@ -524,7 +334,7 @@
 static void
 guaranteed (World *w, gpointer p)
 {
-  SJob *j = p ? gang_of (w, 2, 1, 25) : batch_of (w, 6, 25);
+  SJob *j = p ? job_gang (w, 2, 1, 25) : batch_of (w, 6, 25);
   j->team = "guests";
   job_submit (w, j);
 }
@@ -539,46 +349,6 @@
   w_at (w, later + 60, guaranteed, GUINT_TO_POINTER (1));
 }
 
-void
-users_crowd (World *w, guint jobs, double span)
-{
-  users_init (w, 0, 0);
-  /* Most are there at the start, the others come one by one. */
-  for (guint i = 0; i < jobs; i++)
-    w_at (w, i % 3 ? 2 + 0.01 * i : w_rand (w, 10, span), crowd_job, GUINT_TO_POINTER (i));
-}
-
-static void
-oversized_gang (World *w, gpointer p)
-{
-  job_submit (w, gang_of (w, 500, 1, 20));
-}
-
-void
-users_oversized (World *w, double at)
-{
-  w_at (w, at, oversized_gang, NULL);
-}
-
-void
-users_gangs (World *w, guint n, double from, double gap)
-{
-  users_init (w, 0, 0);
-  for (guint i = 0; i < n; i++)
-    w_at (w, from + i * gap, small_gang, NULL);
-}
-
-void
-users_stream (World *w, HrShape large, double from, double to)
-{
-  double *end = g_new (double, 1);
-  *end = to;
-  users_init (w, 0, 0);
-  w_at (w, from, stream_job, end);
-  for (int i = 1; i < 4; i++)
-    w_at (w, from + i * (to - from) / 5, large_job, GINT_TO_POINTER (large));
-}
-
 static void
 job_free (gpointer p)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -121,9 +121,9 @@
   gboolean no_deadline; /* also as an array */
   guint zone;           /* it is bound to, plus one; 0: none */
   double waits_at;      /* waits beside room since; 0: does not */
-  const char *rank; /* NULL: as its shape has it */
-  double due;       /* an array's deadline, s after it was submitted; 0: by its run time */
-  guint *done;      /* per task */
+  const char *rank;     /* NULL: as its shape has it */
+  double due;           /* an array's deadline, s after it was submitted; 0: by its run time */
+  guint *done;          /* per task */
   double *progress;
 } SJob;
 
@@ -275,6 +275,8 @@
 /* ---- crowds.c ---- */
 
 SJob *job_new (World *w);
+/* A gang whose tasks each want a whole machine. */
+SJob *job_gang (World *w, guint tasks, double image_gb, double run);
 /* The job is complete: its user submits it. Takes it over. */
 void job_submit (World *w, SJob *j);
 /* Arrays of one task, per_s a second; of these a share is called off within 30 s. */
@@ -313,6 +315,8 @@
 void troubles_told (World *w, SJob *j, gboolean accepted);
 /* ---- for other files of users ---- */
 SJob *job_new (World *w);
+/* A gang whose tasks each want a whole machine. */
+SJob *job_gang (World *w, guint tasks, double image_gb, double run);
 /* The job is complete: its user submits it. */
 void job_submit (World *w, SJob *j);
 
