--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -122,9 +122,9 @@
   gboolean no_deadline; /* also as an array */
   guint zone;           /* it is bound to, plus one; 0: none */
   double waits_at;      /* waits beside room since; 0: does not */
-  const char *rank; /* NULL: as its shape has it */
-  double due;       /* an array's deadline, s after it was submitted; 0: by its run time */
-  guint *done;      /* per task */
+  const char *rank;     /* NULL: as its shape has it */
+  double due;           /* an array's deadline, s after it was submitted; 0: by its run time */
+  guint *done;          /* per task */
   double *progress;
 } SJob;
 
@@ -304,6 +304,8 @@
 /* ---- crowds.c ---- */
 
 SJob *job_new (World *w);
+/* A gang whose tasks each want a whole machine. */
+SJob *job_gang (World *w, guint tasks, double image_gb, double run);
 /* The job is complete: its user submits it. Takes it over. */
 void job_submit (World *w, SJob *j);
 /* Arrays of one task, per_s a second; of these a share is called off within 30 s. */
@@ -312,6 +314,9 @@
 void users_bound (World *w, guint n, double span);
 /* More work than room: arrays, urgent gangs and services, of three times the fleet. */
 void users_overload (World *w, double at);
+/* Services take two thirds of a limit of twelve GPUs for good, a gang wants half of it for as
+ * long as its user waits (350 s), and arrays that have room come after it. */
+void users_at_limit (World *w, double at);
 
 /* ---- troubles.c: where the stand-ins meet them ---- */
 
@@ -339,6 +344,8 @@
 void troubles_told (World *w, SJob *j, gboolean accepted);
 /* ---- for other files of users ---- */
 SJob *job_new (World *w);
+/* A gang whose tasks each want a whole machine. */
+SJob *job_gang (World *w, guint tasks, double image_gb, double run);
 /* The job is complete: its user submits it. */
 void job_submit (World *w, SJob *j);
 
