--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -1,4 +1,4 @@
-#include "coordination/state.h"
+#include "coordination/limits.h"
 #include "protocol/jsonx.h"
 #include <gio/gio.h>
 #include <string.h>
@@ -177,6 +177,7 @@
   c->waiters = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->waiters_now = g_array_new (FALSE, TRUE, sizeof (HrWaiter));
   c->peers = g_array_new (FALSE, TRUE, sizeof (HrPeerView));
+  c->withdrawals = g_array_new (FALSE, FALSE, sizeof (HrWithdrawal));
   hr_intern_init (&c->job_ids);
   hr_intern_init (&c->machine_ids);
   c->jobs = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_job_free);
@@ -188,10 +189,12 @@
   c->tombstones = g_array_new (FALSE, TRUE, sizeof (guint32));
   c->fleet = g_ptr_array_new ();
   c->refused = g_array_new (FALSE, TRUE, sizeof (HrRefusal));
-  c->team_waits = g_array_new (FALSE, TRUE, sizeof (guint32));
+  c->teams = g_array_new (FALSE, TRUE, sizeof (HrTeamUse));
+  c->waiting = g_ptr_array_new ();
   c->wants = g_array_new (FALSE, TRUE, sizeof (HrWant));
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_init (&c->txns[i]);
+  g_queue_init (&c->rentals_again);
   c->write_bucket = (HrBucket){set->state_write_rps, set->state_write_rps, set->state_write_rps, 0};
   c->cloud_bucket = (HrBucket){set->cloud_rps, set->cloud_rps * 0.8, set->cloud_rps, 0};
   return c;
@@ -209,6 +212,7 @@
 void
 hr_core_free (HrCore *c)
 {
+  hr_fleet_clear (c);
   for (int i = 0; i < HR_TXN_KINDS; i++)
     g_queue_clear_full (&c->txns[i], txn_free);
   g_rand_free (c->rand);
@@ -216,6 +220,7 @@
   g_array_unref (c->waiters);
   g_array_unref (c->waiters_now);
   g_array_unref (c->peers);
+  g_array_unref (c->withdrawals);
   g_ptr_array_unref (c->jobs);
   g_ptr_array_unref (c->machines);
   hr_intern_clear (&c->job_ids);
@@ -227,7 +232,8 @@
   g_array_unref (c->garbage);
   g_array_unref (c->tombstones);
   g_array_unref (c->wants);
-  g_array_unref (c->team_waits);
+  g_array_unref (c->teams);
+  g_ptr_array_unref (c->waiting);
   g_ptr_array_unref (c->fleet);
   g_clear_pointer (&c->types, g_array_unref);
   g_free (c->sync_after);
@@ -307,7 +313,8 @@
   if (c->leads && c->plan_dirty && now - c->planned_at >= gap) {
     c->plan_dirty = FALSE;
     c->planned_at = now;
-    hr_team_waits (c);
+    hr_limits_pass (c);
+    hr_team_entitle (c);
     hr_plan (c);
     hr_dispatch (c);
   }
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -346,6 +346,7 @@
   s->rank = j->spec.rank; /* its own: what it is needed for differs from job to job */
   s->spot = j->spec.spot;
   s->types = j->spec.types;
+  s->teams |= G_GUINT64_CONSTANT (1) << j->spec.team % 64;
 }
 
 /* More than any task is tried in one owner's time. */
