--- a/src/bookkeeping/dependencies.c
+++ b/src/bookkeeping/dependencies.c
@@ -91,7 +91,7 @@
       g_ptr_array_add (withdrawn, over);
     for (guint i = 0; dependents && i < dependents->len; i++) {
       HrJob *d = dependents->pdata[i];
-      if (!d->known || d->stance != HR_QUEUED) /* one to be read anew is looked at then */
+      if (d->stance != HR_QUEUED)
         continue;
       if (over->stance == HR_WITHDRAWN) {
         derive_withdrawn (c, d, over->withdrawn_with ? over->withdrawn_with : over);
--- a/tests/test_readiness.c
+++ b/tests/test_readiness.c
@@ -221,6 +221,30 @@
   ledger_free (l);
 }
 
+/* The end of a job that others await is recorded before other ends: they start after it. */
+static void
+awaited_ends_go_first (void **state)
+{
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (node_submit (n, "job-1", NULL, NULL), 201);
+  assert_int_equal (node_submit (n, "job-2", "[\"job-1\"]", NULL), 201);
+  assert_int_equal (node_submit (n, "job-3", NULL, NULL), 201);
+  HrMachine *m = node_machine (n);
+  static const char *const ids[] = {"job-1", "job-3"};
+  for (guint i = 0; i < 4; i++)
+    hr_task_assign (n->core, hr_job_find (n->core, ids[i / 2]), i % 2, m, 1);
+  node_run (n, 2);
+  n->core->write_bucket.tokens = -1e6; /* nothing leaves for a while */
+  for (guint i = 0; i < 4; i++)
+    hr_task_done (n->core, hr_job_find (n->core, ids[i / 2]), i % 2);
+  node_run (n, 0.1);
+  assert_int_equal (g_queue_get_length (&n->core->txns[HR_TXN_LAUNCH]), 1);
+  assert_int_equal (g_queue_get_length (&n->core->txns[HR_TXN_BOOKS]), 1);
+  node_free (n);
+  ledger_free (l);
+}
+
 /* Whose tasks stand first in the machine's list, after a pass. */
 static const char *
 first_in_list (LoneNode *n, const HrMachine *m)
@@ -301,6 +325,7 @@
       cmocka_unit_test (no_launch_is_ordered),
       cmocka_unit_test (urgency_flows_up_and_back),
       cmocka_unit_test (lists_stay_in_order),
+      cmocka_unit_test (awaited_ends_go_first),
       cmocka_unit_test (machines_are_wanted_a_boot_ahead),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
