--- a/src/coordination/requests.h
+++ b/src/coordination/requests.h
@@ -13,6 +13,7 @@
   double asked;
   guint tries;
   char *tag;     /* of the write under way */
+  gsize bytes;   /* of a cancellation's record */
   int refusal;   /* of a submission that can't be accepted: the status, if it is new */
   char *why_not; /* and why */
 } HrUserRequest;
