--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -213,8 +213,6 @@
             hr_intern_name (&c->names->types, r->type), hr_intern_name (&c->names->zones, r->zone));
     if (json_array_size (list) < r->count)
       refuse (c, r->type, r->zone, r->spot);
-    /* A pass since the request knew nothing of these machines, and wants them once more. */
-    g_array_set_size (c->wants, 0);
     c->plan_dirty = TRUE;
   } else if (status == 503 && g_strcmp0 (hr_json_str (body, "error"), "no capacity") == 0) {
     g_info ("no capacity for %s%s in %s", r->spot ? "spot " : "",
