--- a/src/coordination/submissions.c
+++ b/src/coordination/submissions.c
@@ -30,18 +30,12 @@
 static gboolean
 lay_out (HrCore *c, HrUserRequest *request)
 {
-  double limit_kb = c->set->value_kb;
-  guint per_page = hr_tasks_per_page (limit_kb);
-  if (!request->awaits) {
-    request->per_page = request->spec.tasks <= per_page ? 0 : per_page;
-    return TRUE;
-  }
-  limit_kb = MIN (limit_kb, c->set->next_value_kb);
-  per_page = hr_tasks_per_page (limit_kb);
-  g_autofree char *text = first_record (c, request, per_page, HR_LONGEST_TAG);
-  double room = limit_kb * 1024 - strlen (text);
-  request->per_page = request->spec.tasks * HR_PLACED_TASK_BYTES <= room ? 0 : per_page;
-  return room >= 0;
+  gsize awaits = 0;
+  for (guint i = 0; request->awaits && request->awaits[i]; i++)
+    awaits += strlen (request->awaits[i]) + strlen ("\"\",");
+  request->per_page = hr_layout_choose (c, &request->spec, awaits);
+  g_autofree char *paged = first_record (c, request, 1, HR_LONGEST_TAG);
+  return strlen (paged) <= hr_layout_planned_bytes (c);
 }
 
 /* A reading costs nothing of what may be written, and tells whether an earlier try of the write
--- a/src/coordination/users.c
+++ b/src/coordination/users.c
@@ -141,6 +141,15 @@
 
 /* ---- cancellations ---- */
 
+/* The record with its tasks is larger than the state service takes. Its user asks again, and
+ * meanwhile the leader splits it. */
+static void
+split_first (HrCore *c, HrUserRequest *request, HrJob *j)
+{
+  hr_format_oversized (c, j);
+  hr_request_refuse_later (c, request, 503, "the job's record is being split; ask again");
+}
+
 static void
 on_abort (HrCore *c, int status, json_t *body, double sent, gpointer data)
 {
@@ -159,6 +168,9 @@
       hr_dependencies_final (c, j);
     }
     hr_request_answer (c, request, j, 200);
+  } else if (status == 400 && c->speaks && j && j->tasks) {
+    c->planned_in_force |= request->bytes > hr_layout_planned_bytes (c);
+    split_first (c, request, j);
   } else if (hr_request_may_try_again (c, request, status))
     hr_follow_read (c, hr_request_on_read,
                     request); /* the record may have moved on: read, then try again */
@@ -173,10 +185,15 @@
   g_autofree char *key = hr_job_key (j);
   g_free (request->tag);
   request->tag = hr_new_tag (c);
+  char *text = hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, request->tag, FALSE);
+  request->bytes = strlen (text);
+  if (request->bytes > hr_layout_most_bytes (c)) {
+    g_free (text);
+    split_first (c, request, j);
+    return;
+  }
   json_t *when = hr_cond (json_array (), key, j->stamp);
-  json_t *writes =
-      hr_set (json_array (), key,
-              hr_record_main (j, c->names, &c->machine_ids, HR_WITHDRAWN, request->tag, FALSE), 0);
+  json_t *writes = hr_set (json_array (), key, text, 0);
   hr_commit (c, HR_TXN_USER, when, writes, 1, hr_request_timeout (c, request), on_abort, request);
 }
 
