--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -40,6 +40,13 @@
   gboolean final; /* the write under way is the tombstone */
 } HrPage;
 
+/* A page in the ledger that no main record names yet, or no longer: a page of another size. */
+typedef struct {
+  guint per_page, page;
+  guint64 stamp;
+  json_t *value; /* NULL where only its writer needs it */
+} HrStagedPage;
+
 typedef struct HrJob HrJob;
 struct HrJob {
   guint32 idx;
@@ -56,6 +63,9 @@
   guint per_page;                /* 0: tasks stand in the main record */
   HrPage *pages;
   guint npages;
+  gboolean resplit; /* its pages stand under keys that carry their size: h/u in place of h/t */
+  GArray *staged;   /* HrStagedPage; NULL: none */
+  json_t *extra;    /* what this version does not know in its main record; NULL: nothing */
   gboolean shrunk;
   gboolean told;       /* withdrawn, as a member told us; its record is still to be read */
   gboolean unreadable; /* what is recorded of its tasks could not be read: they may be anywhere */
@@ -94,6 +104,8 @@
   double kept_since; /* only what is reserved for another holds it back since; 0: it does not */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
+  gboolean split_wanted, splitting; /* in the queue of records to split; under way */
+  double write_at, write_pause;     /* what cannot be written now waits until then, so long */
   double ends_at;    /* when its last task should end, steady time, as of the latest pass */
 };
 
@@ -193,7 +205,7 @@
 HrPage *hr_job_page (HrJob *j, guint32 task);
 /* A placed task takes a machine's name, a session and an attempt: room for long names. */
 #define HR_PLACED_TASK_BYTES 48
-/* How many tasks a record or page holds. per_page as stored in the record. */
+/* How many tasks a record or page of production holds. */
 guint hr_tasks_per_page (double value_kb);
 /* Counts tasks that use the image; older ones count less and less. */
 void hr_class_use_image (HrClassStat *s, guint32 image, guint tasks);
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -306,6 +306,7 @@
   e->hint.clock = c->now;
   e->hint.synced = c->synced_once;
   e->hint.withdrawn = c->withdrawn;
+  hr_format_tell (c, &e->hint);
   e->hint.applied = c->applied;
   hr_withdrawals_name (c, &e->hint);
   for (guint i = 0; i < MIN (c->peers->len, HR_MAX_ECHOES); i++) {
@@ -363,6 +364,7 @@
   hr_withdrawals_take (c, p);
   hr_withdrawals_answered (c, p);
   note_statement (c, p);
+  hr_format_heard (c, h);
   /* A member that the state service serves has read a newer map, and we, who
    * think we own it, have not: whoever is refused steps down at once. */
   if (c->leads && h->store_served && h->baton > c->baton && c->now - c->confirmed_at > 1.5) {
--- a/src/transport/hint_frame.c
+++ b/src/transport/hint_frame.c
@@ -50,6 +50,12 @@
     pack_withdrawals (&h->named, &withdrawals, jobs);
     m.withdrawals = &withdrawals;
   }
+  m.format = h->format;
+  char *oversized[HR_MAX_OVERSIZED];
+  for (guint i = 0; i < h->noversized; i++)
+    oversized[i] = (char *)h->oversized[i];
+  m.n_oversized = h->noversized;
+  m.oversized = oversized;
   gsize len = hr__hint__get_packed_size (&m);
   return len <= HR_MAX_FRAME ? hr__hint__pack (&m, frame) : 0;
 }
@@ -94,6 +100,10 @@
   }
   if (m->withdrawals)
     unpack_withdrawals (&h->named, m->withdrawals);
+  h->format = m->format;
+  for (gsize i = 0; i < m->n_oversized && h->noversized < HR_MAX_OVERSIZED; i++)
+    if (strlen (m->oversized[i]) <= HR_JOB_ID_MOST)
+      g_strlcpy (h->oversized[h->noversized++], m->oversized[i], HR_JOB_ID_MOST + 1);
   hr__hint__free_unpacked (m, NULL);
   return TRUE;
 }
