--- /dev/null
+++ b/tests/test_meetings_fleet.c
@@ -0,0 +1,184 @@
+/* Days of the simulated cluster on which two troubles meet. One function for each meeting, with
+ * a table of its troubles; it is played with several seeds. Every rule of the protocol is
+ * asserted at every event, and all work is done once the troubles are over. Users, messages and
+ * leaders: test_meetings.c. */
+#include "meetings.h"
+
+/* New machines are up within two seconds and get work at once while writes lag, and the leader
+ * ends. */
+static void
+fast_boots_and_late_writes (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 0.1, .kind = TROUBLE_FAST_BOOT, .for_s = 250},
+      {.at_s = 2, .kind = TROUBLE_LATE_WRITES, .for_s = 80, .share = 0.3},
+      {.at_s = 40, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 110, .kind = TROUBLE_MACHINE_CRASH, .share = 0.5},
+      {.at_s = 110, .kind = TROUBLE_LATE_WRITES, .for_s = 40, .share = 0.6},
+      {.at_s = 114, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER, .back_s = 0.5}};
+  PLAY (2100, 2104, day);
+}
+
+static void
+four_a_second (World *w)
+{
+  users_singles (w, 5, 185, 4, 0.25);
+}
+
+/* One-task jobs come four a second for minutes, a quarter of them cancelled; leaders change
+ * meanwhile and answers to writes are lost. */
+static void
+single_jobs_and_new_leaders (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 30, .kind = TROUBLE_CANCEL_AT_END, .for_s = 150, .share = 0.2},
+      {.at_s = 40, .kind = TROUBLE_CLOSE_LOOKS, .for_s = 30},
+      {.at_s = 60, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 100, .kind = TROUBLE_LATE_WRITES, .for_s = 30, .share = 0.2, .at_once = TRUE},
+      {.at_s = 140, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER, .back_s = 0.4}};
+  PLAY_SET (2110, 2112, day, .users = four_a_second, .until = 500);
+}
+
+/* A zone with workers and a controller is cut off for longer than lease_s; leading or not. */
+static void
+cut_zones_and_cancels (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 70, .kind = TROUBLE_ZONE_CUT, .zone = ZONE (0), .who = WHO_LEADER, .for_s = 30},
+      {.at_s = 74, .kind = TROUBLE_CANCEL_NOW, .count = 8},
+      {.at_s = 160,
+       .kind = TROUBLE_ZONE_CUT,
+       .zone = ZONE (1),
+       .who = WHO_OTHER,
+       .for_s = 40,
+       .hold = TRUE},
+      {.at_s = 165, .kind = TROUBLE_CANCEL_NOW, .count = 8, .hang_s = 11}};
+  PLAY (2130, 2134, day);
+}
+
+/* Every team is at its limit while jobs are called off whose machines are cut off or hang, and
+ * the leader changes. */
+static void
+full_teams_and_cut_machines (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 80, .kind = TROUBLE_MACHINE_CUT, .share = 0.4, .for_s = 22, .hold = TRUE},
+      {.at_s = 82, .kind = TROUBLE_CANCEL_NOW, .count = 6, .hang_s = 12},
+      {.at_s = 83, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 150, .kind = TROUBLE_LATE_WRITES, .for_s = 20, .share = 0.4},
+      {.at_s = 155, .kind = TROUBLE_CANCEL_NOW, .count = 6, .hang_s = 20},
+      {.at_s = 156, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER, .back_s = 0.3}};
+  PLAY_SET (2140, 2144, day, .quota_gpus = 12, .until = 1100);
+}
+
+/* All controllers are away for longer than lease_s; a zone's machines are cut off as they come
+ * back. */
+static void
+no_controllers_and_cut_machines (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 80, .kind = TROUBLE_NODE_CRASH, .who = WHO_ALL, .back_s = 18},
+      {.at_s = 90, .kind = TROUBLE_MACHINE_CUT, .zone = ZONE (1), .for_s = 20, .hold = TRUE},
+      {.at_s = 109, .kind = TROUBLE_CANCEL_NOW, .count = 6},
+      {.at_s = 170, .kind = TROUBLE_NODE_CRASH, .who = WHO_ALL, .back_s = 25, .first_back_s = 0.5},
+      {.at_s = 171, .kind = TROUBLE_CLOSE_LOOKS, .for_s = 30}};
+  PLAY (2150, 2154, day);
+}
+
+static void
+bound_to_zones (World *w)
+{
+  users_bound (w, 32, 200);
+}
+
+/* Jobs bound to one zone, arrays too, lose machines. */
+static void
+bound_jobs_and_lost_machines (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 70, .kind = TROUBLE_MACHINE_CRASH, .zone = ZONE (0), .share = 0.6},
+      {.at_s = 72, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 120, .kind = TROUBLE_MACHINE_HANG, .zone = ZONE (1), .share = 0.5, .for_s = 18},
+      {.at_s = 125, .kind = TROUBLE_CANCEL_NOW, .count = 6},
+      {.at_s = 170, .kind = TROUBLE_MACHINE_CUT, .zone = ZONE (0), .for_s = 25}};
+  PLAY_SET (2160, 2164, day, .users = bound_to_zones);
+}
+
+static void
+too_much (World *w)
+{
+  users_overload (w, 5);
+}
+
+static void
+at_their_limit (World *w)
+{
+  users_at_limit (w, 5);
+}
+
+/* A team is near its limit, a gang waits for more of it than there is left, and the leader
+ * changes: arrays for which there is room beside it run. */
+static void
+a_gang_beyond_the_limit_and_new_leaders (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 60, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 70, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER, .back_s = 0.4}};
+  PLAY_SET (2190, 2192, day, .users = at_their_limit, .quota_gpus = 12);
+}
+
+/* There is more work than room, urgent and not, over slow links. */
+static void
+overload_and_slow_links (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 20, .kind = TROUBLE_SLOW_LINKS, .for_s = 150, .delay_s = 0.25},
+      {.at_s = 90, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
+      {.at_s = 100, .kind = TROUBLE_CANCEL_NOW, .count = 5, .hang_s = 12}};
+  PLAY_SET (2170, 2174, day, .users = too_much, .capacity = 8, .until = 900);
+}
+
+/* Tasks of a job end far apart, across changes of the leader; machines go before their ends are
+ * recorded, and only the answers to writes are lost. */
+static void
+ends_far_apart_and_new_leaders (void **state)
+{
+  static const HrTrouble day[] = {
+      {.at_s = 40, .kind = TROUBLE_CLOSE_LOOKS, .for_s = 200},
+      {.at_s = 50, .kind = TROUBLE_CANCEL_AT_END, .for_s = 150, .share = 0.5},
+      {.at_s = 60, .kind = TROUBLE_LATE_WRITES, .for_s = 120, .share = 0.3, .at_once = TRUE},
+      {.at_s = 70, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER, .times = 5, .every_s = 25},
+      {.at_s = 71, .kind = TROUBLE_MACHINE_CRASH, .count = 2, .times = 5, .every_s = 25}};
+  PLAY (2320, 2324, day);
+}
+
+/* The cloud is in trouble while machines go, and the leader ends: when that is over machines are
+ * returned and rented at once again. */
+static void
+cloud_outages_and_lost_machines (void **state)
+{
+  static const HrTrouble day[] = {{.at_s = 60, .kind = TROUBLE_CLOUD_OUTAGE, .for_s = 25},
+                                  {.at_s = 62, .kind = TROUBLE_MACHINE_CRASH, .share = 0.4},
+                                  {.at_s = 150, .kind = TROUBLE_MACHINE_CRASH, .share = 0.6},
+                                  {.at_s = 150, .kind = TROUBLE_CLOUD_OUTAGE, .for_s = 20},
+                                  {.at_s = 160, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER}};
+  PLAY (2180, 2184, day);
+}
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (fast_boots_and_late_writes),
+      cmocka_unit_test (single_jobs_and_new_leaders),
+      cmocka_unit_test (cut_zones_and_cancels),
+      cmocka_unit_test (full_teams_and_cut_machines),
+      cmocka_unit_test (no_controllers_and_cut_machines),
+      cmocka_unit_test (bound_jobs_and_lost_machines),
+      cmocka_unit_test (overload_and_slow_links),
+      cmocka_unit_test (a_gang_beyond_the_limit_and_new_leaders),
+      cmocka_unit_test (ends_far_apart_and_new_leaders),
+      cmocka_unit_test (cloud_outages_and_lost_machines),
+  };
+  return meetings_main (argc, argv, tests, G_N_ELEMENTS (tests));
+}
