--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -26,6 +26,35 @@
   return x;
 }
 
+/* Written back as it was read. */
+static void
+pack_extra (json_t *o, const HrJob *j)
+{
+  if (j->extra)
+    json_object_update_missing (o, j->extra);
+}
+
+/* What stands in a record beside the members that this version knows. */
+static json_t *
+unknown_members (const json_t *v)
+{
+  static const char *const known[] = {"w", "s", "t", "q", "j", "x", "u", "a", "n", "d", "c"};
+  json_t *extra = NULL, *e;
+  const char *key;
+  json_object_foreach ((json_t *)v, key, e)
+  {
+    gboolean is_known = FALSE;
+    for (guint i = 0; i < G_N_ELEMENTS (known) && !is_known; i++)
+      is_known = g_str_equal (key, known[i]);
+    if (is_known)
+      continue;
+    if (!extra)
+      extra = json_object ();
+    json_object_set (extra, key, e);
+  }
+  return extra;
+}
+
 static json_t *
 pack_awaits (const HrJob *j)
 {
@@ -43,8 +72,11 @@
                          (int)j->per_page, "j", hr_jobspec_pack (&j->spec, names));
   if (!j->per_page)
     json_object_set_new (o, "x", pack_tasks (j, 0, j->ntasks, machines, pending));
+  else if (j->resplit)
+    json_object_set_new (o, "u", json_integer (1));
   if (j->nawaits)
     json_object_set_new (o, "a", pack_awaits (j));
+  pack_extra (o, j);
   return hr_json_take_text (o);
 }
 
@@ -73,6 +105,7 @@
                          (int)(stance == HR_DONE ? j->ntasks : j->nrdone));
   if (stance == HR_WITHDRAWN && j->withdrawn_with)
     json_object_set_new (o, "c", json_string (j->withdrawn_with->id));
+  pack_extra (o, j);
   return hr_json_take_text (o);
 }
 
@@ -80,8 +113,14 @@
 hr_record_page (const HrJob *j, guint page, const HrIntern *machines, const char *tag,
                 gboolean pending)
 {
-  guint32 first = page * j->per_page;
-  json_t *x = pack_tasks (j, first, MIN (j->per_page, j->ntasks - first), machines, pending);
+  return hr_record_page_of (j, page * j->per_page, j->per_page, machines, tag, pending);
+}
+
+char *
+hr_record_page_of (const HrJob *j, guint32 first, guint32 n, const HrIntern *machines,
+                   const char *tag, gboolean pending)
+{
+  json_t *x = pack_tasks (j, first, MIN (n, j->ntasks - first), machines, pending);
   return hr_json_take_text (json_pack ("{ssso}", "w", tag, "x", x));
 }
 
@@ -108,12 +147,14 @@
         !hr_json_count (v, "q", HR_MAX_TASKS, &n))
       return FALSE;
     r->per_page = n;
+    r->resplit = n && json_integer_value (json_object_get (v, "u")) == 1;
     r->ntasks = r->spec.tasks;
     r->tasks = json_object_get (v, "x");
     /* A job whose awaited ones cannot be read must not start: it makes no sense as a whole. */
     const json_t *awaits = json_object_get (v, "a");
     if (awaits && !(r->awaits = hr_job_ids_read (awaits)))
       return FALSE;
+    r->extra = unknown_members (v);
   }
   r->tag = g_strdup (tag);
   return TRUE;
@@ -123,6 +164,7 @@
 hr_record_clear (HrRecord *r)
 {
   g_clear_pointer (&r->tag, g_free);
+  g_clear_pointer (&r->extra, json_decref);
   g_clear_pointer (&r->awaits, g_strfreev);
 }
 
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -44,6 +44,7 @@
   HrSettings *set;
   gboolean up;
   guint gen; /* counts processes */
+  guint speaks; /* the format of records that its next process understands; 0: production */
   GPtrArray *queue;
   gboolean stepping;
   GHashTable *open;  /* request id -> Req */
@@ -146,12 +147,19 @@
   guint64 epoch, claims;
   GPtrArray *watches;
   double outage; /* until when */
+  double value_kb;         /* a value may be so large, as the settings say */
+  gboolean production;     /* its processes are there, or have been */
+  double last_down;        /* how long the last node to be upgraded stays away */
+  double limits_fall;      /* the announced limits are in force from then on; 0: never */
+  double write_tokens, write_tokens_at;
+  GHashTable *too_large;   /* path -> times that a value for it was refused */
   /* cloud */
   GPtrArray *machines; /* SMachine */
   GHashTable *asks;
   double cloud_outage;
   double cloud_calls, cloud_called; /* calls that fill its allowance, as of then */
   guint capacity;
+  gboolean long_names; /* of machines */
   /* users */
   GPtrArray *jobs; /* SJob */
   GHashTable *job_index;
@@ -204,18 +212,39 @@
 void w_answer (World *w, Req *r, int status, char *body);
 void req_unref (Req *r);
 
+/* Announced for the state service in all days. */
+#define NEXT_VALUE_KB 2.0
+#define NEXT_TXN_OPS 4
+#define NEXT_WRITE_RPS 40.0
 /* fate.c: lets the request meet that fate; it would reach its receiver at time t. */
 void w_meet_fate (World *w, Req *r, WFate fate, double t);
 
 void node_start (World *w, int i);
 void node_kill (World *w, int i);
 
+/* Large arrays and services, some of which are withdrawn. */
+void users_arrays (World *w, double from, double to);
+
+/* upgrade.c: controllers of production, which come back new one after the other */
+void upgrade_init (World *w);
+/* The last one stays away for so long. Returns when its turn begins. */
+double upgrade_roll (World *w, double from, double gap, double last_down);
+void upgrade_limits_fall (World *w, double at);
+
 void store_request (World *w, Req *r);
 void store_init (World *w);
+void store_format (World *w, gboolean known);
 gboolean store_names (World *w, const char *machine);
-/* The value of a key, as text. */
+/* The value of a key, as text; NULL: not there. */
 const char *store_text (World *w, const char *key);
 guint store_garbage (World *w);
+/* Records of open jobs that are larger than the announced limit. */
+guint store_large (World *w);
+/* A record of this job is in pages of a size that it was split into. */
+gboolean store_split (World *w, const char *id);
+gboolean store_has (World *w, const char *path);
+/* As if it had been written before the day began. */
+void store_put (World *w, const char *path, const char *text);
 guint store_tear (World *w);
 int store_owner (World *w); /* the node that the map names; -1: none */
 void store_free (World *w);
