--- a/tests/test_users_days.c
+++ b/tests/test_users_days.c
@@ -33,6 +33,7 @@
   guint broken = 0;
   for (guint seed = from; seed < to; seed++) {
     World *w = world_new (seed, seed % 3 == 2 ? 5 : 3);
+    users_services (w, 6, 2, 2); /* so that there is always something to call off */
     users_init (w, 40, 300);
     users_probe (w);
     troubles_plan (w, day, n);
