--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -118,7 +118,7 @@
       g_warning ("%s: the tasks in its record make no sense", j->id);
     note_images (c, j, 0, j->ntasks);
   }
-  if (!r.per_page)
+  if (!r.per_page && j->pages)
     j->pages[0].stamp = stamp;
   /* A reading may be older than what a member told; a withdrawal is final all the same. */
   gboolean was_told = j->told;
--- a/src/bookkeeping/record.h
+++ b/src/bookkeeping/record.h
@@ -18,7 +18,7 @@
   gboolean tombstone;
   guint32 ntasks, ndone;
   HrJobSpec spec;
-  json_t *extra; /* members that this version does not know; NULL: none */
+  json_t *extra;              /* members that this version does not know; NULL: none */
   json_t *tasks;              /* borrowed from the value */
   GStrv awaits;               /* ids of the jobs that it awaits, or NULL */
   const char *withdrawn_with; /* of a tombstone; borrowed from the value; NULL: none */
--- a/src/bookkeeping/split.c
+++ b/src/bookkeeping/split.c
@@ -13,7 +13,7 @@
 #define SPLIT_TIMEOUT_S 2.0
 #define SPLITS_AT_ONCE 4
 /* Transactions may hold 64 KiB; the conditions and names take some of it. */
-#define TXN_BYTES_MOST (40 * 1024)
+#define TXN_BYTES_MOST ((gsize)40 * 1024)
 #define TRIES_MOST 4
 /* Of the write allowance, left to others by splits that nobody waits for. */
 #define PROACTIVE_KEEP 0.4
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -106,7 +106,7 @@
   gboolean parted;   /* its part was chosen */
   gboolean split_wanted, splitting; /* in the queue of records to split; under way */
   double write_at, write_pause;     /* what cannot be written now waits until then, so long */
-  double ends_at;    /* when its last task should end, steady time, as of the latest pass */
+  double ends_at; /* when its last task should end, steady time, as of the latest pass */
 };
 
 typedef enum { HR_M_BOOTING, HR_M_UP, HR_M_DELETING, HR_M_GONE } HrMachineState;
--- a/src/coordination/limits.c
+++ b/src/coordination/limits.c
@@ -82,7 +82,8 @@
 guint
 hr_limits_unit (const HrJob *j)
 {
-  return j->spec.shape == HR_GANG && !j->nlive ? hr_limits_idle (j) : 1;
+  guint whole = j->spec.shape == HR_GANG && !j->nlive ? hr_limits_idle (j) : 1;
+  return MAX (whole, 1); /* what waits has a task to start; callers divide by this */
 }
 
 /* A gang that lost a task occupies the places of the others meanwhile, so it goes first. */
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -133,16 +133,16 @@
   HrStateLimits limits; /* that this node plans for */
 
   /* The format of records. */
-  guint speaks;                /* the newest that this node understands; 0: there were none yet */
-  guint format;                /* that the ledger states every member understands */
+  guint speaks; /* the newest that this node understands; 0: there were none yet */
+  guint format; /* that the ledger states every member understands */
   guint64 format_stamp;
   gboolean format_writing;
   double format_at;
-  gboolean planned_in_force;   /* the state service refused what only the planned limits forbid */
-  guint names_measured;        /* machine names looked at; the longest of them, bytes */
+  gboolean planned_in_force; /* the state service refused what only the planned limits forbid */
+  guint names_measured;      /* machine names looked at; the longest of them, bytes */
   gsize name_longest;
-  GArray *to_split;            /* guint32: jobs whose records are too large, the most urgent first */
-  guint nsplits, split_scan;   /* under way; how far c->open was searched for large records */
+  GArray *to_split;          /* guint32: jobs whose records are too large, the most urgent first */
+  guint nsplits, split_scan; /* under way; how far c->open was searched for large records */
   char oversized[HR_MAX_OVERSIZED][HR_JOB_ID_MOST + 1]; /* see HrHint */
   guint noversized;
 
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -222,6 +222,43 @@
   c->plan_dirty = TRUE;
 }
 
+/* Not entitled to act for the controllers: the worker is sent to the one that is, if known. */
+static void
+send_elsewhere (HrCore *c, HrCommand *cmd)
+{
+  gboolean known = FALSE;
+  for (guint i = 0; i < c->set->members->len; i++)
+    known |= g_strcmp0 (g_array_index (c->set->members, HrMember, i).label, c->map_owner) == 0;
+  if (c->leads || !known)
+    hr_refuse (c, cmd->id, 503, 0, "this node may not act for the controllers now");
+  else
+    hr_reply (c, cmd->id, 421, json_pack ("{ss}", "foreman", c->map_owner), 0);
+}
+
+/* Takes orders. */
+static void
+answer_report (HrCore *c, HrCommand *cmd, json_t *orders)
+{
+  hr_reply (c, cmd->id, 200, json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders),
+            0);
+}
+
+static void
+begin_session (HrCore *c, HrMachine *m, guint32 session)
+{
+  /* A session that ends within a lease of our answer shows that the answer was not
+   * received: reports come from there, but nothing that we say arrives. Once may also be
+   * a report that a cut held back; such ones come in a bunch, not a lease apart. */
+  gboolean unreceived = m->answered_at && c->now - m->answered_at < c->set->lease_s - 1;
+  if (unreceived && m->unreceived_at && c->now - m->unreceived_at > c->set->lease_s / 2)
+    m->deaf_at = c->now;
+  if (!unreceived || !m->unreceived_at || c->now - m->unreceived_at > c->set->lease_s / 2)
+    m->unreceived_at = unreceived ? c->now : 0;
+  m->reply_launch = m->do_lost = 0; /* orders of the old session are void */
+  m->session = session;
+  g_array_set_size (m->direct, 0);
+}
+
 void
 hr_workers_hello (HrCore *c, HrCommand *cmd)
 {
@@ -231,13 +268,7 @@
   }
   c->contact_count++;
   if (!hr_leader_may_answer (c)) {
-    gboolean known = FALSE;
-    for (guint i = 0; i < c->set->members->len; i++)
-      known |= g_strcmp0 (g_array_index (c->set->members, HrMember, i).label, c->map_owner) == 0;
-    if (c->leads || !known)
-      hr_refuse (c, cmd->id, 503, 0, "this node may not act for the controllers now");
-    else
-      hr_reply (c, cmd->id, 421, json_pack ("{ss}", "foreman", c->map_owner), 0);
+    send_elsewhere (c, cmd);
     return;
   }
   gsize len = 0;
@@ -266,23 +297,11 @@
      * it counts. Should the worker still wait for this answer, its lease counts from when
      * it sent the report, which was before the newer list came to us. */
     m->answered_at = MAX (m->answered_at, m->seq_at);
-    hr_reply (c, cmd->id, 200,
-              json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders), 0);
+    answer_report (c, cmd, orders);
     return;
   }
-  if (r->session > m->session) {
-    /* A session that ends within a lease of our answer shows that the answer was not
-     * received: reports come from there, but nothing that we say arrives. Once may also be
-     * a report that a cut held back; such ones come in a bunch, not a lease apart. */
-    gboolean unreceived = m->answered_at && c->now - m->answered_at < c->set->lease_s - 1;
-    if (unreceived && m->unreceived_at && c->now - m->unreceived_at > c->set->lease_s / 2)
-      m->deaf_at = c->now;
-    if (!unreceived || !m->unreceived_at || c->now - m->unreceived_at > c->set->lease_s / 2)
-      m->unreceived_at = unreceived ? c->now : 0;
-    m->reply_launch = m->do_lost = 0; /* orders of the old session are void */
-    m->session = r->session;
-    g_array_set_size (m->direct, 0);
-  }
+  if (r->session > m->session)
+    begin_session (c, m, r->session);
   /* Not only when the session moves on: a new owner may know the session from
    * before, and read older ones in the records. */
   hr_absence_sessions (c, m, m->session - 1, "its worker is in a later session");
@@ -294,8 +313,7 @@
      * a late copy of a machine that is gone. Only its order counts. A worker that is
      * there gets our token now, and reports again at once because of it. */
     m->answered_at = c->now;
-    hr_reply (c, cmd->id, 200,
-              json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders), 0);
+    answer_report (c, cmd, orders);
     return;
   }
   if (m->state != HR_M_UP || !m->heard_at)
@@ -316,8 +334,7 @@
   if (orders_for (c, m, orders, FALSE))
     m->reply_launch = r->seq;
   m->answered_at = c->now;
-  hr_reply (c, cmd->id, 200, json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders),
-            0);
+  answer_report (c, cmd, orders);
 }
 
 typedef struct {
--- a/src/protocol/jobspec.c
+++ b/src/protocol/jobspec.c
@@ -145,7 +145,7 @@
     return bad (reason, "quarry", "expected the name of a zone, or null");
   if (!only_strings (types))
     return bad (reason, "hulls", "expected an array of machine types, or null");
-  if (types && json_is_array (types) && json_array_size (types) == 0)
+  if (json_is_array (types) && json_array_size (types) == 0)
     return bad (reason, "hulls", "an empty list allows no machine");
   if (!text_field (o, "jobclass", &names->classes, &s->klass, reason) ||
       !text_field (o, "crew", &names->teams, &s->team, reason) ||
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -43,7 +43,7 @@
   HrNames names;
   HrSettings *set;
   gboolean up;
-  guint gen; /* counts processes */
+  guint gen;    /* counts processes */
   guint speaks; /* the format of records that its next process understands; 0: production */
   GPtrArray *queue;
   gboolean stepping;
@@ -146,13 +146,13 @@
   GHashTable *leases;
   guint64 epoch, claims;
   GPtrArray *watches;
-  double outage; /* until when */
-  double value_kb;         /* a value may be so large, as the settings say */
-  gboolean production;     /* its processes are there, or have been */
-  double last_down;        /* how long the last node to be upgraded stays away */
-  double limits_fall;      /* the announced limits are in force from then on; 0: never */
+  double outage;       /* until when */
+  double value_kb;     /* a value may be so large, as the settings say */
+  gboolean production; /* its processes are there, or have been */
+  double last_down;    /* how long the last node to be upgraded stays away */
+  double limits_fall;  /* the announced limits are in force from then on; 0: never */
   double write_tokens, write_tokens_at;
-  GHashTable *too_large;   /* path -> times that a value for it was refused */
+  GHashTable *too_large; /* path -> times that a value for it was refused */
   /* cloud */
   GPtrArray *machines; /* SMachine */
   GHashTable *asks;
