Test: a withdrawal that is too large is refused for a second, and the leader hears of it

Without the check before sending test_follow fails (a commit is sent). What no test notices is named in CONTRIBUTING.md: the hold of a split's steps on the main record's stamp.

--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -224,6 +224,51 @@
   rig_clear (&r);
 }
 
+/* A withdrawal whose record is larger than the state service takes is not sent. Its user is to ask
+ * again soon, and the others hear of it at once, so that the leader splits the record. */
+static void
+withdrawal_too_large (void **state)
+{
+  Rig r;
+  begin (&r);
+  g_autofree char *name = g_strnfill (700, 'm');
+  g_autofree char *rows = g_strdup_printf (
+      ROWS (ROW ("h/format", "{\"f\":1}", "9") "," ROW (
+                "h/j/" JOB, MAIN ("0", ",\"x\":[[\"%s1\",1,1],[\"%s2\",1,1],[\"%s3\",1,1]]"), "10"),
+            "false", "20"),
+      name, name, name);
+  answer (&r, "/kv?", rows);
+  HrCommand *c = hr_command_new (HR_C_REQUEST);
+  c->id = 78;
+  c->method = HR_POST;
+  c->path = g_strdup ("/v1/jobs/" JOB "/abort");
+  r.now += 2;
+  step (&r, c);
+  for (guint i = 0; i < r.out->len; i++) { /* the watch stays open */
+    HrEffect *e = r.out->pdata[i];
+    if (e->kind == HR_E_CALL && strstr (e->path, "hold_ms=10000"))
+      g_ptr_array_remove_index (r.out, i--);
+  }
+  answer (&r, "/changes", LOG ("", "20"));
+  step (&r, hr_command_new (HR_C_TICK));
+  int status = 0, retry_after = 0;
+  guint named = 0;
+  for (guint i = 0; i < r.out->len; i++) {
+    HrEffect *e = r.out->pdata[i];
+    assert_false (e->kind == HR_E_CALL && g_str_has_prefix (e->path, "/commit"));
+    if (e->kind == HR_E_REPLY && e->id == 78) {
+      status = e->status;
+      retry_after = e->retry_after;
+    }
+    named += e->kind == HR_E_HINT && e->hint->noversized == 1 &&
+             strcmp (e->hint->oversized[0], JOB) == 0;
+  }
+  assert_int_equal (status, 503);
+  assert_int_equal (retry_after, 1);
+  assert_int_equal (named, 1);
+  rig_clear (&r);
+}
+
 static GLogWriterOutput
 silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
 {
@@ -234,9 +279,11 @@
 main (void)
 {
   g_log_set_writer_func (silent, NULL, NULL);
-  const struct CMUnitTest tests[] = {
-      cmocka_unit_test (old_pages_are_gone), cmocka_unit_test (a_page_changes_after_the_split),
-      cmocka_unit_test (staged_pages_are_no_facts), cmocka_unit_test (one_transaction),
-      cmocka_unit_test (production_misreads)};
+  const struct CMUnitTest tests[] = {cmocka_unit_test (old_pages_are_gone),
+                                     cmocka_unit_test (a_page_changes_after_the_split),
+                                     cmocka_unit_test (staged_pages_are_no_facts),
+                                     cmocka_unit_test (one_transaction),
+                                     cmocka_unit_test (production_misreads),
+                                     cmocka_unit_test (withdrawal_too_large)};
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
