A split that begins again does not take its first step for the last

After a withdrawal between two steps the leader believed its record split, and kept pages in memory that the main record does not name.

--- a/src/bookkeeping/split.c
+++ b/src/bookkeeping/split.c
@@ -260,6 +260,7 @@
   s->when = json_array ();
   s->writes = json_array ();
   s->first = s->end;
+  s->last = FALSE; /* an earlier attempt may have come to its last step */
   g_autofree char *key = hr_job_key (j);
   hr_cond (s->when, "h/map", c->map_stamp);
   hr_cond (s->when, key, s->base);
