--- a/tests/test_split.c
+++ b/tests/test_split.c
@@ -88,10 +88,31 @@
   ledger_free (l);
 }
 
+/* Another node becomes the owner between two steps: none of ours is carried out any more. */
+static void
+an_owner_between_steps (void **state)
+{
+  Ledger *l = ledger_new ();
+  g_autofree char *queued = record (0);
+  l->epoch++;
+  ledger_set (l, MAIN, queued);
+  LoneNode *n = node_new (l, NEXT);
+  until_staged (n);
+  l->epoch++;
+  ledger_set (l, "h/leader", "{\"b\":0,\"o\":\"b\",\"i\":\"other\"}");
+  ledger_set (l, "h/map", "{\"b\":9,\"o\":\"b\",\"i\":\"other\"}");
+  node_run (n, 10);
+  assert_false (split (l));
+  assert_false (n->core->leads);
+  node_free (n);
+  ledger_free (l);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {cmocka_unit_test (a_withdrawal_between_steps),
+                                     cmocka_unit_test (an_owner_between_steps),
                                      cmocka_unit_test (all_steps)};
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
