--- a/tests/test_meetings_fleet.c
+++ b/tests/test_meetings_fleet.c
@@ -134,7 +134,12 @@
   static const HrTrouble day[] = {
       {.at_s = 20, .kind = TROUBLE_SLOW_LINKS, .for_s = 150, .delay_s = 0.25},
       {.at_s = 90, .kind = TROUBLE_NODE_CRASH, .who = WHO_LEADER},
-      {.at_s = 100, .kind = TROUBLE_CANCEL_NOW, .count = 5, .hang_s = 12}};
+      {.at_s = 100,
+       .kind = TROUBLE_CANCEL_NOW,
+       .count = 5,
+       .hang_s = 12,
+       .times = 3,
+       .every_s = 9}};
   PLAY_SET (2170, 2174, day, .users = too_much, .capacity = 8, .until = 900);
 }
 
