--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -1,5 +1,5 @@
 /* Meetings of workers, leases and leaders, message by message (script_scene.h).
- * docs/meetings-workers.md says which meeting each test brings about, and without which guard it
+ * docs/meetings.md says which meeting each test brings about, and without which guard it
  * fails. */
 #include "script_scene.h"
 #include "protocol/jsonx.h"
