--- a/tests/meetings.h
+++ b/tests/meetings.h
@@ -28,19 +28,6 @@
 #define PLAY_SET(from, to, day, ...)                                                               \
   play_seeds (from, to, &(MeetingSetting){__VA_ARGS__}, day, G_N_ELEMENTS (day))
 
-/* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
-static GLogWriterOutput
-log_writer (GLogLevelFlags level, const GLogField *f, gsize n, gpointer verbose)
-{
-  if (!verbose)
-    return level & G_LOG_FLAG_FATAL ? g_log_writer_default (level, f, n, NULL)
-                                    : G_LOG_WRITER_HANDLED;
-  for (gsize i = 0; i < n; i++)
-    if (g_str_equal (f[i].key, "MESSAGE"))
-      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *)f[i].value);
-  return G_LOG_WRITER_HANDLED;
-}
-
 /* Plays all parts, or the one that is named. */
 static int
 meetings_main (int argc, char **argv, const struct CMUnitTest *tests, guint n)
@@ -49,7 +36,7 @@
     other_from = atoi (argv[2]);
     other_to = atoi (argv[3]);
   }
-  g_log_set_writer_func (log_writer, GINT_TO_POINTER (g_getenv ("HR_SIM_VERBOSE") != NULL), NULL);
+  sim_log_init ();
   if (argc == 1)
     return _cmocka_run_group_tests ("meetings", tests, n, NULL, NULL);
   for (guint i = 0; i < n; i++)
--- a/tests/scripted.c
+++ b/tests/scripted.c
@@ -393,3 +393,17 @@
   g_free (s->answer);
   g_free (s);
 }
+
+static GLogWriterOutput
+log_writer (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
+{
+  return level & G_LOG_FLAG_FATAL || g_getenv ("HR_SIM_VERBOSE")
+             ? g_log_writer_default (level, fields, n, data)
+             : G_LOG_WRITER_HANDLED;
+}
+
+void
+script_log_init (void)
+{
+  g_log_set_writer_func (log_writer, NULL, NULL);
+}
--- a/tests/scripted.h
+++ b/tests/scripted.h
@@ -42,6 +42,8 @@
   char *answer;
 } Script;
 
+/* The log is shown with HR_SIM_VERBOSE=1, fatal messages always. */
+void script_log_init (void);
 /* leader: whom the map names; "c0" becomes the leader by itself. */
 Script *script_new (const char *leader);
 void script_free (Script *s);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -194,6 +194,8 @@
 /* Who is at work, for logs. */
 extern double sim_log_time;
 extern int sim_log_node;
+/* log.c: once a program, before its first day. */
+void sim_log_init (void);
 
 World *world_new (guint32 seed, int nodes);
 /* Starts all controllers anew: they read their settings then. */
--- a/tests/test_attestation.c
+++ b/tests/test_attestation.c
@@ -289,18 +289,10 @@
   script_free (s);
 }
 
-static GLogWriterOutput
-silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
-{
-  return level & G_LOG_FLAG_FATAL || g_getenv ("HR_SIM_VERBOSE")
-             ? g_log_writer_default (level, f, n, d)
-             : G_LOG_WRITER_HANDLED;
-}
-
 int
 main (void)
 {
-  g_log_set_writer_func (silent, NULL, NULL);
+  script_log_init ();
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (a_named_withdrawal_is_carried_out),
       cmocka_unit_test (an_older_version_names_nothing),
--- a/tests/test_exhaustive.c
+++ b/tests/test_exhaustive.c
@@ -214,21 +214,6 @@
   return TRUE;
 }
 
-static GLogWriterOutput
-no_log (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
-{
-  return G_LOG_WRITER_HANDLED;
-}
-
-static GLogWriterOutput
-log_with_time (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
-{
-  for (gsize i = 0; i < n; i++)
-    if (strcmp (fields[i].key, "MESSAGE") == 0)
-      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (char *)fields[i].value);
-  return G_LOG_WRITER_HANDLED;
-}
-
 static int
 usage (void)
 {
@@ -245,7 +230,7 @@
       scenario = &scenarios[i];
   if (!scenario)
     return usage ();
-  g_log_set_writer_func (g_getenv ("HR_SIM_VERBOSE") ? log_with_time : no_log, NULL, NULL);
+  sim_log_init ();
   g_autoptr (GHashTable) states = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   Totals totals = {states, 0, 0};
   Schedule schedule = {0};
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -287,22 +287,6 @@
   assert_int_equal (broken, 0);
 }
 
-/* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
-static GLogWriterOutput
-verbose (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
-{
-  for (gsize i = 0; i < n; i++)
-    if (g_str_equal (f[i].key, "MESSAGE"))
-      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *)f[i].value);
-  return G_LOG_WRITER_HANDLED;
-}
-
-static GLogWriterOutput
-silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
-{
-  return G_LOG_WRITER_HANDLED;
-}
-
 int
 main (int argc, char **argv)
 {
@@ -316,7 +300,7 @@
       cmocka_unit_test (guarantee_without_machines),
       cmocka_unit_test (leader_changes),
   };
-  g_log_set_writer_func (g_getenv ("HR_SIM_VERBOSE") ? verbose : silent, NULL, NULL);
+  sim_log_init ();
   for (guint i = 0; argc == 2 && i < G_N_ELEMENTS (tests); i++)
     if (g_str_equal (tests[i].name, argv[1])) {
       const struct CMUnitTest part[] = {tests[i]};
--- a/tests/test_pipelines.c
+++ b/tests/test_pipelines.c
@@ -112,23 +112,10 @@
   assert_int_equal (broken, 0);
 }
 
-/* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
-static GLogWriterOutput
-writer (GLogLevelFlags level, const GLogField *f, gsize n, gpointer verbose)
-{
-  if (!verbose)
-    return level & G_LOG_FLAG_FATAL ? g_log_writer_default (level, f, n, NULL)
-                                    : G_LOG_WRITER_HANDLED;
-  for (gsize i = 0; i < n; i++)
-    if (g_str_equal (f[i].key, "MESSAGE"))
-      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *)f[i].value);
-  return G_LOG_WRITER_HANDLED;
-}
-
 int
 main (int argc, char **argv)
 {
-  g_log_set_writer_func (writer, (gpointer)g_getenv ("HR_SIM_VERBOSE"), NULL);
+  sim_log_init ();
   if (argc == 4) { /* a sweep by hand: test_pipelines FROM TO FAULTS */
     guint broken = 0;
     for (int s = atoi (argv[1]); s < atoi (argv[2]); s++)
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -549,34 +549,18 @@
   assert_int_equal (broken, 0);
 }
 
-/* With HR_SIM_VERBOSE=1: all that the controllers log, with simulated time and node. */
-static GLogWriterOutput
-verbose (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
-{
-  for (gsize i = 0; i < n; i++)
-    if (g_str_equal (f[i].key, "MESSAGE"))
-      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *)f[i].value);
-  return G_LOG_WRITER_HANDLED;
-}
-
-static GLogWriterOutput
-silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
-{
-  return level & G_LOG_FLAG_FATAL ? g_log_writer_default (level, f, n, d) : G_LOG_WRITER_HANDLED;
-}
-
 int
 main (int argc, char **argv)
 {
   /* A sweep by hand: test_sim FROM TO FAULTS LIMIT */
   if (argc == 5) {
     guint broken = 0;
-    g_log_set_writer_func (g_getenv ("HR_SIM_VERBOSE") ? verbose : silent, NULL, NULL);
+    sim_log_init ();
     for (int s = atoi (argv[1]); s < atoi (argv[2]); s++)
       broken += play (s, atoi (argv[3]), atof (argv[4]), s % 5 == 0 ? 4 : 0);
     return broken != 0;
   }
-  g_log_set_writer_func (g_getenv ("HR_SIM_VERBOSE") ? verbose : silent, NULL, NULL);
+  sim_log_init ();
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (quiet_days),
       cmocka_unit_test (days_with_one_trouble),
--- a/tests/test_users_days.c
+++ b/tests/test_users_days.c
@@ -97,18 +97,6 @@
   PLAY (2220, 2224, day);
 }
 
-static GLogWriterOutput
-log_writer (GLogLevelFlags level, const GLogField *f, gsize n, gpointer verbose)
-{
-  if (!verbose)
-    return level & G_LOG_FLAG_FATAL ? g_log_writer_default (level, f, n, NULL)
-                                    : G_LOG_WRITER_HANDLED;
-  for (gsize i = 0; i < n; i++)
-    if (g_str_equal (f[i].key, "MESSAGE"))
-      fprintf (stderr, "%8.3f c%d %s\n", sim_log_time, sim_log_node, (const char *)f[i].value);
-  return G_LOG_WRITER_HANDLED;
-}
-
 int
 main (int argc, char **argv)
 {
@@ -117,7 +105,7 @@
       cmocka_unit_test (late_writes_at_the_end),
       cmocka_unit_test (slow_refused_and_away),
   };
-  g_log_set_writer_func (log_writer, GINT_TO_POINTER (g_getenv ("HR_SIM_VERBOSE") != NULL), NULL);
+  sim_log_init ();
   if (argc == 2) /* one part: the name of a day's function */
     cmocka_set_test_filter (argv[1]);
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_withdrawals.c
+++ b/tests/test_withdrawals.c
@@ -234,18 +234,10 @@
   script_free (s);
 }
 
-static GLogWriterOutput
-silent (GLogLevelFlags level, const GLogField *f, gsize n, gpointer d)
-{
-  return level & G_LOG_FLAG_FATAL || g_getenv ("HR_SIM_VERBOSE")
-             ? g_log_writer_default (level, f, n, d)
-             : G_LOG_WRITER_HANDLED;
-}
-
 int
 main (void)
 {
-  g_log_set_writer_func (silent, NULL, NULL);
+  script_log_init ();
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (a_confirmed_withdrawal_is_named_at_once),
       cmocka_unit_test (it_is_named_until_it_is_known),
