--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -147,6 +147,7 @@
   guint64 do_lost;      /* token of the last direct launch whose answer was lost; 0: none */
   GArray *direct;       /* HrDirectLaunch of this session */
   gboolean urgent;      /* orders to send at once */
+  gboolean put_off;     /* they wait for an earlier direct call, or a pause after one */
   double do_pause;
   gboolean delete_out;                            /* the call for it is under way */
   gboolean deleted;                               /* the cloud confirmed it */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -283,6 +283,7 @@
   hr_format_tick (c);
   hr_split_scan (c);
   hr_dependencies_tick (c);
+  hr_counters_tick (c);
 }
 
 void
--- a/src/coordination/leader.c
+++ b/src/coordination/leader.c
@@ -78,7 +78,7 @@
   c->list_complete = FALSE;
   c->list_at = 0;
   c->rent_at = c->now;
-  g_message ("this node leads, baton %" G_GUINT64_FORMAT, c->baton);
+  c->counters.terms++;
   hr_tasks_take_over (c);
 }
 
@@ -86,7 +86,8 @@
 hr_leader_step_down (HrCore *c, const char *why)
 {
   if (c->leads)
-    g_message ("this node no longer leads: %s", why);
+    g_message ("this node no longer leads: %s; token=%" G_GUINT64_FORMAT " reading_age=%.2f", why,
+               c->baton, c->now - c->confirmed_at);
   c->leads = FALSE;
   c->raise_wanted = FALSE;
   c->raising = FALSE;
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -4,6 +4,7 @@
 #include "bookkeeping/record.h"
 #include "bookkeeping/tables.h"
 #include "coordination/core.h"
+#include "coordination/counters.h"
 #include <jansson.h>
 
 /* An answer to one of our calls. status 0: no answer; the call may have been
@@ -192,6 +193,9 @@
   guint asks_out;
   GQueue rentals_again; /* of fleet.c: not answered clearly, to be asked for again at rent_at */
   guint deletes_out;
+
+  HrCounters counters, counters_printed;
+  double counters_at; /* when they were last printed */
 };
 
 /* core.c */
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -275,10 +275,22 @@
   urgent (c, machine_of (c, t));
 }
 
+static guint
+bound_tasks (const HrJob *j)
+{
+  guint n = 0;
+  for (guint32 i = 0; i < j->ntasks; i++)
+    n += j->tasks[i].state == HR_T_BOUND;
+  return n;
+}
+
 void
 hr_job_withdrawn (HrCore *c, HrJob *j)
 {
   g_info ("%s is withdrawn", j->id);
+  c->counters.withdrawals++;
+  g_info ("withdrawn: job=%s epoch=%" G_GUINT64_FORMAT " reading_age=%.2f bound=%u", j->id,
+          c->applied, c->now - c->confirmed_at, bound_tasks (j));
   for (guint32 i = 0; i < j->ntasks; i++) {
     HrTask *t = &j->tasks[i];
     if (t->state == HR_T_ASSIGNING && !t->inflight)
@@ -447,6 +459,23 @@
     hr_ledger_mark (c, j, 0);
 }
 
+/* What this term begins with. */
+static void
+log_term (const HrCore *c)
+{
+  guint jobs = 0, bound = 0, withdrawn = 0;
+  for (guint i = 0; i < c->open->len; i++) {
+    const HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    guint n = j->tasks ? bound_tasks (j) : 0;
+    jobs++;
+    bound += n;
+    withdrawn += j->stance == HR_WITHDRAWN ? n : 0;
+  }
+  g_message ("leads: token=%" G_GUINT64_FORMAT " epoch=%" G_GUINT64_FORMAT
+             " reading_age=%.2f jobs=%u bound=%u withdrawn_bound=%u",
+             c->baton, c->applied, c->now - c->confirmed_at, jobs, bound, withdrawn);
+}
+
 /* A new owner: what the records say is what may be out there. */
 void
 hr_tasks_take_over (HrCore *c)
@@ -464,4 +493,5 @@
       take_over_job (c, j);
   }
   c->plan_dirty = TRUE;
+  log_term (c);
 }
--- a/src/coordination/workers.c
+++ b/src/coordination/workers.c
@@ -41,6 +41,21 @@
   return hr_follow_served (c) || hr_leader_outage_for_all (c);
 }
 
+/* The order is about to be sent. why: of a stop, else NULL. */
+static void
+log_order (HrCore *c, const char *order, const char *job, guint32 task, guint32 attempt,
+           const HrMachine *m, gboolean direct, const char *why)
+{
+  g_debug ("%s: task=%s/%u try=%u machine=%s session=%u way=%s%s%s", order, job, task, attempt,
+           m->name, m->session, direct ? "direct" : "answer", why ? " why=" : "", why ? why : "");
+}
+
+static const char *
+stop_reason (const HrJob *j)
+{
+  return j->stance == HR_WITHDRAWN ? "withdrawn" : j->gang_over ? "gang_over" : "wanted";
+}
+
 /* Orders for what is recorded on this machine. Returns whether a launch is among them. */
 static gboolean
 orders_for (HrCore *c, HrMachine *m, json_t *orders, gboolean direct)
@@ -54,6 +69,8 @@
       continue;
     if (may && t->shown == HR_NOT_SHOWN && launchable (c, j, t)) {
       hr_order_launch (orders, j->id, r.task, t->try);
+      c->counters.starts++;
+      log_order (c, "start", j->id, r.task, t->try, m, direct, NULL);
       if (direct)
         hr_absence_note_direct (m, r.job, r.task, t->try, c->baton);
       launch = TRUE;
@@ -62,8 +79,11 @@
         t->killed_at = c->now;
       /* A save that takes far longer than said is ended. */
       gboolean overdue = c->now - t->killed_at > t->grace + 10;
-      if (t->shown != HR_W_FLUSHING || overdue || t->grace == 0)
+      if (t->shown != HR_W_FLUSHING || overdue || t->grace == 0) {
         hr_order_kill (orders, j->id, r.task, t->try, overdue ? 0 : t->grace);
+        c->counters.stops++;
+        log_order (c, "stop", j->id, r.task, t->try, m, direct, stop_reason (j));
+      }
     }
   }
   return launch;
@@ -104,9 +124,11 @@
                 guint *kept)
 {
   if (it->state == HR_W_EXITED) {
-    if (hr_absence_may_clear (c, m, j ? j->idx : HR_NONE, it->task, it->attempt))
+    if (hr_absence_may_clear (c, m, j ? j->idx : HR_NONE, it->task, it->attempt)) {
       hr_order_clear (orders, it->job, it->task, it->attempt);
-    else if (++*kept >= MAX_KEPT)
+      c->counters.clears++;
+      log_order (c, "clear", it->job, it->task, it->attempt, m, FALSE, NULL);
+    } else if (++*kept >= MAX_KEPT)
       hr_leader_raise (c, "a worker holds many ended attempts that cannot be cleared yet");
     return;
   }
@@ -117,6 +139,9 @@
     m->foreign_mem += j->spec.mem;
   }
   hr_order_kill (orders, it->job, it->task, it->attempt, 0);
+  c->counters.stops++;
+  log_order (c, "stop", it->job, it->task, it->attempt, m, FALSE,
+             j && j->stance == HR_WITHDRAWN ? "withdrawn" : "not_recorded_here");
 }
 
 /* Takes in a worker's task list. full: a report, whose silence about a task counts. */
@@ -222,6 +247,14 @@
   c->plan_dirty = TRUE;
 }
 
+/* machine: NULL where the report was not read. */
+static void
+log_refusal (const HrCore *c, const char *machine, const char *reason)
+{
+  g_debug ("refused: machine=%s reason=%s leads=%d token=%" G_GUINT64_FORMAT " reading_age=%.2f",
+           machine ? machine : "-", reason, c->leads, c->baton, c->now - c->confirmed_at);
+}
+
 /* Not entitled to act for the controllers: the worker is sent to the one that is, if known. */
 static void
 send_elsewhere (HrCore *c, HrCommand *cmd)
@@ -235,10 +268,42 @@
     hr_reply (c, cmd->id, 421, json_pack ("{ss}", "foreman", c->map_owner), 0);
 }
 
+typedef enum { KIND_CURRENT, KIND_OVERTAKEN, KIND_BEFORE_TOKEN } AnswerKind;
+
+static const char *const kind_names[] = {"current", "overtaken", "before_token"};
+
+static guint
+count_orders (json_t *orders, const char *verb)
+{
+  guint n = 0;
+  size_t i;
+  json_t *order;
+  json_array_foreach (orders, i, order) n += g_strcmp0 (hr_json_str (order, "verb"), verb) == 0;
+  return n;
+}
+
+static void
+log_answer (const HrCore *c, const HrMachine *m, const HrReport *r, AnswerKind kind, json_t *orders)
+{
+  if (kind == KIND_CURRENT && !json_array_size (orders))
+    return;
+  g_debug ("answer: machine=%s kind=%s seq=%" G_GUINT64_FORMAT " session=%" G_GUINT64_FORMAT
+           " token=%" G_GUINT64_FORMAT " seen=%" G_GUINT64_FORMAT
+           " tasks=%u stops=%u launches=%u clears=%u",
+           m->name, kind_names[kind], r->seq, r->session, c->baton, r->token, r->items->len,
+           count_orders (orders, "kill"), count_orders (orders, "launch"),
+           count_orders (orders, "clear"));
+}
+
 /* Takes orders. */
 static void
-answer_report (HrCore *c, HrCommand *cmd, json_t *orders)
+answer_report (HrCore *c, HrCommand *cmd, const HrMachine *m, const HrReport *r, AnswerKind kind,
+               json_t *orders)
 {
+  c->counters.reports_answered += kind == KIND_CURRENT;
+  c->counters.reports_overtaken += kind == KIND_OVERTAKEN;
+  c->counters.reports_before_token += kind == KIND_BEFORE_TOKEN;
+  log_answer (c, m, r, kind, orders);
   hr_reply (c, cmd->id, 200, json_pack ("{sIso}", "baton", (json_int_t)c->baton, "orders", orders),
             0);
 }
@@ -268,6 +333,8 @@
   }
   c->contact_count++;
   if (!hr_leader_may_answer (c)) {
+    c->counters.reports_refused_not_entitled++;
+    log_refusal (c, NULL, c->leads ? "reading_too_old" : "not_leader");
     send_elsewhere (c, cmd);
     return;
   }
@@ -277,17 +344,22 @@
   g_autoptr (HrReport) r = hr_report_parse (data, len, &why);
   if (!r) {
     g_info ("a report was dropped: %s", why);
+    c->counters.reports_malformed++;
     hr_refuse (c, cmd->id, 400, 0, why);
     return;
   }
   if (r->token > c->baton) {
     g_info ("%s has seen baton %" G_GUINT64_FORMAT ", ours is older", r->machine, r->token);
+    c->counters.reports_refused_token++;
+    log_refusal (c, r->machine, "newer_token");
     hr_refuse (c, cmd->id, 503, 0, "a newer baton is about");
     return;
   }
   HrMachine *m = hr_machine_get (c, r->machine);
   if (m->state == HR_M_DELETING || (m->state == HR_M_GONE && m->deleted) ||
       r->session < m->session || !describe (c, m, r)) {
+    c->counters.reports_refused_machine++;
+    log_refusal (c, r->machine, "returned_or_unknown");
     hr_refuse (c, cmd->id, 503, 0, "this machine is being returned, or not known yet");
     return;
   }
@@ -297,7 +369,7 @@
      * it counts. Should the worker still wait for this answer, its lease counts from when
      * it sent the report, which was before the newer list came to us. */
     m->answered_at = MAX (m->answered_at, m->seq_at);
-    answer_report (c, cmd, orders);
+    answer_report (c, cmd, m, r, KIND_OVERTAKEN, orders);
     return;
   }
   if (r->session > m->session)
@@ -313,7 +385,7 @@
      * a late copy of a machine that is gone. Only its order counts. A worker that is
      * there gets our token now, and reports again at once because of it. */
     m->answered_at = c->now;
-    answer_report (c, cmd, orders);
+    answer_report (c, cmd, m, r, KIND_BEFORE_TOKEN, orders);
     return;
   }
   if (m->state != HR_M_UP || !m->heard_at)
@@ -327,6 +399,8 @@
   if (!hr_follow_served (c) && hr_absence_withdrawn_may_start (c, m)) {
     /* No newer token is to be had to make that launch void: the end of the session does. */
     json_decref (orders);
+    c->counters.reports_refused_order++;
+    log_refusal (c, r->machine, "order_may_come");
     hr_refuse (c, cmd->id, 503, 0, "an order to this worker may still come");
     return;
   }
@@ -334,7 +408,7 @@
   if (orders_for (c, m, orders, FALSE))
     m->reply_launch = r->seq;
   m->answered_at = c->now;
-  answer_report (c, cmd, orders);
+  answer_report (c, cmd, m, r, KIND_CURRENT, orders);
 }
 
 typedef struct {
@@ -352,6 +426,10 @@
   if (!c->leads || d->led_at != c->led_at)
     return; /* of an earlier term: its token is void */
   m->do_out--;
+  c->counters.direct_unanswered += status != 200 && status != 409;
+  c->counters.direct_refused += status == 409;
+  if (status != 200)
+    g_debug ("direct: machine=%s result=%s", m->name, status == 409 ? "refused" : "unanswered");
   if (status != 200 && status != 409) {
     if (d->launch && m->session == d->session)
       m->do_lost = MAX (m->do_lost, d->baton);
@@ -383,10 +461,16 @@
     if (!m->urgent)
       continue;
     if (m->do_out || c->now < m->do_pause) {
+      if (!m->put_off) {
+        c->counters.direct_put_off++;
+        g_debug ("direct: machine=%s result=put_off out=%u pause=%.2f", m->name, m->do_out,
+                 MAX (0, m->do_pause - c->now));
+      }
+      m->put_off = TRUE;
       c->urgent = TRUE; /* looked at again with the next step */
       continue;
     }
-    m->urgent = FALSE;
+    m->urgent = m->put_off = FALSE;
     if (m->state != HR_M_UP || !m->addr || !m->heard_at)
       continue;
     json_t *orders = json_array ();
@@ -398,6 +482,10 @@
     Direct *d = g_new0 (Direct, 1);
     *d = (Direct){m->idx, c->baton, m->session, c->led_at, launch};
     m->do_out++;
+    c->counters.direct_calls++;
+    g_debug ("direct: machine=%s session=%u token=%" G_GUINT64_FORMAT " stops=%u launches=%u",
+             m->name, m->session, c->baton, count_orders (orders, "kill"),
+             count_orders (orders, "launch"));
     hr_call (c, HR_TO_WORKER, m->addr, HR_POST, g_strdup ("/do"),
              hr_orders_text (c->baton, m->session, orders), 3, on_direct, d);
   }
--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -88,6 +88,21 @@
 
 static int log_level = G_LOG_LEVEL_MESSAGE;
 
+/* Debug lines of the libraries below (GLib's sockets write six for each connection) bury ours: they
+ * are shown where G_MESSAGES_DEBUG names their domain, or is "all". */
+static gboolean
+debug_wanted (const char *domain)
+{
+  const char *named = g_getenv ("G_MESSAGES_DEBUG");
+  if (g_str_equal (domain, G_LOG_DOMAIN))
+    return TRUE;
+  if (!named)
+    return FALSE;
+  g_auto (GStrv) domains = g_strsplit_set (named, " ,", -1);
+  return g_strv_contains ((const char *const *)domains, domain) ||
+         g_strv_contains ((const char *const *)domains, "all");
+}
+
 static GLogWriterOutput
 write_log (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
 {
@@ -100,6 +115,8 @@
     else if (g_str_equal (fields[i].key, "GLIB_DOMAIN"))
       domain = fields[i].value;
   }
+  if (level & G_LOG_LEVEL_DEBUG && !debug_wanted (domain))
+    return G_LOG_WRITER_HANDLED;
   const char *name = level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL) ? "error"
                      : level & G_LOG_LEVEL_WARNING                      ? "warning"
                      : level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_MESSAGE) ? "info"
