Test: a lease is renewed by leaders that know its task as withdrawn (red)

Cause looked for: an answer that renews a worker's lease and names no stop. The scene's workers now count a higher token as a change once in half a lease, as the protocol has it; before, the stand-in reported at once each time, which hid the fault.

--- a/tests/script_scene.c
+++ b/tests/script_scene.c
@@ -230,8 +230,11 @@
   guint64 baton = json_integer_value (json_object_get (r->body, "baton"));
   if (baton < m->baton || tenure != m->tenure)
     return status;
-  if (baton > m->baton)
+  /* A higher token is a change, at most once in half of a lease. */
+  if (baton > m->baton && s->now - m->token_told > m->scene->lease_s / 2) {
+    m->token_told = s->now;
     m->report_at = s->now + 0.5;
+  }
   m->baton = baton;
   m->lease_at = s->now;
   obey (m, json_object_get (r->body, "orders"));
@@ -533,6 +536,7 @@
   m->zone = zone;
   m->tenure = 1;
   m->lease_at = scene->s->now;
+  m->token_told = -scene->lease_s;
   m->reports = m->hears = m->reached = TRUE;
   m->only = -1;
   m->node = MAX (0, script_leader (scene->s));
--- a/tests/script_scene.h
+++ b/tests/script_scene.h
@@ -28,7 +28,8 @@
   guint64 baton;
   double lease_at; /* when the latest report that got an answer was sent */
   double report_at;
-  int node; /* that it reports to */
+  double token_told; /* when a higher token last made it report at once */
+  int node;          /* that it reports to */
   gboolean gone;
   gboolean reports; /* its reports leave */
   gboolean hears;   /* the answers to its reports arrive */
--- /dev/null
+++ b/tests/test_renewals.c
@@ -0,0 +1,295 @@
+/* Who renews a worker's lease names in the same answer a stop for each of its tasks that must not
+ * run. Message by message (script_scene.h), and with generated reports. */
+#include "script_scene.h"
+#include "protocol/jsonx.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define REPORTS 3000
+#define SEED 20261202
+
+static gboolean
+runs_somewhere (Scene *scene, gpointer piece)
+{
+  return scene_count (scene, piece) > 0;
+}
+
+static SceneMachine *
+machine_running (Scene *scene, const char *job)
+{
+  g_autofree char *piece = g_strconcat (job, "/0", NULL);
+  SceneMachine *m = scene_machine (scene, "m-1", "z0");
+  scene_run (scene, 4);
+  scene_submit (scene, 0, job, NULL);
+  scene_until (scene, runs_somewhere, piece, 8);
+  scene_run (scene, 3);
+  return m;
+}
+
+static guint64
+token (Scene *scene)
+{
+  json_t *map = json_loads (script_value (scene->s, "h/map"), 0, NULL);
+  guint64 number = json_integer_value (json_object_get (map, "b"));
+  json_decref (map);
+  return number;
+}
+
+static gboolean
+another_leads (Scene *scene, gpointer before)
+{
+  int leader = script_leader (scene->s);
+  return token (scene) > *(guint64 *)before && leader >= 0 && scene->s->nodes[leader].core;
+}
+
+/* The leader ends, another one leads; the machine reaches nobody meanwhile. */
+static void
+change_leader (Scene *scene, SceneMachine *m)
+{
+  guint64 before = token (scene);
+  m->reports = FALSE;
+  script_end (scene->s, script_leader (scene->s));
+  scene_until (scene, another_leads, &before, 12);
+  scene_run (scene, 0.5);
+}
+
+/* The orders of the answer to this report, or NULL when the answer does not renew the lease. */
+static json_t *
+renewed_with (Scene *scene, int node, const char *report)
+{
+  guint64 id = script_request (scene->s, node, HR_POST, "/hello", report);
+  const ScriptReply *reply = script_reply (scene->s, node, id);
+  return reply && reply->status == 200 ? json_object_get (reply->body, "orders") : NULL;
+}
+
+static gboolean
+names_stop (json_t *orders, const char *piece, int attempt)
+{
+  size_t i;
+  json_t *order;
+  json_array_foreach (orders, i, order)
+  {
+    if (strcmp (hr_json_str (order, "verb"), "kill") == 0 &&
+        strcmp (hr_json_str (order, "piece"), piece) == 0 &&
+        json_integer_value (json_object_get (order, "try")) == attempt)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* ---- the incident ---- */
+
+static gboolean
+answered_by_the_leader (Scene *scene, gpointer machine)
+{
+  return ((SceneMachine *)machine)->baton == token (scene);
+}
+
+/* Each leader ends right after its first answer to the worker. All know the job as withdrawn as
+ * they begin; the worker keeps its lease, and lives by the protocol otherwise. */
+static void
+leaders_that_end_after_their_first_answer (void **state)
+{
+  Scene *scene = scene_new (3);
+  Script *s = scene->s;
+  SceneMachine *m = machine_running (scene, "job-a");
+  m->reached = m->reports = FALSE;
+  scene_withdraw (scene, (script_leader (s) + 1) % 3, "job-a");
+  double told = s->now;
+  while (s->now < told + scene->cancel_s + 2 && !scene->broken->len) {
+    int leader = script_leader (s);
+    guint64 before = token (scene);
+    script_end (s, leader);
+    scene_until (scene, another_leads, &before, 10);
+    script_start (s, leader);
+    m->reports = TRUE;
+    m->node = script_leader (s);
+    m->report_at = s->now;
+    scene_until (scene, answered_by_the_leader, m, 5);
+  }
+  assert_int_equal (m->tenure, 1); /* its lease never ran out */
+  scene_end (scene);
+}
+
+static void
+a_report_from_before_the_token_gets_the_stop (void **state)
+{
+  Scene *scene = scene_new (2);
+  SceneMachine *m = machine_running (scene, "job-a");
+  m->reached = m->reports = FALSE;
+  scene_withdraw (scene, 0, "job-a");
+  change_leader (scene, m);
+  g_autofree char *report = scene_write (m);
+  json_t *orders = renewed_with (scene, script_leader (scene->s), report);
+  assert_non_null (orders);
+  assert_true (names_stop (orders, "job-a/0", 1));
+  /* Nothing else: how old the report is nobody knows. */
+  assert_int_equal (json_array_size (orders), 1);
+  scene_end (scene);
+}
+
+static void
+an_overtaken_report_gets_the_stop (void **state)
+{
+  Scene *scene = scene_new (2);
+  SceneMachine *m = machine_running (scene, "job-a");
+  m->reached = m->reports = FALSE;
+  scene_withdraw (scene, 0, "job-a");
+  int leader = script_leader (scene->s);
+  g_autofree char *older = scene_write (m), *newer = scene_write (m);
+  assert_true (names_stop (renewed_with (scene, leader, newer), "job-a/0", 1));
+  json_t *orders = renewed_with (scene, leader, older);
+  assert_true (names_stop (orders, "job-a/0", 1));
+  assert_int_equal (json_array_size (orders), 1);
+  scene_end (scene);
+}
+
+/* The report left before the direct launch arrived, and its answer comes after the withdrawal. */
+static void
+a_task_that_the_report_lacks_gets_the_stop (void **state)
+{
+  Scene *scene = scene_new (2);
+  SceneMachine *m = scene_machine (scene, "m-1", "z0");
+  scene_run (scene, 4);
+  m->reports = FALSE;
+  g_autofree char *before = scene_write (m);
+  scene_submit (scene, 0, "job-a", NULL);
+  scene_until (scene, runs_somewhere, "job-a/0", 8);
+  m->reached = FALSE;
+  scene_withdraw (scene, 0, "job-a");
+  json_t *orders = renewed_with (scene, script_leader (scene->s), before);
+  assert_true (names_stop (orders, "job-a/0", 1));
+  scene_end (scene);
+}
+
+/* ---- a launch that may still come ---- */
+
+/* The launch of a withdrawn job is on its way for longer than the leader may go on, the write that
+ * would make it void is not answered, and the cloud deletes nothing: its worker's lease has to run
+ * out in time. */
+static void
+a_launch_that_may_still_come_ends_the_lease (void **state)
+{
+  Scene *scene = scene_new (2);
+  Script *s = scene->s;
+  SceneMachine *m = scene_machine (scene, "m-1", "z0");
+  scene_run (scene, 4);
+  int leader = script_leader (s);
+  m->reports = m->reached = scene->cloud_deletes = FALSE;
+  scene_submit (scene, leader, "job-a", NULL);
+  for (int i = 0; i < 100 && !scene_direct (m, leader); i++)
+    scene_run (scene, 0.05);
+  ScriptCall *late = script_delay (s, scene_direct (m, leader));
+  scene_withdraw (scene, 1 - leader, "job-a");
+  double told = s->now;
+  script_hold (s, leader, "/commit", "h/map");
+  m->reports = TRUE;
+  while (s->now < told + scene->cancel_s - scene->lease_s + 3) {
+    scene_run (scene, 0.5);
+    ScriptCall *raise = script_call (s, leader, "/commit", "h/map");
+    if (raise && s->now - raise->sent > raise->timeout)
+      script_lose (s, raise);
+  }
+  scene_obey_direct (m, late->body);
+  script_late (s, late);
+  m->reports = FALSE;
+  scene_run (scene, scene->lease_s + 2);
+  scene_end (scene);
+}
+
+/* ---- generated reports ---- */
+
+static const char *const stances[] = {"fetching", "gathering", "running", "flushing", "exited"};
+
+/* A worker's report with tasks of known, unknown and withdrawn jobs, odd attempts and numbers. */
+static json_t *
+generated_report (GRand *rand, guint64 newest_token)
+{
+  static const char *const jobs[] = {"job-a", "job-b", "job-c", "job-d", "job-unknown"};
+  json_t *pieces = json_array ();
+  for (int n = g_rand_int_range (rand, 0, 7); n > 0; n--) {
+    g_autofree char *piece =
+        g_strdup_printf ("%s/%d", jobs[g_rand_int_range (rand, 0, G_N_ELEMENTS (jobs))],
+                         g_rand_int_range (rand, 0, 3));
+    json_t *item = json_pack ("{sssiss}", "piece", piece, "try", g_rand_int_range (rand, 0, 3),
+                              "stance", stances[g_rand_int_range (rand, 0, 5)]);
+    if (g_rand_boolean (rand))
+      json_object_set_new (item, "cause", json_string (g_rand_boolean (rand) ? "done" : "halted"));
+    json_array_append_new (pieces, item);
+  }
+  return json_pack ("{sssssssssbsisisIsnso}", "rockhand", g_rand_boolean (rand) ? "m-1" : "m-2",
+                    "addr", "m-1", "hull", "g2", "quarry", "z0", "loaners", 0, "tenure",
+                    g_rand_int_range (rand, 1, 4), "tally", g_rand_int_range (rand, 1, 400),
+                    "baton", (json_int_t)newest_token - g_rand_int_range (rand, -1, 3), "warning_s",
+                    "pieces", pieces);
+}
+
+/* Every task of a job that is withdrawn or done, and that the report shows alive, is named. */
+static void
+check_answer (json_t *report, json_t *orders, const char *const *over)
+{
+  size_t i;
+  json_t *item;
+  json_array_foreach (json_object_get (report, "pieces"), i, item)
+  {
+    const char *piece = hr_json_str (item, "piece");
+    g_autofree char *job = g_strndup (piece, strcspn (piece, "/"));
+    if (!g_strv_contains (over, job) || strcmp (hr_json_str (item, "stance"), "exited") == 0)
+      continue;
+    if (!names_stop (orders, piece, json_integer_value (json_object_get (item, "try")))) {
+      g_autofree char *text = json_dumps (report, JSON_COMPACT);
+      fail_msg ("%s goes on after the answer to %s", piece, text);
+    }
+  }
+}
+
+static void
+generated_reports_get_their_stops (void **state)
+{
+  static const char *const over[] = {"job-b", "job-c", NULL};
+  Scene *scene = scene_new (2);
+  SceneMachine *m = machine_running (scene, "job-a");
+  scene_submit (scene, 0, "job-b", NULL);
+  scene_until (scene, runs_somewhere, "job-b/0", 8);
+  scene_exit (m, "job-b/0", "done");
+  scene_submit (scene, 0, "job-c", NULL);
+  scene_until (scene, runs_somewhere, "job-c/0", 8);
+  scene_run (scene, 6);
+  assert_string_equal (scene_stance (scene, 0, "job-b"), "done");
+  m->reports = m->reached = FALSE;
+  scene_submit (scene, 0, "job-d", NULL);
+  scene_withdraw (scene, 0, "job-c");
+  change_leader (scene, m);
+  int leader = script_leader (scene->s);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (SEED);
+  guint renewed = 0;
+  for (int i = 0; i < REPORTS; i++) {
+    json_t *report = generated_report (rand, token (scene));
+    g_autofree char *text = json_dumps (report, JSON_COMPACT);
+    json_t *orders = renewed_with (scene, leader, text);
+    if (orders)
+      check_answer (report, orders, over);
+    renewed += orders != NULL;
+    json_decref (report);
+  }
+  assert_true (renewed > REPORTS / 20);
+  scene_end (scene);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (leaders_that_end_after_their_first_answer),
+      cmocka_unit_test (a_report_from_before_the_token_gets_the_stop),
+      cmocka_unit_test (an_overtaken_report_gets_the_stop),
+      cmocka_unit_test (a_task_that_the_report_lacks_gets_the_stop),
+      cmocka_unit_test (a_launch_that_may_still_come_ends_the_lease),
+      cmocka_unit_test (generated_reports_get_their_stops),
+  };
+  g_log_set_writer_func (script_log, NULL, NULL);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
