Soak: real controllers on loopback under random troubles, judged from outside

Change: hoprock-soak starts 3 or 5 hoprockd processes against the stand-ins of tests/sim over real HTTP: the simulated cluster's state service, cloud, workers, users, troubles and judge are used as they are, with the controllers behind a small interface (WControllers). Kills, SIGSTOP, cuts, relays between members, lost and late messages are drawn from a printed seed. A failing seed prints its troubles and the last lines of each controller.

--- a/tests/sim/cloud.c
+++ b/tests/sim/cloud.c
@@ -81,7 +81,8 @@
     SMachine *m = g_new0 (SMachine, 1);
     m->name = g_strdup_printf (w->long_names ? "m-%06u-of-the-eastern-render-hall" : "m-%06u",
                                w->machines->len);
-    m->addr = g_strdup_printf ("10.1.0.%u:9000", w->machines->len);
+    m->addr = w->controllers ? w->controllers->worker_address (w, w->machines->len)
+                             : g_strdup_printf ("10.1.0.%u:9000", w->machines->len);
     m->zone = strcmp (zone, "z1") == 0;
     m->spot = spot;
     m->rented = w->now;
--- a/tests/sim/messages.h
+++ b/tests/sim/messages.h
@@ -9,6 +9,8 @@
 void req_send (World *w, Req *r);
 /* A command for this controller's next batch. Takes it over. */
 void node_push (World *w, int node, HrCommand *cmd);
+/* What the controller sends: an answer, a call, a hint. */
+void node_perform (World *w, int node, HrEffect *effect);
 void node_check_launches (World *w, int i, const char *text);
 void node_check_order (World *w, int i, const char *report, const char *answer);
 void node_check_kills (World *w, int i, const char *report, const char *answer);
--- a/tests/sim/node_checks.c
+++ b/tests/sim/node_checks.c
@@ -9,7 +9,7 @@
 {
   json_t *o = json_loads (text, 0, NULL), *e;
   size_t k;
-  g_autofree char *inc = g_strdup_printf ("%d-%u", i, w->nodes[i].gen);
+  const char *inc = w->nodes[i].incarnation;
   json_array_foreach (json_object_get (o, "orders"), k, e)
   {
     g_autofree char *key =
--- a/tests/sim/store.c
+++ b/tests/sim/store.c
@@ -214,6 +214,16 @@
     w_broken (w, "fence", "%s is written without a hold on the map", path);
 }
 
+/* A process of its own has written the map. */
+static void
+note_process (World *w, int node, json_t *map)
+{
+  guint64 token = json_integer_value (json_object_get (map, "b"));
+  g_free (w->nodes[node].incarnation);
+  w->nodes[node].incarnation = g_strdup (json_string_value (json_object_get (map, "i")));
+  g_hash_table_insert (w->token_nodes, g_memdup2 (&token, sizeof token), GINT_TO_POINTER (node));
+}
+
 /* The map's change, and a withdrawal, are what an owner must not miss for long: check_kills in
  * world.c sees to the latter. */
 static void
@@ -232,6 +242,8 @@
   }
   if (g_strcmp0 (path, "h/map") != 0)
     return;
+  if (w->controllers)
+    note_process (w, r->node, json_object_get (put, "value"));
   for (int k = 0; k < w->n; k++)
     if (k != r->node) {
       Node *n = &w->nodes[k];
@@ -600,6 +612,7 @@
   g_array_set_clear_func (w->log, change_clear);
   w->watches = g_ptr_array_new ();
   w->too_large = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->token_nodes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   w->assigned = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   store_format (w, TRUE);
   w->withdrawn = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -626,6 +639,7 @@
   g_hash_table_unref (w->keys);
   g_hash_table_unref (w->leases);
   g_array_unref (w->log);
+  g_hash_table_unref (w->token_nodes);
   g_hash_table_unref (w->assigned);
   g_hash_table_unref (w->too_large);
   g_hash_table_unref (w->withdrawn);
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -50,6 +50,10 @@
 node_push (World *w, int i, HrCommand *cmd)
 {
   Node *n = &w->nodes[i];
+  if (w->controllers) {
+    w->controllers->push (w, i, cmd);
+    return;
+  }
   g_ptr_array_add (n->queue, cmd);
   if (!n->stepping) {
     n->stepping = TRUE;
@@ -83,8 +87,8 @@
   g_free (h);
 }
 
-static void
-perform (World *w, int i, HrEffect *e)
+void
+node_perform (World *w, int i, HrEffect *e)
 {
   Node *n = &w->nodes[i];
   if (e->kind == HR_E_REPLY) {
@@ -151,7 +155,7 @@
   Held *h = p;
   Node *n = &w->nodes[h->node];
   for (guint k = 0; n->up && n->gen == h->gen && k < h->effects->len; k++)
-    perform (w, h->node, h->effects->pdata[k]);
+    node_perform (w, h->node, h->effects->pdata[k]);
   g_ptr_array_unref (h->effects);
   g_free (h);
 }
@@ -164,6 +168,11 @@
   Node *n = &w->nodes[i];
   if (!n->up || n->frozen > w->now)
     return;
+  if (w->controllers) {
+    n->frozen = w->now + for_s;
+    w->controllers->freeze (w, i, for_s);
+    return;
+  }
   if (w_rand (w, 0, 1) < 0.5)
     n->freeze_next = for_s;
   else
@@ -201,7 +210,7 @@
     return;
   }
   for (guint k = 0; k < out->len; k++)
-    perform (w, i, out->pdata[k]);
+    node_perform (w, i, out->pdata[k]);
 }
 
 static void
@@ -219,12 +228,9 @@
   w_at (w, w->now + 0.1, node_tick, p);
 }
 
-void
-node_start (World *w, int i)
+json_t *
+node_settings (World *w, int i)
 {
-  Node *n = &w->nodes[i];
-  if (n->up)
-    return;
   json_t *members = json_array ();
   for (int k = 0; k < w->n; k++)
     if (k != i) {
@@ -246,9 +252,17 @@
                            json_pack ("{sssfsfsfsf}", "name", "guests", "cpus",
                                       10 * w->guarantee_gpus, "cpus_max", 0.0, "gpus",
                                       w->guarantee_gpus, "gpus_max", 0.0));
-  json_t *root = json_pack ("{sssssssss{ssss}soso}", "label", label, "area", "z0", "front",
-                            "127.0.0.1:1", "back", "127.0.0.1:2", "outside", "cloud", "127.0.0.1:3",
-                            "state", "127.0.0.1:4", "members", members, "facts", facts);
+  return json_pack ("{sssssssss{ssss}soso}", "label", label, "area", "z0", "front", "127.0.0.1:1",
+                    "back", "127.0.0.1:2", "outside", "cloud", "127.0.0.1:3", "state",
+                    "127.0.0.1:4", "members", members, "facts", facts);
+}
+
+/* Reads the settings as its process does, so that the policy's figures are known. */
+static void
+read_settings (World *w, int i)
+{
+  Node *n = &w->nodes[i];
+  json_t *root = node_settings (w, i);
   g_autoptr (GError) e = NULL;
   hr_names_init (&n->names);
   n->set = hr_settings_parse (root, &n->names, &e);
@@ -261,19 +275,38 @@
     g_error ("the policy: %s", e->message);
   if (w->machines_per_part > 0)
     w->pol.machines_per_part = w->machines_per_part;
+}
+
+static void
+start_core (World *w, int i)
+{
+  Node *n = &w->nodes[i];
+  n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
+  n->stepping = FALSE;
+  n->incarnation = g_strdup_printf ("%d-%u", i, n->gen);
+  n->core = hr_core_new (n->set, &w->pol, &n->names, n->incarnation, g_rand_int (w->rand));
+  hr_core_speak (n->core, n->speaks);
+  node_tick (w, GINT_TO_POINTER (i + (int)n->gen * MAX_NODES));
+}
+
+void
+node_start (World *w, int i)
+{
+  Node *n = &w->nodes[i];
+  if (n->up)
+    return;
+  read_settings (w, i);
   n->up = TRUE;
   n->gen++;
-  n->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
   n->open = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)req_unref);
   n->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  n->stepping = FALSE;
   n->frozen = n->freeze_next = 0;
   n->epoch_sent = n->epoch_read = 0;
   n->store_at = w->now;
-  g_autofree char *inc = g_strdup_printf ("%d-%u", i, n->gen);
-  n->core = hr_core_new (n->set, &w->pol, &n->names, inc, g_rand_int (w->rand));
-  hr_core_speak (n->core, n->speaks);
-  node_tick (w, GINT_TO_POINTER (i + (int)n->gen * MAX_NODES));
+  if (w->controllers)
+    w->controllers->start (w, i);
+  else
+    start_core (w, i);
 }
 
 void
@@ -291,8 +324,13 @@
     w_answer (w, v, 0, NULL);
   g_hash_table_unref (n->open);
   g_hash_table_unref (n->heard);
-  g_ptr_array_unref (n->queue);
-  hr_core_free (n->core);
+  g_clear_pointer (&n->incarnation, g_free);
+  if (w->controllers)
+    w->controllers->end (w, i);
+  else {
+    g_ptr_array_unref (n->queue);
+    hr_core_free (n->core);
+  }
   hr_settings_free (n->set);
   hr_names_clear (&n->names);
 }
@@ -305,7 +343,7 @@
 }
 
 World *
-world_new (guint32 seed, int nodes)
+world_prepare (guint32 seed, int nodes)
 {
   World *w = g_new0 (World, 1);
   w->n = nodes;
@@ -324,9 +362,22 @@
   troubles_init (w, seed);
   store_init (w);
   cloud_init (w);
+  return w;
+}
+
+void
+world_begin (World *w)
+{
   for (int i = 0; i < w->n; i++)
     node_start (w, i);
   w_at (w, 0.5, second, NULL);
+}
+
+World *
+world_new (guint32 seed, int nodes)
+{
+  World *w = world_prepare (seed, nodes);
+  world_begin (w);
   return w;
 }
 
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -8,6 +8,18 @@
 
 typedef void (*WFn) (World *w, gpointer data);
 
+/* How the controllers are run, where they are not cores in this process (tests/soak). Time is that
+ * of the world, in seconds. */
+typedef struct {
+  void (*start) (World *w, int node);
+  void (*end) (World *w, int node);
+  /* A request of a worker or user, or the answer to a call. Takes it over. */
+  void (*push) (World *w, int node, HrCommand *cmd);
+  void (*freeze) (World *w, int node, double for_s);
+  /* Where a new machine's worker takes direct orders: IP:PORT, to be freed. */
+  char *(*worker_address) (World *w, guint machine);
+} WControllers;
+
 /* What becomes of one request, where a search decides it instead of the drawn losses. */
 typedef enum {
   FATE_DELIVERED,
@@ -39,7 +51,8 @@
 } Req;
 
 typedef struct {
-  HrCore *core;
+  HrCore *core;      /* NULL: it is a process of its own */
+  char *incarnation; /* of its process, once that has written the map; NULL: not yet */
   HrNames names;
   HrSettings *set;
   gboolean up;
@@ -133,6 +146,9 @@
   GRand *rand;
   GSequence *events;
   guint64 seq;
+  const WControllers *controllers; /* NULL: cores in this process */
+  gpointer controllers_data;
+  GHashTable *token_nodes; /* token -> node that wrote the map with it; of `controllers` alone */
   Node nodes[MAX_NODES];
   int n; /* of them */
   HrPolicy pol;
@@ -198,6 +214,11 @@
 void sim_log_init (void);
 
 World *world_new (guint32 seed, int nodes);
+/* The same, with nothing started: before world_begin its figures may be changed. */
+World *world_prepare (guint32 seed, int nodes);
+void world_begin (World *w);
+/* A controller's settings, with addresses that nobody listens on. */
+json_t *node_settings (World *w, int node);
 /* Starts all controllers anew: they read their settings then. */
 void world_restart (World *w);
 void world_run (World *w, double until);
--- /dev/null
+++ b/tests/soak/processes.c
@@ -0,0 +1,173 @@
+/* The controllers as processes: started, killed, stopped and continued, each by its id, and none
+ * but those that this program started. */
+#include "soak/soak.h"
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <glib/gstdio.h>
+
+/* A port of the kernel's choice that stays bound, but is not listened on: the controller may listen
+ * on it, again and again, and nobody else is given it. */
+static GSocket *
+hold_port (char **address)
+{
+  g_autoptr (GError) error = NULL;
+  GSocket *socket =
+      g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
+  g_autoptr (GInetAddress) loopback = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
+  g_autoptr (GSocketAddress) any = g_inet_socket_address_new (loopback, 0);
+  if (!socket || !g_socket_set_option (socket, SOL_SOCKET, SO_REUSEPORT, 1, &error) ||
+      !g_socket_bind (socket, any, TRUE, &error))
+    g_error ("soak: no port: %s", error->message);
+  g_autoptr (GSocketAddress) bound = g_socket_get_local_address (socket, NULL);
+  *address = soak_address (G_INET_SOCKET_ADDRESS (bound));
+  return socket;
+}
+
+void
+soak_processes_prepare (Soak *s)
+{
+  s->relays = g_ptr_array_new_with_free_func (soak_relay_free);
+  for (int i = 0; i < s->w->n; i++) {
+    s->nodes[i].held[0] = hold_port (&s->nodes[i].front);
+    s->nodes[i].held[1] = hold_port (&s->nodes[i].back);
+    s->nodes[i].log = g_strdup_printf ("%s/c%d.log", s->dir, i);
+  }
+  for (int i = 0; i < s->w->n; i++)
+    for (int k = 0; k < s->w->n; k++)
+      if (k != i)
+        s->nodes[i].peers[k] = soak_relay (s, i, k);
+}
+
+static char *
+write_settings (Soak *s, int i)
+{
+  const SoakNode *n = &s->nodes[i];
+  json_t *root = node_settings (s->w, i), *member;
+  json_object_set_new (root, "front", json_string (n->front));
+  json_object_set_new (root, "back", json_string (n->back));
+  json_object_set_new (json_object_get (root, "outside"), "cloud", json_string (n->cloud->address));
+  json_object_set_new (json_object_get (root, "outside"), "state", json_string (n->state->address));
+  size_t at;
+  json_array_foreach (json_object_get (root, "members"), at, member)
+  {
+    int k = json_string_value (json_object_get (member, "label"))[1] - '0';
+    json_object_set_new (member, "endpoint", json_string (n->peers[k]));
+  }
+  char *file = g_strdup_printf ("%s/c%d.json", s->dir, i);
+  if (json_dump_file (root, file, JSON_INDENT (1)) != 0)
+    g_error ("soak: %s cannot be written", file);
+  json_decref (root);
+  return file;
+}
+
+/* In the child: it ends with this program, however that ends. */
+static void
+end_with_parent (gpointer unused)
+{
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
+static void
+restart (World *w, gpointer node)
+{
+  node_start (w, GPOINTER_TO_INT (node));
+}
+
+typedef struct {
+  Soak *soak;
+  int node;
+} Watched;
+
+static void
+on_ended (GObject *source, GAsyncResult *result, gpointer data)
+{
+  g_autofree Watched *watched = data;
+  Soak *s = watched->soak;
+  g_subprocess_wait_finish (G_SUBPROCESS (source), result, NULL);
+  if (!s->w || s->nodes[watched->node].process != G_SUBPROCESS (source))
+    return; /* ended by us */
+  soak_catch_up (s);
+  w_broken (s->w, "ended", "c%d ended by itself", watched->node);
+  node_kill (s->w, watched->node);
+  w_at (s->w, s->w->now + 1, restart, GINT_TO_POINTER (watched->node));
+}
+
+static void
+start (World *w, int i)
+{
+  Soak *s = w->controllers_data;
+  SoakNode *n = &s->nodes[i];
+  g_autofree char *settings = write_settings (s, i);
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSubprocessLauncher) launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
+  g_subprocess_launcher_setenv (launcher, "LOG_LEVEL", "debug", TRUE);
+  g_subprocess_launcher_unsetenv (launcher, "G_MESSAGES_DEBUG");
+  g_subprocess_launcher_set_child_setup (launcher, end_with_parent, NULL, NULL);
+  int log = g_open (n->log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  g_subprocess_launcher_take_stderr_fd (launcher, log);
+  n->process = g_subprocess_launcher_spawn (launcher, &error, s->daemon, "--policy", s->policy,
+                                            "--config", settings, NULL);
+  if (!n->process)
+    g_error ("soak: %s", error->message);
+  Watched *watched = g_new (Watched, 1);
+  *watched = (Watched){s, i};
+  g_subprocess_wait_async (n->process, NULL, on_ended, watched);
+}
+
+static void
+end (World *w, int i)
+{
+  Soak *s = w->controllers_data;
+  GSubprocess *process = g_steal_pointer (&s->nodes[i].process);
+  if (!process)
+    return;
+  s->kills++;
+  g_subprocess_force_exit (process);
+  g_subprocess_wait (process, NULL, NULL); /* its ports are free */
+  g_object_unref (process);
+}
+
+typedef struct {
+  int node;
+  guint gen;
+} Stopped;
+
+static void
+go_on (World *w, gpointer data)
+{
+  g_autofree Stopped *stopped = data;
+  Soak *s = w->controllers_data;
+  if (w->nodes[stopped->node].up && w->nodes[stopped->node].gen == stopped->gen)
+    g_subprocess_send_signal (s->nodes[stopped->node].process, SIGCONT);
+}
+
+static void
+freeze (World *w, int i, double for_s)
+{
+  Soak *s = w->controllers_data;
+  s->freezes++;
+  g_subprocess_send_signal (s->nodes[i].process, SIGSTOP);
+  Stopped *stopped = g_new (Stopped, 1);
+  *stopped = (Stopped){i, w->nodes[i].gen};
+  w_at (w, w->now + for_s, go_on, stopped);
+}
+
+const WControllers soak_controllers = {start, end, soak_push, freeze, soak_worker_address};
+
+void
+soak_processes_end (Soak *s)
+{
+  for (int i = 0; i < s->w->n; i++) {
+    SoakNode *n = &s->nodes[i];
+    for (int k = 0; k < 2; k++)
+      g_object_unref (n->held[k]);
+    for (int k = 0; k < s->w->n; k++)
+      g_free (n->peers[k]);
+    g_free (n->front);
+    g_free (n->back);
+    g_free (n->log);
+  }
+  g_ptr_array_unref (s->relays);
+}
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,255 @@
+/* hoprock-soak: see soak.h. Usage: hoprock-soak --daemon target/hoprockd --policy deploy/policy.hop
+ * [--seed N] [--runs N] [--seconds S] [--controllers N]. Exit 0: no rule was broken. */
+#include "soak/soak.h"
+#include <stdio.h>
+#include <glib/gstdio.h>
+
+#define STEP_MS 4
+/* Short leases, so that a short run sees many of them end. */
+#define REPORT_S 1.0
+#define LEASE_S 8.0
+#define CANCEL_S 18.0
+#define CAPACITY 14
+#define TROUBLES_FROM_S 6.0
+#define TROUBLE_EVERY_S 2.2
+/* After the last trouble: a cancellation's time, and some seconds for all to find one another. */
+#define CALM_S (CANCEL_S + 8)
+#define ANSWERED_WITHIN_S 20.0
+#define LAST_LINES 25
+#define MOST_TROUBLES 400
+
+void
+soak_catch_up (Soak *s)
+{
+  world_run (s->w, (g_get_monotonic_time () - s->began) / 1e6);
+}
+
+/* ---- troubles ---- */
+
+typedef struct {
+  HrTroubleKind kind;
+  guint weight;
+} Weighted;
+
+static const Weighted kinds[] = {
+    {TROUBLE_NODE_CRASH, 8},    {TROUBLE_NODE_FREEZE, 4},   {TROUBLE_NODE_CUT, 6},
+    {TROUBLE_STATE_REFUSES, 3}, {TROUBLE_STATE_OUTAGE, 2},  {TROUBLE_STATE_SLOW, 2},
+    {TROUBLE_MACHINE_CUT, 6},   {TROUBLE_MACHINE_HANG, 4},  {TROUBLE_MACHINE_DEAF, 3},
+    {TROUBLE_MACHINE_MUTE, 3},  {TROUBLE_MACHINE_CRASH, 2}, {TROUBLE_CANCEL_NOW, 10},
+    {TROUBLE_LATE_WRITES, 3},   {TROUBLE_LATE_REPORTS, 4},  {TROUBLE_LATE_COMMANDS, 4},
+    {TROUBLE_CANCEL_AT_END, 2}, {TROUBLE_CLOSE_LOOKS, 2},   {TROUBLE_SLOW_LINKS, 1},
+    {TROUBLE_CLOUD_OUTAGE, 2},  {TROUBLE_ODD_REQUESTS, 1}};
+
+static HrTroubleKind
+draw_kind (GRand *rand)
+{
+  guint all = 0, at;
+  for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+    all += kinds[i].weight;
+  at = g_rand_int_range (rand, 0, all);
+  for (guint i = 0;; i++) {
+    if (at < kinds[i].weight)
+      return kinds[i].kind;
+    at -= kinds[i].weight;
+  }
+}
+
+static HrTrouble
+draw_trouble (GRand *rand, double at)
+{
+  HrTrouble t = {.at_s = at, .kind = draw_kind (rand)};
+  gboolean cut = t.kind == TROUBLE_NODE_CUT;
+  t.for_s = g_rand_double_range (rand, 0.5, 1.3 * LEASE_S);
+  t.who = g_rand_int_range (rand, WHO_LEADER, WHO_ALL + 1);
+  t.share = g_rand_double_range (rand, 0.1, 0.9);
+  t.hold = g_rand_boolean (rand);
+  if (t.kind == TROUBLE_MACHINE_CRASH)
+    t.count = 1;
+  if (t.kind == TROUBLE_CANCEL_NOW) {
+    t.count = g_rand_int_range (rand, 1, 8);
+    t.for_s = 0;
+    t.hang_s = g_rand_boolean (rand) ? g_rand_double_range (rand, 1, LEASE_S) : 0;
+  }
+  if (t.kind == TROUBLE_NODE_CRASH) {
+    t.for_s = 0;
+    t.back_s = g_rand_boolean (rand) ? g_rand_double_range (rand, 0.1, 1)
+                                     : g_rand_double_range (rand, 1, 7);
+    t.times = g_rand_int_range (rand, 1, 4);
+    t.every_s = g_rand_double_range (rand, 2, 6);
+  }
+  if (t.kind == TROUBLE_STATE_SLOW || t.kind == TROUBLE_SLOW_LINKS)
+    t.delay_s = g_rand_double_range (rand, 0.05, 0.4);
+  t.from_state = cut && g_rand_boolean (rand);
+  t.from_peers = cut && g_rand_boolean (rand);
+  t.from_workers = cut && g_rand_boolean (rand);
+  t.from_users = cut && g_rand_int_range (rand, 0, 4) == 0;
+  t.at_once = g_rand_boolean (rand);
+  t.for_next = t.kind == TROUBLE_LATE_REPORTS && g_rand_int_range (rand, 0, 3) == 0;
+  t.to_all = t.kind == TROUBLE_LATE_REPORTS && !t.for_next && g_rand_boolean (rand);
+  return t;
+}
+
+static const char *const kind_names[TROUBLE_KINDS] = {
+    "late_writes",  "late_reports", "late_commands", "machine_deaf", "machine_mute",
+    "machine_hang", "machine_cut",  "machine_crash", "cancel_now",   "cancel_at_end",
+    "close_looks",  "node_cut",     "node_crash",    "node_freeze",  "state_refuses",
+    "state_outage", "state_slow",   "fast_boot",     "zone_cut",     "slow_links",
+    "cloud_outage", "odd_requests"};
+static const char *const who_names[] = {"leader", "other", "others", "all"};
+
+static void
+print_trouble (const HrTrouble *t)
+{
+  fprintf (stderr, "  %6.2f s %-14s for %.1f s who=%s share=%.2f count=%u", t->at_s,
+           kind_names[t->kind], t->for_s, who_names[t->who], t->share, t->count);
+  fprintf (stderr, " hold=%d hang=%.1f back=%.1f times=%u every=%.1f", t->hold, t->hang_s,
+           t->back_s, t->times, t->every_s);
+  fprintf (stderr, " from=%s%s%s%s at_once=%d for_next=%d to_all=%d\n", t->from_state ? "s" : "",
+           t->from_peers ? "p" : "", t->from_workers ? "w" : "", t->from_users ? "u" : "",
+           t->at_once, t->for_next, t->to_all);
+}
+
+/* ---- one run ---- */
+
+static void
+check_end (World *w)
+{
+  if (!w->starts)
+    w_broken (w, "nothing_ran", "no task was started");
+  for (guint i = 0; i < w->jobs->len; i++) {
+    const SJob *j = w->jobs->pdata[i];
+    if (j->accepted && w->now - MAX (j->ok_at, w->calm_at) > ANSWERED_WITHIN_S)
+      w_broken (w, "forgotten", "no question about %s is answered", j->id);
+    if (j->asked_cancel && j->accepted && !j->told_withdrawn && !j->told_done)
+      w_broken (w, "liveness", "%s was not withdrawn", j->id);
+  }
+}
+
+static void
+print_tail (const SoakNode *n, int node)
+{
+  g_autofree char *text = NULL;
+  if (!g_file_get_contents (n->log, &text, NULL, NULL))
+    return;
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  guint all = g_strv_length (lines);
+  fprintf (stderr, "  last lines of c%d (%s):\n", node, n->log);
+  for (guint i = all > LAST_LINES ? all - LAST_LINES : 0; i < all; i++)
+    if (*lines[i])
+      fprintf (stderr, "    %s\n", lines[i]);
+}
+
+static gboolean
+on_step (gpointer data)
+{
+  soak_catch_up (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+report (Soak *s, guint32 seed, const HrTrouble *day, guint n)
+{
+  World *w = s->w;
+  guint withdrawn = 0;
+  for (guint i = 0; i < w->jobs->len; i++)
+    withdrawn += ((SJob *)w->jobs->pdata[i])->told_withdrawn > 0;
+  printf ("seed %u: %d controllers, %.0f s, %u jobs, %u withdrawn, %u starts, %u after a "
+          "confirmed cancellation, %u terms, %u kills, %u pauses, %u requests: %s\n",
+          seed, w->n, w->now, w->jobs->len, withdrawn, w->starts, w->started_withdrawn,
+          w->troubles.leaders, s->kills, s->freezes, s->requests, w->broken->len ? "BROKEN" : "ok");
+  fflush (stdout);
+  if (!w->broken->len)
+    return;
+  for (guint i = 0; i < MIN (w->broken->len, 12); i++)
+    fprintf (stderr, "  broken: %s\n", (char *)w->broken->pdata[i]);
+  fprintf (stderr, "  troubles of seed %u:\n", seed);
+  for (guint i = 0; i < n; i++)
+    print_trouble (&day[i]);
+  for (int i = 0; i < w->n; i++)
+    print_tail (&s->nodes[i], i);
+}
+
+typedef struct {
+  char *daemon, *policy;
+  int seed, runs, seconds, controllers;
+} Options;
+
+/* Returns how many rules were broken. */
+static guint
+run (const Options *o, guint32 seed)
+{
+  Soak soak = {0}, *s = &soak;
+  g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+  int nodes = o->controllers ? o->controllers : seed % 2 ? 3 : 5;
+  g_autoptr (GError) error = NULL;
+  s->daemon = o->daemon;
+  s->policy = o->policy;
+  s->dir = g_dir_make_tmp ("hoprock-soak-XXXXXX", &error);
+  if (!s->dir)
+    g_error ("soak: %s", error->message);
+  World *w = s->w = world_prepare (seed, nodes);
+  w->report_s = REPORT_S;
+  w->lease_s = LEASE_S;
+  w->cancel_s = CANCEL_S;
+  w->capacity = CAPACITY;
+  w->fickle = g_rand_boolean (rand);
+  w->controllers = &soak_controllers;
+  w->controllers_data = s;
+  soak_wire_prepare (s);
+  soak_processes_prepare (s);
+  s->began = g_get_monotonic_time ();
+  world_begin (w);
+  users_init (w, o->seconds * 3 / 4, o->seconds - CALM_S);
+  users_probe (w);
+  HrTrouble day[MOST_TROUBLES] = {{.kind = TROUBLE_FAST_BOOT, .for_s = o->seconds}};
+  guint n = 1;
+  double last = o->seconds - CALM_S - 1.3 * LEASE_S;
+  for (double at = TROUBLES_FROM_S; at < last && n < MOST_TROUBLES;
+       at += g_rand_double_range (rand, 0, 2 * TROUBLE_EVERY_S))
+    day[n++] = draw_trouble (rand, at);
+  troubles_plan (w, day, n);
+  guint step = g_timeout_add (STEP_MS, on_step, s);
+  while (w->now < o->seconds)
+    g_main_context_iteration (NULL, TRUE);
+  g_source_remove (step);
+  check_end (w);
+  report (s, seed, day, n);
+  guint broken = w->broken->len;
+  for (int i = 0; i < w->n; i++)
+    node_kill (w, i);
+  soak_wire_end (s);
+  soak_processes_end (s);
+  g_free (s->dir);
+  return broken;
+}
+
+int
+main (int argc, char **argv)
+{
+  Options o = {.seed = 1, .runs = 1, .seconds = 60};
+  const GOptionEntry entries[] = {
+      {"daemon", 0, 0, G_OPTION_ARG_FILENAME, &o.daemon, "the controller's program", "FILE"},
+      {"policy", 0, 0, G_OPTION_ARG_FILENAME, &o.policy, "its policy", "FILE"},
+      {"seed", 0, 0, G_OPTION_ARG_INT, &o.seed, "of the first run", "N"},
+      {"runs", 0, 0, G_OPTION_ARG_INT, &o.runs, "one after the other, seed after seed", "N"},
+      {"seconds", 0, 0, G_OPTION_ARG_INT, &o.seconds, "of each run (45 to 3600)", "S"},
+      {"controllers", 0, 0, G_OPTION_ARG_INT, &o.controllers, "1 to 5; default: 3 or 5 by seed",
+       "N"},
+      {NULL}};
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GOptionContext) context =
+      g_option_context_new ("- real controllers under random troubles");
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error) || !o.daemon || !o.policy ||
+      o.seconds < 45 || o.seconds > 3600 || o.controllers < 0 || o.controllers > MAX_NODES) {
+    fprintf (stderr, "hoprock-soak: %s\n",
+             error ? error->message : "--daemon and --policy are needed; see --help");
+    return 2;
+  }
+  sim_log_init ();
+  guint bad = 0;
+  for (int i = 0; i < o.runs; i++)
+    bad += run (&o, o.seed + i) > 0;
+  printf ("%d runs, %u with a broken rule\n", o.runs, bad);
+  return bad > 0;
+}
