--- a/tests/script.c
+++ b/tests/script.c
@@ -424,6 +424,8 @@
 GLogWriterOutput
 script_log (GLogLevelFlags level, const GLogField *f, gsize n, gpointer data)
 {
+  if (level & G_LOG_FLAG_FATAL)
+    return g_log_writer_default (level, f, n, NULL);
   for (gsize i = 0; i < n && g_getenv ("HR_SIM_VERBOSE"); i++)
     if (g_str_equal (f[i].key, "MESSAGE"))
       g_print ("%s\n", (const char *)f[i].value);
--- a/tests/script.h
+++ b/tests/script.h
@@ -161,7 +161,7 @@
 /* The changes so far are forgotten: a reading that builds on older ones gets 410. */
 void script_forget_changes (Script *s);
 
-/* Shows the controllers' log with HR_SIM_VERBOSE=1. */
+/* Shows the controllers' log with HR_SIM_VERBOSE=1, and fatal messages always. */
 GLogWriterOutput script_log (GLogLevelFlags level, const GLogField *f, gsize n, gpointer data);
 
 /* For script.c alone. */
--- a/tests/sim/messages.c
+++ b/tests/sim/messages.c
@@ -41,6 +41,8 @@
   if (epoch >= n->behind_epoch)
     n->behind_at = 0;
   n->epoch_sent = MAX (n->epoch_sent, epoch);
+  Reading reading = {w->now, n->epoch_sent};
+  g_array_append_val (n->readings, reading);
   json_decref (o);
 }
 
--- a/tests/sim/node_checks.c
+++ b/tests/sim/node_checks.c
@@ -79,25 +79,60 @@
   json_decref (a);
 }
 
-/* What a worker shows running of a job that was withdrawn longer ago than an owner may go on
- * without knowing is told to stop in the very answer that renews its lease, whatever report that
- * answers. */
+/* A reading counts as known after so many seconds: commands are worked through in batches, and
+ * processes have less than a core. */
+#define KNOWN_AFTER_S 1.0
+
+/* Up to where the controller knows the ledger, at the least. */
+static guint64
+epoch_known (World *w, int i)
+{
+  const GArray *readings = w->nodes[i].readings;
+  for (guint k = readings->len; k > 0; k--) {
+    const Reading *reading = &g_array_index (readings, Reading, k - 1);
+    if (w->now - reading->at >= KNOWN_AFTER_S)
+      return reading->epoch;
+  }
+  return 0;
+}
+
+static gboolean
+stop_named (json_t *answer, json_t *item)
+{
+  size_t k;
+  json_t *order;
+  json_array_foreach (json_object_get (answer, "orders"), k, order)
+  {
+    if (strcmp (json_string_value (json_object_get (order, "verb")), "kill") == 0 &&
+        json_equal (json_object_get (order, "piece"), json_object_get (item, "piece")) &&
+        json_equal (json_object_get (order, "try"), json_object_get (item, "try")))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* What a worker shows running of a job that was withdrawn is told to stop in the very answer that
+ * renews its lease, whatever report that answers: by a controller that has read the withdrawal,
+ * and by any longer ago than an owner may go on without knowing. */
 void
 node_check_kills (World *w, int i, const char *report, const char *answer)
 {
-  json_t *r = json_loads (report, 0, NULL), *a = json_loads (answer, 0, NULL), *item, *order;
-  size_t k, n;
+  json_t *r = json_loads (report, 0, NULL), *a = json_loads (answer, 0, NULL), *item;
+  size_t k;
   json_array_foreach (json_object_get (r, "pieces"), k, item)
   {
     const char *piece = json_string_value (json_object_get (item, "piece"));
     g_autofree char *id = g_strndup (piece, strrchr (piece, '/') - piece);
+    const guint64 *epoch = g_hash_table_lookup (w->withdrawn, id);
     guint32 idx;
     SJob *j = job_by_id (w, id, &idx);
-    gboolean killed = strcmp (json_string_value (json_object_get (item, "stance")), "exited") == 0;
-    json_array_foreach (json_object_get (a, "orders"), n, order) killed |=
-        strcmp (json_string_value (json_object_get (order, "verb")), "kill") == 0 &&
-        strcmp (json_string_value (json_object_get (order, "piece")), piece) == 0;
-    if (j && j->withdrawn_at && w->now - j->withdrawn_at > w->pol.hold_s + 3 && !killed)
+    if (strcmp (json_string_value (json_object_get (item, "stance")), "exited") == 0 ||
+        stop_named (a, item))
+      continue;
+    if (epoch && *epoch <= epoch_known (w, i))
+      w_broken (w, "renewal", "c%d renews the lease of %s, and has read that it is withdrawn", i,
+                piece);
+    if (j && j->withdrawn_at && w->now - j->withdrawn_at > w->pol.hold_s + 3)
       w_broken (w, "hold", "c%d lets %s go on %.1f s after its withdrawal", i, piece,
                 w->now - j->withdrawn_at);
   }
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -300,6 +300,7 @@
   n->gen++;
   n->open = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)req_unref);
   n->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  n->readings = g_array_new (FALSE, FALSE, sizeof (Reading));
   n->frozen = n->freeze_next = 0;
   n->epoch_sent = n->epoch_read = 0;
   n->store_at = w->now;
@@ -324,6 +325,7 @@
     w_answer (w, v, 0, NULL);
   g_hash_table_unref (n->open);
   g_hash_table_unref (n->heard);
+  g_array_unref (n->readings);
   g_clear_pointer (&n->incarnation, g_free);
   if (w->controllers)
     w->controllers->end (w, i);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -50,6 +50,12 @@
   gpointer data;
 } Req;
 
+/* What the state service told a controller. */
+typedef struct {
+  double at;
+  guint64 epoch; /* it knows all changes up to there */
+} Reading;
+
 typedef struct {
   HrCore *core;      /* NULL: it is a process of its own */
   char *incarnation; /* of its process, once that has written the map; NULL: not yet */
@@ -74,6 +80,7 @@
   double freeze_next; /* stands still so long in the middle of its next batch */
   /* Changes of the state service that it was sent, and that earlier batches have read. */
   guint64 epoch_sent, epoch_read;
+  GArray *readings; /* Reading, of this process, by time */
 } Node;
 
 #define MAX_NODES 5
