--- a/src/bookkeeping/follow.c
+++ b/src/bookkeeping/follow.c
@@ -366,6 +366,7 @@
   /* 429 says that the service is there, only busy. */
   store_answered (c, ok || status == 429 || status == 410);
   if (ok) {
+    hr_histogram_add (&c->reading_latency, c->now - sent);
     if (sent - c->confirmed_at > UNSERVED_S)
       c->served_since = c->now;
     c->confirmed_at = MAX (c->confirmed_at, sent);
--- a/src/coordination/command.h
+++ b/src/coordination/command.h
@@ -70,6 +70,7 @@
   int status;
   int retry_after; /* s; 0: no header */
   char *body;
+  gboolean plain; /* of a reply: its body is text, not JSON */
   HrTarget target;
   char *addr; /* of a worker */
   HrMethod method;
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -1,4 +1,5 @@
 #include "coordination/limits.h"
+#include "coordination/metrics.h"
 #include "protocol/jsonx.h"
 #include <gio/gio.h>
 #include <string.h>
@@ -47,6 +48,16 @@
   e->body = hr_json_take_text (body);
 }
 
+void
+hr_reply_text (HrCore *c, guint64 id, char *text)
+{
+  HrEffect *e = effect (c, HR_E_REPLY);
+  e->id = id;
+  e->status = 200;
+  e->plain = TRUE;
+  e->body = text;
+}
+
 void
 hr_refuse (HrCore *c, guint64 id, int status, int retry_after, const char *reason)
 {
@@ -300,6 +311,8 @@
     case HR_C_REQUEST:
       if (g_strcmp0 (cmd->path, "/hello") == 0)
         hr_workers_hello (c, cmd);
+      else if (g_strcmp0 (cmd->path, HR_METRICS_PATH) == 0 && cmd->method == HR_GET)
+        hr_reply_text (c, cmd->id, hr_metrics_text (c));
       else
         hr_users_request (c, cmd);
       break;
--- /dev/null
+++ b/src/coordination/metrics.c
@@ -0,0 +1,87 @@
+#include "coordination/metrics.h"
+#include "coordination/state.h"
+
+static void
+append_counters (const HrCore *c, GString *text)
+{
+#define X(name, meaning)                                                                           \
+  g_string_append_printf (text,                                                                    \
+                          "# HELP hoprock_" #name "_total " meaning "\n"                           \
+                          "# TYPE hoprock_" #name "_total counter\n"                               \
+                          "hoprock_" #name "_total %" G_GUINT64_FORMAT "\n",                       \
+                          c->counters.name);
+  HR_COUNTERS (X)
+#undef X
+}
+
+static void
+append_gauge (GString *text, const char *name, const char *help, double value)
+{
+  g_string_append_printf (text, "# HELP hoprock_%s %s\n# TYPE hoprock_%s gauge\nhoprock_%s %.9g\n",
+                          name, help, name, name, value);
+}
+
+static void
+append_leadership (const HrCore *c, GString *text)
+{
+  append_gauge (text, "leads", "1 while this node leads", c->leads);
+  append_gauge (text, "may_answer", "1 while it may renew workers' leases",
+                hr_leader_may_answer (c));
+  append_gauge (text, "token", "fencing token of the map that it has read", (double)c->baton);
+  append_gauge (text, "epoch", "revision up to which it has read the ledger", (double)c->applied);
+  append_gauge (text, "state_served", "1 while the state service answers it", hr_follow_served (c));
+  append_gauge (text, "reading_age_seconds", "age of its last confirmed reading",
+                c->synced_once ? c->now - c->confirmed_at : -1);
+}
+
+static void
+append_work (const HrCore *c, GString *text)
+{
+  guint queued = 0, bound = 0, withdrawn = 0;
+  for (guint i = 0; i < c->open->len; i++) {
+    const HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
+    queued += j->stance == HR_QUEUED;
+    for (guint32 k = 0; j->tasks && k < j->ntasks; k++) {
+      gboolean there = j->tasks[k].state == HR_T_BOUND;
+      bound += there;
+      withdrawn += there && j->stance == HR_WITHDRAWN;
+    }
+  }
+  append_gauge (text, "jobs_known", "jobs whose records it has read", c->jobs->len);
+  append_gauge (text, "jobs_queued", "jobs that are not final and wait for none", queued);
+  append_gauge (text, "tasks_bound", "tasks recorded on machines, as the leader knows", bound);
+  append_gauge (text, "tasks_withdrawn", "of these, tasks of withdrawn jobs that are to go",
+                withdrawn);
+}
+
+static void
+append_fleet (const HrCore *c, GString *text)
+{
+  static const char *const states[] = {"booting", "up", "returned"};
+  guint counts[G_N_ELEMENTS (states)] = {0};
+  for (guint i = 0; i < c->fleet->len; i++) {
+    const HrMachine *m = c->fleet->pdata[i];
+    if (m->state < G_N_ELEMENTS (states))
+      counts[m->state]++;
+  }
+  g_string_append (text, "# HELP hoprock_machines machines of the leader's fleet, by state\n"
+                         "# TYPE hoprock_machines gauge\n");
+  for (guint i = 0; i < G_N_ELEMENTS (states); i++)
+    g_string_append_printf (text, "hoprock_machines{state=\"%s\"} %u\n", states[i],
+                            c->leads ? counts[i] : 0);
+}
+
+char *
+hr_metrics_text (const HrCore *c)
+{
+  GString *text = g_string_new (NULL);
+  append_leadership (c, text);
+  append_work (c, text);
+  append_fleet (c, text);
+  append_counters (c, text);
+  hr_histogram_print (&c->reading_latency, text, "hoprock_reading_seconds",
+                      "how long readings of the state service took");
+  hr_histogram_print (&c->renewal_age, text, "hoprock_renewal_reading_age_seconds",
+                      "age of the reading that each renewal of a worker's lease went by");
+  return g_string_free (text, FALSE);
+}
--- /dev/null
+++ b/src/coordination/metrics.h
@@ -0,0 +1,9 @@
+/* What a controller counts and measures, in the Prometheus text format (GET /metrics). Names begin
+ * with `hoprock_`; durations are in seconds, ages are as of the request. */
+#pragma once
+#include "coordination/core.h"
+
+#define HR_METRICS_PATH "/metrics"
+
+/* To be freed. */
+char *hr_metrics_text (const HrCore *c);
--- a/src/coordination/renewal.c
+++ b/src/coordination/renewal.c
@@ -132,6 +132,7 @@
     return;
   }
   m->answered_at = counts_from (c, m, kind);
+  hr_histogram_add (&c->renewal_age, c->now - c->confirmed_at);
   c->counters.reports_answered += kind == HR_RENEWAL_CURRENT;
   c->counters.reports_overtaken += kind == HR_RENEWAL_OVERTAKEN;
   c->counters.reports_before_token += kind == HR_RENEWAL_BEFORE_TOKEN;
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -5,6 +5,7 @@
 #include "bookkeeping/tables.h"
 #include "coordination/core.h"
 #include "coordination/counters.h"
+#include "coordination/histogram.h"
 #include <jansson.h>
 
 /* An answer to one of our calls. status 0: no answer; the call may have been
@@ -196,12 +197,15 @@
 
   HrCounters counters, counters_printed;
   double counters_at; /* when they were last printed */
+  HrHistogram reading_latency, renewal_age;
 };
 
 /* core.c */
 void hr_call (HrCore *c, HrTarget target, const char *addr, HrMethod method, char *path, char *body,
               double timeout, HrResultFn fn, gpointer data); /* takes path and body */
 void hr_reply (HrCore *c, guint64 id, int status, json_t *body, int retry_after); /* takes body */
+/* Takes the text, which is plain and no JSON. */
+void hr_reply_text (HrCore *c, guint64 id, char *text);
 void hr_refuse (HrCore *c, guint64 id, int status, int retry_after, const char *reason);
 char *hr_new_tag (HrCore *c);
 gboolean hr_bucket_take (HrBucket *b, double now, double n, double keep);
--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -4,7 +4,9 @@
 #include "protocol/settings.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
+#include "transport/log_writer.h"
 #include "transport/peer.h"
+#include "transport/process_metrics.h"
 #include <gio/gio.h>
 #include <stdio.h>
 
@@ -24,6 +26,16 @@
   guint pending;
 } Daemon;
 
+/* The core has no view of its process. */
+static void
+add_process_metrics (HrEffect *e)
+{
+  GString *text = g_string_new (e->body);
+  hr_process_metrics_append (text);
+  g_free (e->body);
+  e->body = g_string_free (text, FALSE);
+}
+
 static gboolean
 run_batch (gpointer data)
 {
@@ -35,6 +47,8 @@
   hr_core_step (d->core, g_get_monotonic_time () / 1e6, g_get_real_time () / 1e6, batch, effects);
   for (guint i = 0; i < effects->len; i++) {
     HrEffect *e = effects->pdata[i];
+    if (e->plain)
+      add_process_metrics (e);
     if (e->kind == HR_E_REPLY)
       hr_http_server_reply (d->server, e);
     else if (e->kind == HR_E_CALL)
@@ -86,61 +100,6 @@
   return MAX (s->sockets / 2, s->sockets - MIN (own, s->sockets));
 }
 
-static int log_level = G_LOG_LEVEL_MESSAGE;
-
-/* Debug lines of the libraries below (GLib's sockets write six for each connection) bury ours: they
- * are shown where G_MESSAGES_DEBUG names their domain, or is "all". */
-static gboolean
-debug_wanted (const char *domain)
-{
-  const char *named = g_getenv ("G_MESSAGES_DEBUG");
-  if (g_str_equal (domain, G_LOG_DOMAIN))
-    return TRUE;
-  if (!named)
-    return FALSE;
-  g_auto (GStrv) domains = g_strsplit_set (named, " ,", -1);
-  return g_strv_contains ((const char *const *)domains, domain) ||
-         g_strv_contains ((const char *const *)domains, "all");
-}
-
-static GLogWriterOutput
-write_log (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
-{
-  if ((int)(level & G_LOG_LEVEL_MASK) > log_level)
-    return G_LOG_WRITER_HANDLED;
-  const char *text = "", *domain = "hoprock";
-  for (gsize i = 0; i < n; i++) {
-    if (g_str_equal (fields[i].key, "MESSAGE"))
-      text = fields[i].value;
-    else if (g_str_equal (fields[i].key, "GLIB_DOMAIN"))
-      domain = fields[i].value;
-  }
-  if (level & G_LOG_LEVEL_DEBUG && !debug_wanted (domain))
-    return G_LOG_WRITER_HANDLED;
-  const char *name = level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL) ? "error"
-                     : level & G_LOG_LEVEL_WARNING                      ? "warning"
-                     : level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_MESSAGE) ? "info"
-                                                                        : "debug";
-  fprintf (stderr, "%.3f %s %s: %s\n", g_get_real_time () / 1e6, name, domain, text);
-  return G_LOG_WRITER_HANDLED;
-}
-
-static gboolean
-set_log_level (void)
-{
-  const char *v = g_getenv ("LOG_LEVEL");
-  if (!v || !*v || g_str_equal (v, "info"))
-    log_level = G_LOG_LEVEL_INFO;
-  else if (g_str_equal (v, "error"))
-    log_level = G_LOG_LEVEL_WARNING;
-  else if (g_str_equal (v, "debug"))
-    log_level = G_LOG_LEVEL_DEBUG;
-  else
-    return FALSE;
-  g_log_set_writer_func (write_log, NULL, NULL);
-  return TRUE;
-}
-
 static int
 check_policy (const char *file)
 {
@@ -157,58 +116,94 @@
   return 0;
 }
 
-int
-main (int argc, char **argv)
+/* The policy for these settings, or an error that names file, line and what was expected. */
+static gboolean
+load_policy (const char *file, const HrSettings *settings, HrPolicy *policy, GError **error)
+{
+  g_autoptr (GHashTable) vars = hr_policy_vars_new ();
+  hr_core_policy_vars (settings, vars);
+  return hr_policy_load (file, vars, policy, error) && hr_core_policy_check (policy, vars, error);
+}
+
+/* Says what would be started, without starting it. */
+static void
+print_config (const HrSettings *s, const HrPolicy *p)
+{
+  printf ("%s: users and workers at %s, other controllers at %s\n", s->label, s->front, s->back);
+  for (guint i = 0; i < s->members->len; i++) {
+    const HrMember *m = &g_array_index (s->members, HrMember, i);
+    printf ("member %s (%s) at %s\n", m->label, m->zone, m->endpoint);
+  }
+  printf ("state service at %s, cloud at %s\n", s->state, s->cloud);
+  printf ("workers report every %g s, lease %g s, cancellations within %g s; a leader without a "
+          "reading goes on for %g s\n",
+          s->report_s, s->lease_s, s->cancel_s, p->hold_s);
+  printf ("the settings and the policy are valid\n");
+}
+
+typedef struct {
+  char *config, *policy, *check_policy, *log_format;
+  gboolean version, check_config;
+} Options;
+
+static void
+options_clear (Options *o)
+{
+  g_free (o->config);
+  g_free (o->policy);
+  g_free (o->check_policy);
+  g_free (o->log_format);
+}
+
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (Options, options_clear)
+
+static gboolean
+parse_options (Options *o, int *argc, char ***argv)
 {
-  g_autofree char *config = NULL, *policy_file = NULL, *check = NULL;
-  gboolean version = FALSE;
   const GOptionEntry entries[] = {
-      {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "the platform's settings (JSON)", "FILE"},
-      {"policy", 'p', 0, G_OPTION_ARG_FILENAME, &policy_file, "the operators' policy", "FILE"},
-      {"check-policy", 0, 0, G_OPTION_ARG_FILENAME, &check, "check a policy file and leave",
+      {"config", 'c', 0, G_OPTION_ARG_FILENAME, &o->config, "the platform's settings (JSON)",
        "FILE"},
-      {"version", 0, 0, G_OPTION_ARG_NONE, &version, "show the version and leave", NULL},
+      {"policy", 'p', 0, G_OPTION_ARG_FILENAME, &o->policy, "the operators' policy", "FILE"},
+      {"check-policy", 0, 0, G_OPTION_ARG_FILENAME, &o->check_policy,
+       "check a policy file and leave", "FILE"},
+      {"check-config", 0, 0, G_OPTION_ARG_NONE, &o->check_config,
+       "check settings and policy, say what they mean, and leave", NULL},
+      {"log-format", 0, 0, G_OPTION_ARG_STRING, &o->log_format,
+       "text (the default), or json: one object a line", "FORMAT"},
+      {"version", 0, 0, G_OPTION_ARG_NONE, &o->version, "show the version and leave", NULL},
       {NULL}};
-  /* No GIO extension is needed (no TLS, no proxies); loading them costs memory and start-up time.
-   */
-  g_setenv ("GIO_MODULE_DIR", "/nonexistent", TRUE);
-  g_setenv ("GIO_USE_VFS", "local", TRUE);
   g_autoptr (GOptionContext) ctx =
       g_option_context_new ("- a controller of the hoprock cluster scheduler");
   g_option_context_add_main_entries (ctx, entries, NULL);
   g_option_context_set_description (
       ctx, "LOG_LEVEL=error|info|debug says how much goes to standard error.");
   g_autoptr (GError) error = NULL;
-  if (!g_option_context_parse (ctx, &argc, &argv, &error) || argc > 1) {
-    fprintf (stderr, "hoprockd: %s\n", error ? error->message : "unexpected argument; see --help");
-    return 2;
-  }
-  if (version) {
-    printf ("hoprockd %s\n", HR_VERSION);
-    return 0;
+  if (g_option_context_parse (ctx, argc, argv, &error) && *argc == 1)
+    return TRUE;
+  fprintf (stderr, "hoprockd: %s\n", error ? error->message : "unexpected argument; see --help");
+  return FALSE;
+}
+
+static gboolean
+begin_log (const Options *o)
+{
+  gboolean json = g_strcmp0 (o->log_format, "json") == 0;
+  if (o->log_format && !json && !g_str_equal (o->log_format, "text")) {
+    fprintf (stderr, "hoprockd: --log-format: expected text or json, not %s\n", o->log_format);
+    return FALSE;
   }
-  if (!set_log_level ()) {
+  if (!hr_log_writer_begin (g_getenv ("LOG_LEVEL"), json ? HR_LOG_JSON : HR_LOG_TEXT)) {
     fprintf (stderr, "hoprockd: LOG_LEVEL: expected error, info or debug\n");
-    return 2;
-  }
-  if (check)
-    return check_policy (check);
-  if (!config || !policy_file) {
-    fprintf (stderr, "hoprockd: --config FILE and --policy FILE are needed; see --help\n");
-    return 2;
-  }
-  HrNames names;
-  hr_names_init (&names);
-  g_autoptr (HrSettings) settings = hr_settings_load (config, &names, &error);
-  HrPolicy policy;
-  g_autoptr (GHashTable) vars = hr_policy_vars_new ();
-  if (settings)
-    hr_core_policy_vars (settings, vars);
-  if (!settings || !hr_policy_load (policy_file, vars, &policy, &error) ||
-      !hr_core_policy_check (&policy, vars, &error)) {
-    fprintf (stderr, "hoprockd: %s\n", error->message);
-    return 1;
+    return FALSE;
   }
+  return TRUE;
+}
+
+/* Runs until the process is killed; returns only where an address cannot be listened on. */
+static int
+serve (const HrSettings *settings, const HrPolicy *policy, HrNames *names)
+{
+  g_autoptr (GError) error = NULL;
   Daemon d = {0};
   d.queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
   /* The incarnation tells this process from every earlier one of the same label. */
@@ -216,7 +211,7 @@
   uuid[8] = 0;
   g_autofree char *incarnation =
       g_strdup_printf ("%" G_GINT64_FORMAT "-%s", g_get_real_time (), uuid);
-  d.core = hr_core_new (settings, &policy, &names, incarnation, g_random_int ());
+  d.core = hr_core_new (settings, policy, names, incarnation, g_random_int ());
   d.client = hr_http_client_new (settings->state, settings->cloud, settings->sockets, sink, &d);
   d.peers = hr_peers_new (settings, sink, &d, &error);
   if (d.peers)
@@ -233,3 +228,42 @@
   g_main_loop_run (loop);
   return 0;
 }
+
+int
+main (int argc, char **argv)
+{
+  /* No GIO extension is needed (no TLS, no proxies); loading them costs memory and start-up time.
+   */
+  g_setenv ("GIO_MODULE_DIR", "/nonexistent", TRUE);
+  g_setenv ("GIO_USE_VFS", "local", TRUE);
+  g_auto (Options) o = {0};
+  if (!parse_options (&o, &argc, &argv))
+    return 2;
+  if (o.version) {
+    printf ("hoprockd %s\n", HR_VERSION);
+    return 0;
+  }
+  if (!begin_log (&o))
+    return 2;
+  if (o.check_policy)
+    return check_policy (o.check_policy);
+  if (!o.config || !o.policy) {
+    fprintf (stderr, "hoprockd: --config FILE and --policy FILE are needed; see --help\n");
+    return 2;
+  }
+  g_autoptr (GError) error = NULL;
+  HrNames names;
+  hr_names_init (&names);
+  g_autoptr (HrSettings) settings = hr_settings_load (o.config, &names, &error);
+  HrPolicy policy;
+  if (!settings || !load_policy (o.policy, settings, &policy, &error)) {
+    fprintf (stderr, "hoprockd: %s\n", error->message);
+    return 1;
+  }
+  if (o.check_config) {
+    print_config (settings, &policy);
+    return 0;
+  }
+  hr_log_writer_set_label (settings->label);
+  return serve (settings, &policy, &names);
+}
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -246,7 +246,8 @@
   r->status = e->status;
   r->response =
       MHD_create_response_from_buffer (strlen (body), (void *)body, MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header (r->response, "Content-Type", "application/json");
+  MHD_add_response_header (r->response, "Content-Type",
+                           e->plain ? "text/plain; version=0.0.4" : "application/json");
   if (e->retry_after > 0) {
     g_autofree char *v = g_strdup_printf ("%d", e->retry_after);
     MHD_add_response_header (r->response, "Retry-After", v);
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -34,5 +34,17 @@
 expect 1 'above 1.25 report_s' "$1" --check-policy "$tmp/p.hop"
 sed 's/^silent_s =.*/silent_s = report_s;/' "$2" >"$tmp/p.hop"
 expect 1 'at least overdue_s' "$1" --check-policy "$tmp/p.hop"
+cat >"$tmp/whole.json" <<'EOF'
+{"label":"a","area":"z","front":"127.0.0.1:8080","back":"127.0.0.1:8081",
+ "members":[{"label":"b","area":"z","endpoint":"127.0.0.1:8082"}],
+ "outside":{"cloud":"127.0.0.1:8443","state":"127.0.0.1:2379"},
+ "facts":{"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":0,"gpus_max":0}],"objectives":[],
+  "workers":{"report_s":2.5,"lease_s":14.0,"gang_wait_s":30.0,"gang_peer_s":4.0,"cancel_s":34.0},
+  "state":{"rps":100.0,"write_rps":15.0,"value_kb":4.0,"txn_ops":12},
+  "cloud":{"rps":8.0,"list_lag_s":3.0}}}
+EOF
+expect 0 'goes on for 17 s' "$1" --policy "$2" --config "$tmp/whole.json" --check-config
+expect 1 'setting area: expected' "$1" --policy "$2" --config "$tmp/short.json" --check-config
+expect 2 'expected text or json, not xml' "$1" --log-format xml
 expect 2 'LOG_LEVEL' env LOG_LEVEL=loud "$1" --policy "$2" --config "$tmp/short.json"
 exit "$fails"
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -14,6 +14,8 @@
 #define TROUBLE_EVERY_S 2.2
 /* After the last trouble: a cancellation's time, and some seconds for all to find one another. */
 #define CALM_S (CANCEL_S + 8)
+/* Of the troubles, those that are three at once: see draw_cancels_across_terms. */
+#define ACROSS_TERMS_SHARE 0.2
 #define ANSWERED_WITHIN_S 20.0
 #define LAST_LINES 25
 #define MOST_TROUBLES 400
@@ -89,6 +91,27 @@
   return t;
 }
 
+/* Users cancel while many machines are out of reach, and one leader after the other ends: leases
+ * are renewed across terms, by leaders that have just begun. Returns how many troubles it added. */
+static guint
+draw_cancels_across_terms (GRand *rand, double at, HrTrouble *day)
+{
+  day[0] = (HrTrouble){.at_s = at,
+                       .kind = TROUBLE_MACHINE_CUT,
+                       .share = g_rand_double_range (rand, 0.3, 1),
+                       .for_s = g_rand_double_range (rand, 1, LEASE_S),
+                       .hold = g_rand_boolean (rand)};
+  day[1] = (HrTrouble){
+      .at_s = at + 0.2, .kind = TROUBLE_CANCEL_NOW, .count = g_rand_int_range (rand, 3, 12)};
+  day[2] = (HrTrouble){.at_s = at + g_rand_double_range (rand, 0.5, 3),
+                       .kind = TROUBLE_NODE_CRASH,
+                       .who = WHO_LEADER,
+                       .back_s = g_rand_double_range (rand, 0.1, 1),
+                       .times = g_rand_int_range (rand, 2, 7),
+                       .every_s = g_rand_double_range (rand, 1.2, 4)};
+  return 3;
+}
+
 static const char *const kind_names[TROUBLE_KINDS] = {
     "late_writes",  "late_reports", "late_commands", "machine_deaf", "machine_mute",
     "machine_hang", "machine_cut",  "machine_crash", "cancel_now",   "cancel_at_end",
@@ -204,9 +227,12 @@
   HrTrouble day[MOST_TROUBLES] = {{.kind = TROUBLE_FAST_BOOT, .for_s = o->seconds}};
   guint n = 1;
   double last = o->seconds - CALM_S - 1.3 * LEASE_S;
-  for (double at = TROUBLES_FROM_S; at < last && n < MOST_TROUBLES;
+  for (double at = TROUBLES_FROM_S; at < last && n + 3 < MOST_TROUBLES;
        at += g_rand_double_range (rand, 0, 2 * TROUBLE_EVERY_S))
-    day[n++] = draw_trouble (rand, at);
+    if (g_rand_double (rand) < ACROSS_TERMS_SHARE)
+      n += draw_cancels_across_terms (rand, at, day + n);
+    else
+      day[n++] = draw_trouble (rand, at);
   troubles_plan (w, day, n);
   guint step = g_timeout_add (STEP_MS, on_step, s);
   while (w->now < o->seconds)
--- /dev/null
+++ b/tests/test_watching.c
@@ -0,0 +1,152 @@
+/* What operators see of a controller: /metrics and the lines of its log. */
+#include "script.h"
+#include "coordination/metrics.h"
+#include "transport/log_writer.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define SEED 20261202
+#define LINES 500
+
+/* The value of a sample, or -1 when the text has none. */
+static double
+sample (const char *text, const char *name)
+{
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  g_autofree char *prefix = g_strconcat (name, " ", NULL);
+  for (guint i = 0; lines[i]; i++)
+    if (g_str_has_prefix (lines[i], prefix))
+      return g_ascii_strtod (lines[i] + strlen (prefix), NULL);
+  return -1;
+}
+
+/* Every line is a comment about a metric, or a sample of the metric that the comments named. */
+static void
+check_format (const char *text)
+{
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  g_autofree char *metric = NULL;
+  for (guint i = 0; lines[i] && *lines[i]; i++) {
+    g_auto (GStrv) words = g_strsplit (lines[i], " ", -1);
+    assert_true (strlen (lines[i]) < 64 * 1024);
+    if (g_str_equal (words[0], "#")) {
+      assert_true (g_str_equal (words[1], "HELP") || g_str_equal (words[1], "TYPE"));
+      g_free (metric);
+      metric = g_strdup (words[2]);
+      continue;
+    }
+    assert_non_null (metric);
+    assert_true (g_str_has_prefix (words[0], metric));
+    assert_int_equal (g_strv_length (words), 2);
+    char *end;
+    g_ascii_strtod (words[1], &end);
+    assert_true (end != words[1] && !*end);
+  }
+}
+
+static void
+metrics_say_what_happened (void **state)
+{
+  Script *s = script_led (2);
+  ScriptWorker *w = script_worker (s, "m-1");
+  int leader = script_leader (s);
+  script_report (s, w, leader);
+  script_place (s, w, leader, "job-a");
+  g_autofree char *running = hr_metrics_text (s->nodes[leader].core);
+  check_format (running);
+  assert_true (sample (running, "hoprock_leads") == 1);
+  assert_true (sample (running, "hoprock_may_answer") == 1);
+  assert_true (sample (running, "hoprock_terms_total") == 1);
+  assert_true (sample (running, "hoprock_tasks_bound") == 1);
+  assert_true (sample (running, "hoprock_starts_total") >= 1);
+  assert_true (sample (running, "hoprock_reports_before_token_total") == 1);
+  assert_true (sample (running, "hoprock_machines{state=\"up\"}") == 1);
+  double renewals = sample (running, "hoprock_reports_answered_total") +
+                    sample (running, "hoprock_reports_before_token_total") +
+                    sample (running, "hoprock_reports_overtaken_total");
+  assert_true (sample (running, "hoprock_renewal_reading_age_seconds_count") == renewals);
+  script_abort (s, 1 - leader, "job-a");
+  script_run (s, 2);
+  script_report (s, w, leader);
+  g_autofree char *stopped = hr_metrics_text (s->nodes[leader].core);
+  assert_true (sample (stopped, "hoprock_stops_total") >= 1);
+  assert_true (sample (stopped, "hoprock_withdrawals_total") == 1);
+  assert_true (sample (stopped, "hoprock_invariants_violated_total") == 0);
+  g_autofree char *other = hr_metrics_text (s->nodes[1 - leader].core);
+  assert_true (sample (other, "hoprock_leads") == 0);
+  assert_true (sample (other, "hoprock_machines{state=\"up\"}") == 0);
+  script_free (s);
+}
+
+static json_t *
+parsed (const char *message)
+{
+  g_autofree char *line = hr_log_writer_line (HR_LOG_JSON, 1.5, "info", "hoprock", message);
+  assert_null (strchr (line, '\n'));
+  json_t *o = json_loads (line, 0, NULL);
+  assert_non_null (o);
+  return o;
+}
+
+static const char *
+member (json_t *o, const char *key)
+{
+  return json_string_value (json_object_get (o, key));
+}
+
+static void
+fields_become_members (void **state)
+{
+  json_t *o = parsed ("leads: token=7 epoch=12 why=a=b");
+  assert_string_equal (member (o, "event"), "leads");
+  assert_string_equal (member (o, "token"), "7");
+  assert_string_equal (member (o, "why"), "a=b");
+  assert_null (json_object_get (o, "message"));
+  json_decref (o);
+  o = parsed ("odd: level=3 event=4");
+  assert_string_equal (member (o, "level"), "info");
+  assert_string_equal (member (o, "field_level"), "3");
+  assert_string_equal (member (o, "event"), "odd");
+  json_decref (o);
+  o = parsed ("m-1 is returned: its worker is silent");
+  assert_string_equal (member (o, "message"), "m-1 is returned: its worker is silent");
+  assert_null (json_object_get (o, "event"));
+  json_decref (o);
+  g_autofree char *text = hr_log_writer_line (HR_LOG_TEXT, 1.5, "info", "hoprock", "a b");
+  assert_string_equal (text, "1.500 info hoprock: a b");
+}
+
+/* Whatever is logged, its line is one JSON object with the keys that every line has. */
+static void
+any_message_is_one_line (void **state)
+{
+  static const char alphabet[] = "ab=: \"\\\n\t{}\xc3\xa9\xff%_0";
+  g_autoptr (GRand) rand = g_rand_new_with_seed (SEED);
+  for (int i = 0; i < LINES; i++) {
+    char message[40];
+    int n = g_rand_int_range (rand, 0, sizeof message - 1);
+    for (int k = 0; k < n; k++)
+      message[k] = alphabet[g_rand_int_range (rand, 0, sizeof alphabet - 1)];
+    message[n] = 0;
+    json_t *o = parsed (message);
+    assert_string_equal (member (o, "level"), "info");
+    assert_true (json_number_value (json_object_get (o, "time")) == 1.5);
+    assert_true (!member (o, "event") != !member (o, "message"));
+    json_decref (o);
+  }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (metrics_say_what_happened),
+      cmocka_unit_test (fields_become_members),
+      cmocka_unit_test (any_message_is_one_line),
+  };
+  g_log_set_writer_func (script_log, NULL, NULL);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
