--- /dev/null
+++ b/src/bookkeeping/apply.c
@@ -0,0 +1,200 @@
+/* One change of the ledger, as read, goes into the tables. */
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+static void
+applied_map (HrCore *c, const json_t *v, guint64 stamp)
+{
+  guint64 baton = 0;
+  const char *o = hr_json_str (v, "o"), *inc = hr_json_str (v, "i");
+  if (!o || !inc || !hr_json_count (v, "b", G_MAXINT64, &baton)) {
+    g_warning ("the map in the state service makes no sense; left as it was");
+    return;
+  }
+  c->map_stamp = stamp;
+  c->baton = baton;
+  g_free (c->map_owner);
+  g_free (c->map_inc);
+  c->map_owner = g_strdup (o);
+  c->map_inc = g_strdup (inc);
+}
+
+static void
+applied_leader (HrCore *c, const json_t *v, guint64 stamp)
+{
+  g_clear_pointer (&c->leader_label, g_free);
+  g_clear_pointer (&c->leader_inc, g_free);
+  c->leader_stamp = v ? stamp : 0;
+  if (v) {
+    c->leader_label = g_strdup (hr_json_str (v, "o"));
+    c->leader_inc = g_strdup (hr_json_str (v, "i"));
+  } else { /* jitter, so that the members do not all try in the same instant */
+    c->elect_at = c->leads ? c->now : c->now + g_rand_double_range (c->rand, 0, 0.4);
+    c->leaderless_at = c->now;
+  }
+}
+
+/* Where tasks of the job were placed its image is cached, soon: whoever leads next knows
+ * that only from here, since reports do not tell it. */
+static void
+note_images (HrCore *c, HrJob *j, guint32 from, guint32 n)
+{
+  for (guint32 i = from; i < MIN (from + n, j->ntasks); i++) {
+    guint32 m = j->tasks[i].rmachine;
+    if (m != HR_NONE && !j->tasks[i].rdone)
+      hr_machine_touch_image (hr_machine_get (c, hr_intern_name (&c->machine_ids, m)),
+                              j->spec.image);
+  }
+}
+
+gboolean
+hr_follow_job (HrCore *c, HrJob *j, const json_t *v, guint64 stamp)
+{
+  HrRecord r;
+  if (j->known && stamp <= j->stamp)
+    return TRUE; /* known already: our own write, or a change read twice */
+  if (!hr_record_read (v, c->names, &r)) {
+    g_warning ("%s: its record makes no sense", j->id);
+    j->record_unreadable = TRUE;
+    hr_record_clear (&r);
+    return FALSE;
+  }
+  j->record_unreadable = FALSE;
+  g_auto (GStrv) awaits = g_steal_pointer (&r.awaits);
+  HrPage *p = j->pages;
+  if (p && p->tag && g_str_equal (p->tag, r.tag)) {
+    hr_record_clear (&r);
+    hr_ledger_seen (c, j, p, stamp);
+    return TRUE;
+  }
+  gboolean fresh = !j->known;
+  j->known = TRUE;
+  j->stamp = stamp;
+  if (r.stance == HR_WITHDRAWN)
+    hr_withdrawals_note (c, j, stamp);
+  g_free (j->tag);
+  j->tag = g_steal_pointer (&r.tag);
+  if (r.tombstone) {
+    j->stance = r.stance;
+    j->told = FALSE;
+    j->ntasks = r.ntasks;
+    j->nrdone = r.ndone;
+    j->shrunk = TRUE;
+    if (r.withdrawn_with)
+      j->withdrawn_with = hr_job_get (c, r.withdrawn_with);
+    hr_garbage_job (c, j);
+    if (!c->leads || !j->nlive)
+      hr_job_shrink (j);
+    hr_dependencies_final (c, j);
+    return TRUE;
+  }
+  if (fresh || !j->tasks) {
+    hr_job_set_spec (j, &r.spec, r.per_page);
+    j->submitted = r.submitted;
+    j->resplit = r.resplit && c->speaks;
+  } else if (c->speaks && r.resplit && r.per_page != j->per_page)
+    hr_split_apply (c, j, r.per_page, stamp);
+  if (c->speaks) {
+    json_decref (j->extra);
+    j->extra = g_steal_pointer (&r.extra);
+  }
+  hr_record_clear (&r);
+  /* The owner alone changes tasks; what others write leaves them as they were. */
+  if (!r.per_page && r.tasks && (!c->leads || fresh)) {
+    j->unreadable = !hr_record_tasks (j, 0, r.tasks, &c->machine_ids);
+    if (j->unreadable)
+      g_warning ("%s: the tasks in its record make no sense", j->id);
+    note_images (c, j, 0, j->ntasks);
+  }
+  if (!r.per_page && j->pages)
+    j->pages[0].stamp = stamp;
+  /* A reading may be older than what a member told; a withdrawal is final all the same. */
+  gboolean was_told = j->told;
+  j->told = was_told && r.stance == HR_QUEUED;
+  HrStance before = j->stance;
+  j->stance = j->told ? HR_WITHDRAWN : r.stance; /* a derived withdrawal is derived again */
+  hr_dependencies_read (c, j, (const char *const *)awaits);
+  hr_job_open (c, j);
+  gboolean withdrawn = r.stance == HR_WITHDRAWN || j->told;
+  if (c->leads && withdrawn && (before != HR_WITHDRAWN || was_told))
+    hr_job_withdrawn (c, j);
+  c->plan_dirty = TRUE;
+  return TRUE;
+}
+
+/* A page of a job that is final, or of a layout that is not, or no longer, in force. */
+static void
+applied_spare_page (HrCore *c, HrJob *j, guint per_page, guint page, const json_t *v, guint64 stamp)
+{
+  hr_garbage_gone (c, j, per_page, page);
+  if (v && (j->shrunk || !per_page))
+    hr_garbage_note (c, j, per_page, page);
+  else if (!j->shrunk && per_page && j->tasks)
+    hr_split_stage (j, per_page, page, v ? stamp : 0, v);
+}
+
+/* per_page: of a page under h/u; 0: one under h/t. */
+static void
+applied_page (HrCore *c, HrJob *j, guint per_page, guint64 n, const json_t *v, guint64 stamp)
+{
+  gboolean in_force = j->resplit ? per_page == j->per_page : per_page == 0;
+  if (j->shrunk || (!in_force && c->speaks)) {
+    applied_spare_page (c, j, per_page, n, v, stamp);
+    return;
+  }
+  const char *tag = hr_json_str (v, "w");
+  if (!v || !j->tasks || !j->per_page || n >= j->npages || stamp <= j->pages[n].stamp)
+    return;
+  HrPage *p = &j->pages[n];
+  if (p->tag && tag && g_str_equal (p->tag, tag)) {
+    hr_ledger_seen (c, j, p, stamp);
+    return;
+  }
+  p->stamp = stamp;
+  if (!c->leads) {
+    /* Other pages may be unreadable too: once one was, the job counts as unreadable. */
+    if (!hr_record_tasks (j, n * j->per_page, json_object_get (v, "x"), &c->machine_ids)) {
+      j->unreadable = TRUE;
+      g_warning ("%s: page %u of its record makes no sense", j->id, (guint)n);
+    }
+    note_images (c, j, n * j->per_page, j->per_page);
+  }
+}
+
+/* "ID/PAGE", or "ID/SIZE/PAGE" of a page that carries its size. */
+static void
+applied_page_key (HrCore *c, const char *rest, gboolean sized, const json_t *v, guint64 stamp)
+{
+  g_auto (GStrv) parts = g_strsplit (rest, "/", -1);
+  if (g_strv_length (parts) != (sized ? 3 : 2))
+    return;
+  HrJob *j = hr_job_find (c, parts[0]);
+  guint64 per_page = sized ? g_ascii_strtoull (parts[1], NULL, 10) : 0;
+  guint64 n = g_ascii_strtoull (parts[sized ? 2 : 1], NULL, 10);
+  if (j && per_page <= HR_MAX_TASKS && n <= HR_MAX_TASKS && (!sized || per_page))
+    applied_page (c, j, per_page, n, v, stamp);
+}
+
+void
+hr_apply_change (HrCore *c, const char *key, const json_t *v, guint64 stamp)
+{
+  if (strcmp (key, "h/map") == 0) {
+    if (v && stamp > c->map_stamp)
+      applied_map (c, v, stamp);
+  } else if (strcmp (key, "h/leader") == 0)
+    applied_leader (c, v, stamp);
+  else if (strcmp (key, "h/types") == 0) {
+    c->types_stamp = v ? stamp : 0;
+    if (v && !c->types)
+      hr_types_load (c, v);
+  } else if (g_str_has_prefix (key, "h/j/")) {
+    if (v && hr_job_id_valid (key + 4))
+      hr_follow_job (c, hr_job_get (c, key + 4), v, stamp);
+  } else if (g_str_has_prefix (key, "h/t/"))
+    applied_page_key (c, key + 4, FALSE, v, stamp);
+  else if (c->speaks && g_str_has_prefix (key, "h/u/"))
+    applied_page_key (c, key + 4, TRUE, v, stamp);
+  else if (strcmp (key, "h/format") == 0)
+    hr_format_read (c, v, stamp);
+}
--- /dev/null
+++ b/src/coordination/arrivals.c
@@ -0,0 +1,63 @@
+/* Jobs as they arrive: the list of those that the leader has to look at, and what arrives of each
+ * class, for spare room. */
+#include "coordination/state.h"
+#include <math.h>
+
+#define BUCKET_S 10.0
+#define RATE_TAU_S 120.0
+
+/* Tasks arriving a second, smoothed. What arrives in one bunch (at the very start,
+ * or after an outage) says little about what comes next, so it counts capped. */
+double
+hr_class_arrivals (HrCore *c, HrClassStat *s, guint n)
+{
+  double keep = exp (-BUCKET_S / RATE_TAU_S);
+  if (!s->bucket_at)
+    s->bucket_at = c->now;
+  for (guint i = 0; c->now - s->bucket_at >= BUCKET_S && i < 200; i++) {
+    double most = 2 + 3 * (s->weight > 0 ? s->sum / s->weight : 0) * BUCKET_S;
+    s->sum = keep * s->sum + (1 - keep) * MIN (s->bucket, most) / BUCKET_S;
+    s->weight = keep * s->weight + (1 - keep); /* young averages count what they have seen */
+    s->bucket = 0;
+    s->bucket_at += BUCKET_S;
+  }
+  if (c->now - s->bucket_at >= BUCKET_S)
+    s->bucket_at = c->now;
+  s->bucket += n;
+  return s->weight > 0 ? s->sum / s->weight : MIN (s->bucket, 2) / BUCKET_S;
+}
+
+/* Keeps the list of jobs that the owner has to look at. One that waits for others has no task
+ * and takes no room, limit or guarantee: it comes in when the last of them is done. */
+void
+hr_job_open (HrCore *c, HrJob *j)
+{
+  if (j->listed || j->shrunk || hr_job_waits (j))
+    return;
+  j->listed = TRUE;
+  g_array_append_val (c->open, j->idx);
+  if (j->nawaits && !j->ready_since)
+    j->ready_since = c->wall;
+  hr_urgency_read (c, j);
+  /* When a job of which the end of the last awaited one was not seen became ready nobody knows. */
+  gboolean unknown = j->nawaits && (c->sync != HR_SYNC_FOLLOWING || j->stance != HR_QUEUED);
+  if (j->counted || unknown || c->wall - hr_job_since (j) > 30)
+    return;
+  j->counted = TRUE;
+  g_debug ("%s arrives: %s, %u tasks, estimate %.0f s, image %s of %.1f GB", j->id,
+           hr_intern_name (&c->names->classes, j->spec.klass), j->ntasks, j->spec.estimate,
+           hr_intern_name (&c->names->images, j->spec.image), j->spec.image_gb);
+  HrClassStat *s = hr_class (c, j->spec.klass);
+  hr_class_arrivals (c, s, j->ntasks);
+  double k = s->seen ? 0.2 : 1;
+  s->seen = TRUE;
+  s->cpus += k * (j->spec.cpus - s->cpus);
+  s->gpus += k * (j->spec.gpus - s->gpus);
+  s->mem += k * (j->spec.mem - s->mem);
+  hr_class_use_image (s, j->spec.image, j->ntasks);
+  s->shape = j->spec.shape;
+  s->rank = j->spec.rank; /* its own: what it is needed for differs from job to job */
+  s->spot = j->spec.spot;
+  s->types = j->spec.types;
+  s->teams |= G_GUINT64_CONSTANT (1) << j->spec.team % 64;
+}
--- /dev/null
+++ b/src/coordination/rentals.c
@@ -0,0 +1,214 @@
+/* Renting machines: each request under a name of its own, repeated until it has a clear answer. */
+#include "coordination/state.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+/* Where the cloud had no capacity it is asked again after so many seconds. */
+#define REFUSED_S 8.0
+
+gboolean
+hr_fleet_refused (const HrCore *c, guint32 type, guint32 zone, gboolean spot)
+{
+  const HrType *t = hr_type_by_name (c, type);
+  if (zone == HR_NONE) {
+    for (guint i = 0; t && i < t->zones->len; i++)
+      if (!hr_fleet_refused (c, type, g_array_index (t->zones, guint32, i), spot))
+        return FALSE;
+    return TRUE;
+  }
+  for (guint i = 0; i < c->refused->len; i++) {
+    const HrRefusal *r = &g_array_index (c->refused, HrRefusal, i);
+    if (r->type == type && r->zone == zone && r->spot == spot && c->now < r->until)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+static void
+refuse (HrCore *c, guint32 type, guint32 zone, gboolean spot)
+{
+  HrRefusal *r = NULL;
+  for (guint i = 0; i < c->refused->len && !r; i++) {
+    HrRefusal *x = &g_array_index (c->refused, HrRefusal, i);
+    if (x->type == type && x->zone == zone && x->spot == spot)
+      r = x;
+  }
+  if (!r) {
+    g_array_set_size (c->refused, c->refused->len + 1);
+    r = &g_array_index (c->refused, HrRefusal, c->refused->len - 1);
+  }
+  *r = (HrRefusal){type, zone, spot, c->now + REFUSED_S};
+}
+
+typedef struct {
+  double led_at;
+  char *name;
+  guint32 type, zone;
+  gboolean spot;
+  guint count;
+} Rental;
+
+static void send_rental (HrCore *c, Rental *r);
+
+static void
+rental_free (HrCore *c, Rental *r)
+{
+  c->asks_out -= r->count;
+  g_free (r->name);
+  g_free (r);
+}
+
+static void
+on_rented (HrCore *c, int status, json_t *body, double sent, gpointer data)
+{
+  Rental *r = data;
+  if (!c->leads || r->led_at != c->led_at) {
+    rental_free (c, r); /* what it rented shows up in the list */
+    return;
+  }
+  if (status == 200) {
+    json_t *list = json_object_get (body, "rockhands"), *e;
+    size_t i;
+    json_array_foreach (list, i, e)
+    {
+      const char *name = json_string_value (e);
+      HrMachine *m = name ? hr_machine_get (c, name) : NULL;
+      if (!m || m->state != HR_M_GONE || m->deleted)
+        continue; /* it may have reported before this answer came */
+      hr_machine_describe (m, hr_type_by_name (c, r->type), r->zone, r->spot);
+      m->state = HR_M_BOOTING;
+      m->rented_here = TRUE;
+      m->rented_at = sent;
+      hr_fleet_add (c, m);
+    }
+    g_info ("rented %zu of %u %s%s in %s", json_array_size (list), r->count, r->spot ? "spot " : "",
+            hr_intern_name (&c->names->types, r->type), hr_intern_name (&c->names->zones, r->zone));
+    if (json_array_size (list) < r->count)
+      refuse (c, r->type, r->zone, r->spot);
+    c->plan_dirty = TRUE;
+  } else if (status == 503 && g_strcmp0 (hr_json_str (body, "error"), "no capacity") == 0) {
+    g_info ("no capacity for %s%s in %s", r->spot ? "spot " : "",
+            hr_intern_name (&c->names->types, r->type), hr_intern_name (&c->names->zones, r->zone));
+    refuse (c, r->type, r->zone, r->spot);
+    c->plan_dirty = TRUE;
+  } else if (status == 400)
+    g_warning ("the cloud calls a rental malformed");
+  else {
+    /* No answer, trouble or too many calls: the same name again, which rents once. Not at once: a
+     * cloud in trouble answers in no time, and the calls would use up those of the next minutes. */
+    c->rent_at = c->now + g_rand_double_range (c->rand, 0.5, 1.5);
+    g_queue_push_tail (&c->rentals_again, r);
+    return;
+  }
+  rental_free (c, r);
+}
+
+/* One call of the cloud's allowance was taken for it. */
+static void
+send_rental (HrCore *c, Rental *r)
+{
+  hr_call (c, HR_TO_CLOUD, NULL, HR_POST, g_strdup ("/rentals"),
+           hr_json_take_text (json_pack ("{sssssssbsi}", "ask", r->name, "hull",
+                                         hr_intern_name (&c->names->types, r->type), "quarry",
+                                         hr_intern_name (&c->names->zones, r->zone), "loaners",
+                                         r->spot, "count", (int)r->count)),
+           6, on_rented, r);
+}
+
+void
+hr_fleet_want (HrCore *c, guint32 type, guint32 zone, gboolean spot, guint count)
+{
+  HrWant w = {type, zone, spot, count};
+  if (count)
+    g_array_append_val (c->wants, w);
+}
+
+/* The zone with capacity that holds the fewest of our machines, those asked for in this
+ * round (by zone) included. The controllers' own zone takes twice its share: behind a cut
+ * of it, its workers still hear the owner (hr_leader_may_answer). */
+static guint32
+best_zone (HrCore *c, const HrType *t, gboolean spot, const guint *asked)
+{
+  guint32 best = HR_NONE;
+  guint least = G_MAXUINT;
+  for (guint i = 0; i < t->zones->len; i++) {
+    guint32 z = g_array_index (t->zones, guint32, i);
+    guint n = asked[z];
+    if (hr_fleet_refused (c, t->type, z, spot))
+      continue;
+    for (guint k = 0; k < c->fleet->len; k++) {
+      HrMachine *m = c->fleet->pdata[k];
+      n += m->type == t->type && m->zone == z;
+    }
+    if (z == c->set->home)
+      n /= 2;
+    if (n < least) {
+      least = n;
+      best = z;
+    }
+  }
+  return best;
+}
+
+/* Rentals without a clear answer, once their pause is over. */
+void
+hr_rentals_again (HrCore *c)
+{
+  while (!g_queue_is_empty (&c->rentals_again) && c->now >= c->rent_at) {
+    Rental *r = g_queue_peek_head (&c->rentals_again);
+    if (r->led_at == c->led_at && !hr_bucket_take (&c->cloud_bucket, c->now, 1, 0))
+      return;
+    g_queue_pop_head (&c->rentals_again);
+    if (r->led_at == c->led_at)
+      send_rental (c, r);
+    else
+      rental_free (c, r);
+  }
+}
+
+void
+hr_fleet_clear (HrCore *c)
+{
+  Rental *r;
+  while ((r = g_queue_pop_head (&c->rentals_again)))
+    rental_free (c, r);
+}
+
+void
+hr_rentals_send (HrCore *c)
+{
+  /* What an earlier owner rented shows in the list: look before renting. The
+   * very first owner has nothing to look for. */
+  gboolean looked =
+      c->led_baton == 1 || (c->list_complete && c->now - c->led_at > c->set->list_lag_s);
+  if (!looked || c->asks_out || c->now < c->rent_at || !hr_follow_served (c))
+    return;
+  g_autofree guint *asked = g_new0 (guint, c->names->zones.names->len + 1);
+  for (guint i = 0; i < c->wants->len; i++) {
+    HrWant *w = &g_array_index (c->wants, HrWant, i);
+    const HrType *t = hr_type_by_name (c, w->type);
+    guint share = t ? MAX (1, (w->count + t->zones->len - 1) / t->zones->len) : 0;
+    while (t && w->count && hr_bucket_take (&c->cloud_bucket, c->now, 1, 0)) {
+      guint32 z = w->zone == HR_NONE ? best_zone (c, t, w->spot, asked) : w->zone;
+      if (z == HR_NONE || hr_fleet_refused (c, w->type, z, w->spot))
+        break;
+      /* Spread over the zones: a zone may be short, or fall away. */
+      guint n = MIN (w->count, 50);
+      if (w->zone == HR_NONE && t->zones->len > 1)
+        n = MIN (n, share);
+      asked[z] += n;
+      Rental *r = g_new0 (Rental, 1);
+      r->led_at = c->led_at;
+      r->name =
+          g_strdup_printf ("%s.%s.%" G_GUINT64_FORMAT, c->set->label, c->incarnation, ++c->ask);
+      r->type = w->type;
+      r->zone = z;
+      r->spot = w->spot;
+      r->count = n;
+      c->asks_out += n;
+      w->count -= n;
+      send_rental (c, r);
+    }
+  }
+  g_array_set_size (c->wants, 0);
+}
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -220,96 +220,12 @@
 const HrType *hr_type (const HrCore *c, const HrMachine *m);
 const HrType *hr_type_by_name (const HrCore *c, guint32 name);
 
-/* bookkeeping/follow.c: the ledger, as read */
-void hr_follow_tick (HrCore *c);
-void hr_follow_reset (HrCore *c);
-void hr_follow_read (HrCore *c, HrReadFn fn, gpointer data);
-/* The state service has answered this node of late. */
-gboolean hr_follow_served (const HrCore *c);
-gboolean hr_follow_job (HrCore *c, HrJob *j, const json_t *value, guint64 stamp);
-
-/* bookkeeping/ledger.c: the ledger, as written */
-void hr_commit (HrCore *c, HrTxnKind kind, json_t *when, json_t *writes, guint changes,
-                double timeout, HrResultFn fn, gpointer data);
-json_t *hr_cond (json_t *when, const char *path, guint64 stamp);
-json_t *hr_set (json_t *writes, const char *path, char *value_text, guint64 claim);
-void hr_ledger_tick (HrCore *c);
-void hr_ledger_mark (HrCore *c, HrJob *j, guint32 task);
-void hr_ledger_seen (HrCore *c, HrJob *j, HrPage *p, guint64 stamp);
-char *hr_job_key (const HrJob *j);
-/* Not written again before a while, longer each time. */
-void hr_ledger_hold_back (HrCore *c, HrJob *j);
-char *hr_page_key (const HrJob *j, guint page);
-char *hr_page_key_of (const HrJob *j, guint per_page, guint page); /* of a record that was split */
-
-/* bookkeeping/format.c: which records every member understands */
-void hr_format_read (HrCore *c, const json_t *value, guint64 stamp);
-void hr_format_tick (HrCore *c);
-void hr_format_tell (const HrCore *c, HrHint *h);
-void hr_format_heard (HrCore *c, const HrHint *h);
-/* The job's record is too large to be withdrawn: the leader is to split it first. */
-void hr_format_oversized (HrCore *c, HrJob *j);
-
-/* bookkeeping/layout.c: how tasks are spread over records; sizes in bytes */
-/* What records are planned for, and what is sent at all. */
-gsize hr_layout_planned_bytes (const HrCore *c);
-gsize hr_layout_most_bytes (const HrCore *c);
-/* Tasks a page; 0: all tasks stand in the main record. beside: bytes of what else stands there. */
-guint hr_layout_choose (HrCore *c, const HrJobSpec *spec, gsize beside);
-guint hr_layout_page_size (HrCore *c, guint32 tasks);
-/* For a record that has become too large. */
-guint hr_layout_smaller (HrCore *c, const HrJob *j);
-/* Is any record of the job, as it stands in the ledger, beyond what is planned for? */
-gboolean hr_layout_oversized (HrCore *c, const HrJob *j);
-
-/* bookkeeping/split.c: records that have become too large */
-gboolean hr_split_possible (const HrCore *c, const HrJob *j);
-void hr_split_want (HrCore *c, HrJob *j, gboolean urgent);
-void hr_split_rescan (HrCore *c);
-void hr_split_reset (HrCore *c);
-void hr_split_scan (HrCore *c);
-void hr_split_tick (HrCore *c);
-HrStagedPage *hr_split_staged (HrJob *j, guint per_page, guint page);
-/* Takes note of a page that no main record names. stamp 0: it is gone. */
-void hr_split_stage (HrJob *j, guint per_page, guint page, guint64 stamp, const json_t *value);
-void hr_split_apply (HrCore *c, HrJob *j, guint per_page, guint64 stamp);
-
-/* bookkeeping/garbage.c: pages of final jobs */
-void hr_garbage_note (HrCore *c, const HrJob *j, guint per_page, guint page);
-void hr_garbage_job (HrCore *c, const HrJob *j);
-void hr_garbage_gone (HrCore *c, const HrJob *j, guint per_page, guint page);
-void hr_garbage_tick (HrCore *c);
-
-/* bookkeeping/dependencies.c: jobs that await others */
-/* The job's record was read or written, at the stance now in j; `ids`: what it awaits, or NULL. */
-void hr_dependencies_read (HrCore *c, HrJob *j, const char *const *ids);
-/* The job is done or withdrawn: those that await it become ready, or are withdrawn with it. */
-void hr_dependencies_final (HrCore *c, HrJob *j);
-/* The first of these jobs that this node knows nothing of, or NULL. */
-const char *hr_dependencies_unknown (HrCore *c, GStrv ids);
-/* Which jobs it waits for, or which cancelled one took it along; NULL: neither. */
-char *hr_dependencies_reason (const HrJob *j);
-void hr_dependencies_tick (HrCore *c);
-
 /* urgency.c: deadline and rank of jobs that others need */
 /* The job is known, or has become ready. */
 void hr_urgency_read (HrCore *c, HrJob *j);
 /* These jobs (HrJob) need what they awaited no more. */
 void hr_urgency_withdrawn (HrCore *c, const GPtrArray *jobs);
 
-/* bookkeeping/absence.c: proofs that a task is on no machine */
-/* A lease and its margin: the longest that a worker may keep tasks unanswered. */
-double hr_absence_lease (const HrCore *c);
-gboolean hr_absence_lease_over (const HrCore *c, const HrMachine *m);
-gboolean hr_absence_orders_settled (const HrMachine *m);
-gboolean hr_absence_withdrawn_may_start (const HrCore *c, const HrMachine *m);
-void hr_absence_note_direct (HrMachine *m, guint32 job, guint32 task, guint32 try, guint64 token);
-gboolean hr_absence_may_clear (const HrCore *c, HrMachine *m, guint32 job, guint32 task,
-                               guint32 try);
-void hr_absence_tick (HrCore *c);
-/* Every task of sessions up to `upto` is gone from the machine. */
-void hr_absence_sessions (HrCore *c, HrMachine *m, guint32 upto, const char *why);
-
 /* leader.c */
 void hr_leader_tick (HrCore *c);
 void hr_leader_map_read (HrCore *c);
@@ -358,11 +274,21 @@
 gboolean hr_gang_holds_back (const HrCore *c, const HrJob *j, const HrTask *t);
 /* Ends a gang's attempt: all its tasks have to go before the next one. */
 void hr_gang_end (HrCore *c, HrJob *j, double grace);
+/* A gang completes together: one is done, so all of that attempt (any: of all attempts) are, also
+ * those whose machine went before it could say so. */
+void hr_gang_done (HrCore *c, HrJob *j, guint32 attempt, gboolean any);
 void hr_job_withdrawn (HrCore *c, HrJob *j);
+guint32 hr_job_next_try (const HrJob *j);
+/* Tasks that are recorded on machines. The job has its tasks. */
+guint hr_job_bound_tasks (const HrJob *j);
+
+/* arrivals.c */
+/* Counts tasks of the class that arrive; returns how many a second do, smoothed. */
 double hr_class_arrivals (HrCore *c, HrClassStat *s, guint n);
 void hr_job_open (HrCore *c, HrJob *j);
+
+/* takeover.c */
 void hr_tasks_take_over (HrCore *c);
-guint32 hr_job_next_try (const HrJob *j);
 
 /* fleet.c */
 void hr_fleet_add (HrCore *c, HrMachine *m);
@@ -375,6 +301,14 @@
 void hr_fleet_want (HrCore *c, guint32 type, guint32 zone, gboolean spot, guint count);
 gboolean hr_types_load (HrCore *c, const json_t *o);
 
+/* rentals.c */
+void hr_rentals_send (HrCore *c);
+/* Requests without a clear answer, once more under their names. */
+void hr_rentals_again (HrCore *c);
+
+/* machine_list.c */
+void hr_machine_list_tick (HrCore *c);
+
 /* parts.c */
 guint32 hr_part_of (const char *machine, guint nparts);
 void hr_parts_assign (HrCore *c);
@@ -423,3 +357,5 @@
 
 /* dispatch.c */
 void hr_dispatch (HrCore *c);
+
+#include "bookkeeping/bookkeeping.h"
--- a/src/coordination/tasks.c
+++ b/src/coordination/tasks.c
@@ -222,10 +222,8 @@
   s->correction += k * (ratio - s->correction);
 }
 
-/* A gang completes together: one is done, so all of that attempt are, also those
- * whose machine went before it could say so. */
-static void
-gang_done (HrCore *c, HrJob *j, guint32 attempt, gboolean any)
+void
+hr_gang_done (HrCore *c, HrJob *j, guint32 attempt, gboolean any)
 {
   for (guint32 i = 0; i < j->ntasks; i++) {
     HrTask *t = &j->tasks[i];
@@ -260,7 +258,7 @@
   release (c, j, task);
   hr_ledger_mark (c, j, task);
   if (j->spec.shape == HR_GANG)
-    gang_done (c, j, t->try, FALSE);
+    hr_gang_done (c, j, t->try, FALSE);
 }
 
 void
@@ -275,8 +273,8 @@
   urgent (c, machine_of (c, t));
 }
 
-static guint
-bound_tasks (const HrJob *j)
+guint
+hr_job_bound_tasks (const HrJob *j)
 {
   guint n = 0;
   for (guint32 i = 0; i < j->ntasks; i++)
@@ -292,7 +290,7 @@
   if (!j->withdrawn_since)
     j->withdrawn_since = c->confirmed_at; /* of the last reading that did not show it */
   g_info ("withdrawn: job=%s epoch=%" G_GUINT64_FORMAT " reading_age=%.2f bound=%u", j->id,
-          c->applied, c->now - c->confirmed_at, bound_tasks (j));
+          c->applied, c->now - c->confirmed_at, hr_job_bound_tasks (j));
   for (guint32 i = 0; i < j->ntasks; i++) {
     HrTask *t = &j->tasks[i];
     if (t->state == HR_T_ASSIGNING && !t->inflight)
@@ -303,197 +301,3 @@
   if (!j->nlive)
     hr_ledger_mark (c, j, 0);
 }
-
-#define BUCKET_S 10.0
-#define RATE_TAU_S 120.0
-
-/* Tasks arriving a second, smoothed. What arrives in one bunch (at the very start,
- * or after an outage) says little about what comes next, so it counts capped. */
-double
-hr_class_arrivals (HrCore *c, HrClassStat *s, guint n)
-{
-  double keep = exp (-BUCKET_S / RATE_TAU_S);
-  if (!s->bucket_at)
-    s->bucket_at = c->now;
-  for (guint i = 0; c->now - s->bucket_at >= BUCKET_S && i < 200; i++) {
-    double most = 2 + 3 * (s->weight > 0 ? s->sum / s->weight : 0) * BUCKET_S;
-    s->sum = keep * s->sum + (1 - keep) * MIN (s->bucket, most) / BUCKET_S;
-    s->weight = keep * s->weight + (1 - keep); /* young averages count what they have seen */
-    s->bucket = 0;
-    s->bucket_at += BUCKET_S;
-  }
-  if (c->now - s->bucket_at >= BUCKET_S)
-    s->bucket_at = c->now;
-  s->bucket += n;
-  return s->weight > 0 ? s->sum / s->weight : MIN (s->bucket, 2) / BUCKET_S;
-}
-
-/* Keeps the list of jobs that the owner has to look at. One that waits for others has no task
- * and takes no room, limit or guarantee: it comes in when the last of them is done. */
-void
-hr_job_open (HrCore *c, HrJob *j)
-{
-  if (j->listed || j->shrunk || hr_job_waits (j))
-    return;
-  j->listed = TRUE;
-  g_array_append_val (c->open, j->idx);
-  if (j->nawaits && !j->ready_since)
-    j->ready_since = c->wall;
-  hr_urgency_read (c, j);
-  /* When a job of which the end of the last awaited one was not seen became ready nobody knows. */
-  gboolean unknown = j->nawaits && (c->sync != HR_SYNC_FOLLOWING || j->stance != HR_QUEUED);
-  if (j->counted || unknown || c->wall - hr_job_since (j) > 30)
-    return;
-  j->counted = TRUE;
-  g_debug ("%s arrives: %s, %u tasks, estimate %.0f s, image %s of %.1f GB", j->id,
-           hr_intern_name (&c->names->classes, j->spec.klass), j->ntasks, j->spec.estimate,
-           hr_intern_name (&c->names->images, j->spec.image), j->spec.image_gb);
-  HrClassStat *s = hr_class (c, j->spec.klass);
-  hr_class_arrivals (c, s, j->ntasks);
-  double k = s->seen ? 0.2 : 1;
-  s->seen = TRUE;
-  s->cpus += k * (j->spec.cpus - s->cpus);
-  s->gpus += k * (j->spec.gpus - s->gpus);
-  s->mem += k * (j->spec.mem - s->mem);
-  hr_class_use_image (s, j->spec.image, j->ntasks);
-  s->shape = j->spec.shape;
-  s->rank = j->spec.rank; /* its own: what it is needed for differs from job to job */
-  s->spot = j->spec.spot;
-  s->types = j->spec.types;
-  s->teams |= G_GUINT64_CONSTANT (1) << j->spec.team % 64;
-}
-
-/* More than any task is tried in one owner's time. */
-#define TRIES_A_TERM 1000
-
-/* What an earlier term knew of the machine is out of date. */
-static void
-forget_machine (HrCore *c, HrMachine *m)
-{
-  const HrType *type = hr_type (c, m);
-  g_array_set_size (m->tasks, 0);
-  g_array_set_size (m->list, 0);
-  g_array_set_size (m->direct, 0);
-  m->foreign_cpus = m->foreign_gpus = m->foreign_mem = 0;
-  m->cpus = type ? type->cpus : 0;
-  m->gpus = type ? type->gpus : 0;
-  m->mem = type ? type->mem : 0;
-  m->heard_at = m->answered_at = m->unreceived_at = m->deaf_at = 0;
-  m->rented_here = FALSE;
-  m->token = 0;
-  m->reply_launch = m->do_out = m->do_lost = 0;
-  m->urgent = m->drain = FALSE;
-  m->idle_at = c->now;
-  m->notice_at = 0;
-  m->state = HR_M_GONE;
-}
-
-/* The task is on the machine that its record names, as far as any proof goes. */
-static void
-take_over_bound (HrCore *c, HrJob *j, guint32 task)
-{
-  HrTask *t = &j->tasks[task];
-  HrMachine *m = hr_machine_get (c, hr_intern_name (&c->machine_ids, t->rmachine));
-  t->machine = t->rmachine;
-  t->session = t->rsession;
-  t->state = HR_T_BOUND;
-  t->inherited = 1;
-  j->nlive++;
-  hr_machine_take (m, &j->spec, (HrRef){j->idx, task});
-  if (m->state == HR_M_GONE) {
-    /* Known from a record alone: it reports, or its absence gets proven. */
-    m->state = HR_M_UP;
-    m->session = MAX (m->session, t->rsession);
-    hr_fleet_add (c, m);
-  }
-}
-
-/* As recorded. Returns whether the tasks of a gang are of different attempts. */
-static gboolean
-take_over_tasks (HrCore *c, HrJob *j)
-{
-  gboolean bound = FALSE, mixed = FALSE;
-  for (guint32 k = 0; k < j->ntasks; k++) {
-    HrTask *t = &j->tasks[k];
-    t->inflight = t->kill = t->planned = 0;
-    t->shown = HR_NOT_SHOWN;
-    t->state = HR_T_IDLE;
-    t->try = t->rtry;
-    t->ran_at = t->killed_at = 0;
-    t->placed_at = c->now;
-    if (t->rdone) {
-      t->state = HR_T_DONE;
-      j->ndone++;
-      continue;
-    }
-    if (t->rmachine == HR_NONE) {
-      if (j->unreadable) /* its attempts are not known either, and none may be numbered twice */
-        t->try = MAX (t->try, (guint32)(c->led_baton * TRIES_A_TERM));
-      mixed |= j->spec.shape == HR_GANG && bound;
-      continue;
-    }
-    mixed |= j->spec.shape == HR_GANG && (k > 0 && (!bound || t->rtry != j->tasks[0].rtry));
-    bound = TRUE;
-    take_over_bound (c, j, k);
-  }
-  return mixed;
-}
-
-static void
-take_over_job (HrCore *c, HrJob *j)
-{
-  j->nlive = j->ndone = 0;
-  j->gang_over = FALSE;
-  j->short_since = 0;
-  j->planned = 0;
-  j->errors = 0;
-  /* Tasks that nobody knows the place of wait until no lease can be left that an earlier
-   * owner renewed; whatever reports to us is told to stop what we do not know. */
-  j->retry_at = j->unreadable ? c->led_at + c->pol.hold_s + hr_absence_lease (c) : 0;
-  gboolean mixed = take_over_tasks (c, j);
-  if (j->spec.shape == HR_GANG && j->ndone && j->stance == HR_QUEUED)
-    gang_done (c, j, 0, TRUE); /* a large gang's ending was being recorded page by page */
-  if (j->stance == HR_WITHDRAWN)
-    hr_job_withdrawn (c, j);
-  else if (mixed && j->nlive) /* parts of different attempts: begin again with a new one */
-    hr_gang_end (c, j, 0);
-  if (j->ndone == j->ntasks)
-    hr_ledger_mark (c, j, 0);
-}
-
-/* What this term begins with. */
-static void
-log_term (const HrCore *c)
-{
-  guint jobs = 0, bound = 0, withdrawn = 0;
-  for (guint i = 0; i < c->open->len; i++) {
-    const HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
-    guint n = j->tasks ? bound_tasks (j) : 0;
-    jobs++;
-    bound += n;
-    withdrawn += j->stance == HR_WITHDRAWN ? n : 0;
-  }
-  g_message ("leads: token=%" G_GUINT64_FORMAT " epoch=%" G_GUINT64_FORMAT
-             " reading_age=%.2f jobs=%u bound=%u withdrawn_bound=%u",
-             c->baton, c->applied, c->now - c->confirmed_at, jobs, bound, withdrawn);
-}
-
-/* A new owner: what the records say is what may be out there. */
-void
-hr_tasks_take_over (HrCore *c)
-{
-  for (guint i = 0; i < c->machines->len; i++)
-    forget_machine (c, c->machines->pdata[i]);
-  /* The fleet of an earlier term of ours is long out of date: others have returned
-   * machines since. What records, reports and the cloud's list name is there. */
-  g_ptr_array_set_size (c->fleet, 0);
-  g_array_set_size (c->dirty, 0);
-  hr_split_rescan (c);
-  for (guint i = 0; i < c->open->len; i++) {
-    HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
-    if (j->tasks)
-      take_over_job (c, j);
-  }
-  c->plan_dirty = TRUE;
-  log_term (c);
-}
