--- /dev/null
+++ b/src/client/hoprock.c
@@ -0,0 +1,326 @@
+/* hoprock: the users' command line. docs/man/hoprock.1 says all of it. */
+#include "client/history.h"
+#include "client/requests.h"
+#include "protocol/jsonx.h"
+#include "protocol/messages.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Exit codes. */
+#define EXIT_REFUSED 1 /* 400, 404 or 422: asking again changes nothing */
+#define EXIT_WRONG_USE 2
+#define EXIT_GAVE_UP 3   /* no final answer within a minute */
+#define EXIT_CANCELLED 4 /* status --watch: the job was cancelled */
+
+/* How long to wait for an answer, and between two looks of --watch; seconds. */
+#define SUBMIT_ANSWER_S 5
+#define POLL_ANSWER_S 2
+#define WATCH_EVERY_S 5
+
+static const char usage[] = "COMMAND [OPTIONS]\n\nCommands:\n"
+                            "  submit   submit a job, from options or a file\n"
+                            "  status   say how a job stands; --watch until it ends\n"
+                            "  cancel   cancel a job\n"
+                            "  list     how the jobs submitted from here stand\n"
+                            "  nodes    which nodes are ready, and which one leads\n";
+
+typedef struct {
+  char *server;
+  gboolean json, quiet, watch;
+  char *file;
+  HrSubmission job;
+} Options;
+
+static int
+wrong_use (const char *text)
+{
+  fprintf (stderr, "hoprock: %s; see hoprock --help\n", text);
+  return EXIT_WRONG_USE;
+}
+
+/* Says why there is no good answer. Returns the exit code. */
+static int
+explain (const HrAnswer *a)
+{
+  gsize size;
+  const char *text = hr_answer_text (a, &size);
+  g_autofree char *why = hr_error_text (text, size);
+  if (a->status == 400 || a->status == 404 || a->status == 422) {
+    fprintf (stderr, "hoprock: refused (%u): %s\n", a->status, why);
+    return EXIT_REFUSED;
+  }
+  fprintf (stderr, "hoprock: no node could say within a minute; the last one: %u %s\n", a->status,
+           a->status ? why : "no answer");
+  return EXIT_GAVE_UP;
+}
+
+static void
+print_state (const Options *o, const HrJobState *s)
+{
+  if (o->json) {
+    json_t *line = json_pack ("{sssssIsI}", "id", s->id, "state", s->state, "done",
+                              (json_int_t)s->done, "running", (json_int_t)s->running);
+    if (s->reason)
+      json_object_set_new (line, "reason", json_string (s->reason));
+    g_autofree char *text = hr_json_take_text (line);
+    printf ("%s\n", text);
+  } else
+    printf ("%s %s, %" G_GUINT64_FORMAT " tasks done, %" G_GUINT64_FORMAT " running%s%s\n", s->id,
+            s->state, s->done, s->running, s->reason ? ": " : "", s->reason ? s->reason : "");
+  fflush (stdout);
+}
+
+/* Reads and prints the state; returns the exit code. */
+static int
+show (const Options *o, const HrAnswer *a, HrJobState *s)
+{
+  gsize size;
+  const char *text = hr_answer_text (a, &size);
+  if ((a->status != 200 && a->status != 201) || !hr_job_state_read (text, size, s))
+    return explain (a);
+  print_state (o, s);
+  return 0;
+}
+
+static int
+ask_and_show (const Options *o, HrClient *c, const char *method, const char *path, guint answer_s)
+{
+  g_auto (HrAnswer) a = hr_client_ask (c, method, path, NULL, answer_s);
+  g_auto (HrJobState) s = {0};
+  return show (o, &a, &s);
+}
+
+/* ---- commands ---- */
+
+static char *
+submission (Options *o, char **error)
+{
+  char *body = NULL;
+  if (o->file) {
+    g_autoptr (GError) e = NULL;
+    if (!g_file_get_contents (o->file, &body, NULL, &e))
+      *error = g_strdup (e->message);
+    return body;
+  }
+  HrSubmission *job = &o->job;
+  if (!job->klass || !job->team || !job->image || job->cpus <= 0) {
+    *error = g_strdup ("--class, --team, --image and --cpus are needed, or --file");
+    return NULL;
+  }
+  if (!job->id)
+    job->id = g_strdup_printf ("job-%09d", g_random_int_range (0, 1000000000));
+  job->shape = job->shape ? job->shape : g_strdup ("batch");
+  job->rank = job->rank ? job->rank : g_strdup ("normal");
+  return hr_submission_text (job);
+}
+
+static int
+submit (Options *o, HrClient *c, const char *unused)
+{
+  g_autofree char *error = NULL;
+  g_autofree char *body = submission (o, &error);
+  if (!body)
+    return wrong_use (error);
+  g_autofree char *id = hr_submission_id (body, strlen (body));
+  if (!id)
+    return wrong_use ("the job has no valid id: `job-` and letters, digits, - _ .");
+  g_auto (HrAnswer) a = hr_client_ask (c, "POST", HR_JOBS_PATH, body, SUBMIT_ANSWER_S);
+  g_auto (HrJobState) s = {0};
+  int code = show (o, &a, &s);
+  if (code == 0 || code == EXIT_GAVE_UP) /* without an answer it may have been accepted */
+    hr_history_add (id);
+  return code;
+}
+
+static int
+status (Options *o, HrClient *c, const char *id)
+{
+  g_autofree char *path = hr_job_path (id);
+  if (!o->watch)
+    return ask_and_show (o, c, "GET", path, POLL_ANSWER_S);
+  g_autofree char *last = NULL;
+  for (;;) {
+    g_auto (HrAnswer) a = hr_client_ask (c, "GET", path, NULL, POLL_ANSWER_S);
+    g_auto (HrJobState) s = {0};
+    gsize size;
+    const char *text = hr_answer_text (&a, &size);
+    g_autofree char *now = g_strndup (text ? text : "", size);
+    if (a.status != 200 || !hr_job_state_read (text, size, &s))
+      return explain (&a);
+    if (g_strcmp0 (now, last) != 0)
+      print_state (o, &s);
+    g_free (last);
+    last = g_steal_pointer (&now);
+    if (hr_job_state_final (&s))
+      return hr_job_state_withdrawn (&s) ? EXIT_CANCELLED : 0;
+    g_usleep ((gulong)WATCH_EVERY_S * G_USEC_PER_SEC);
+  }
+}
+
+static int
+cancel (Options *o, HrClient *c, const char *id)
+{
+  g_autofree char *path = hr_cancel_path (id);
+  return ask_and_show (o, c, "POST", path, SUBMIT_ANSWER_S);
+}
+
+static int
+list (Options *o, HrClient *c, const char *unused)
+{
+  g_autoptr (GPtrArray) ids = hr_history_ids ();
+  int code = 0;
+  for (guint i = 0; i < ids->len; i++) {
+    g_autofree char *path = hr_job_path (ids->pdata[i]);
+    int one = ask_and_show (o, c, "GET", path, POLL_ANSWER_S);
+    code = MAX (code, one);
+    if (one == EXIT_GAVE_UP)
+      break; /* the others would not be answered either */
+  }
+  return code;
+}
+
+/* The value of a metric; -1 when the node's text has none. */
+static double
+metric (const HrAnswer *a, const char *name)
+{
+  gsize size;
+  const char *text = hr_answer_text (a, &size);
+  g_autofree char *copy = g_strndup (text ? text : "", size);
+  g_auto (GStrv) lines = g_strsplit (copy, "\n", -1);
+  for (guint i = 0; lines[i]; i++)
+    if (g_str_has_prefix (lines[i], name) && lines[i][strlen (name)] == ' ')
+      return g_ascii_strtod (lines[i] + strlen (name), NULL);
+  return -1;
+}
+
+static void
+print_node (const Options *o, const char *server, gboolean answers, gboolean ready,
+            const HrAnswer *metrics)
+{
+  gboolean leads = metric (metrics, "hoprock_leads") == 1;
+  if (o->json) {
+    json_t *line = json_pack ("{sssbsbsb}", "server", server, "answers", answers, "ready", ready,
+                              "leads", leads);
+    g_autofree char *text = hr_json_take_text (line);
+    printf ("%s\n", text);
+  } else
+    printf ("%s %s%s\n", server,
+            ready     ? "ready"
+            : answers ? "not ready"
+                      : "does not answer",
+            leads ? ", leads" : "");
+}
+
+static int
+nodes (Options *o, HrClient *c, const char *unused)
+{
+  guint ready = 0;
+  for (guint i = 0; c->servers[i]; i++) {
+    g_auto (HrAnswer) probe = hr_client_ask_node (c, c->servers[i], "/ready", POLL_ANSWER_S);
+    g_auto (HrAnswer) metrics = hr_client_ask_node (c, c->servers[i], "/metrics", POLL_ANSWER_S);
+    ready += probe.status == 200;
+    print_node (o, c->servers[i], probe.status != 0, probe.status == 200, &metrics);
+  }
+  return ready ? 0 : EXIT_GAVE_UP;
+}
+
+/* ---- arguments ---- */
+
+typedef struct {
+  const char *name;
+  gboolean takes_id;
+  int (*run) (Options *o, HrClient *c, const char *id);
+} Command;
+
+static const Command commands[] = {{"submit", FALSE, submit},
+                                   {"status", TRUE, status},
+                                   {"cancel", TRUE, cancel},
+                                   {"list", FALSE, list},
+                                   {"nodes", FALSE, nodes}};
+
+static GOptionGroup *
+job_options (HrSubmission *j)
+{
+  const GOptionEntry entries[] = {
+      {"id", 0, 0, G_OPTION_ARG_STRING, &j->id, "its id; default: drawn", "job-NAME"},
+      {"class", 0, 0, G_OPTION_ARG_STRING, &j->klass, "class of jobs", "NAME"},
+      {"team", 0, 0, G_OPTION_ARG_STRING, &j->team, "team", "NAME"},
+      {"shape", 0, 0, G_OPTION_ARG_STRING, &j->shape, "batch, ensemble or daemon", "SHAPE"},
+      {"rank", 0, 0, G_OPTION_ARG_STRING, &j->rank, "production, urgent, normal or low", "RANK"},
+      {"tasks", 0, 0, G_OPTION_ARG_INT, &j->tasks, "number of tasks", "N"},
+      {"cpus", 0, 0, G_OPTION_ARG_DOUBLE, &j->cpus, "CPUs of each task", "N"},
+      {"gpus", 0, 0, G_OPTION_ARG_DOUBLE, &j->accelerators, "accelerators of each task", "N"},
+      {"memory", 0, 0, G_OPTION_ARG_DOUBLE, &j->memory_gb, "memory of each task", "GB"},
+      {"image", 0, 0, G_OPTION_ARG_STRING, &j->image, "image", "NAME"},
+      {"image-size", 0, 0, G_OPTION_ARG_DOUBLE, &j->image_gb, "its size", "GB"},
+      {"type", 0, 0, G_OPTION_ARG_STRING_ARRAY, &j->types, "allowed machine type, repeatable",
+       "NAME"},
+      {"zone", 0, 0, G_OPTION_ARG_STRING, &j->zone, "the only allowed zone", "NAME"},
+      {"together", 0, 0, G_OPTION_ARG_NONE, &j->one_zone, "all tasks in one zone", NULL},
+      {"apart", 0, 0, G_OPTION_ARG_NONE, &j->spread, "at most half of the tasks in a zone", NULL},
+      {"spot", 0, 0, G_OPTION_ARG_NONE, &j->spot, "may use spot machines", NULL},
+      {"estimate", 0, 0, G_OPTION_ARG_DOUBLE, &j->estimate_s, "run time of a task", "S"},
+      {"checkpoint", 0, 0, G_OPTION_ARG_DOUBLE, &j->checkpoint_s, "between checkpoints", "S"},
+      {"save", 0, 0, G_OPTION_ARG_DOUBLE, &j->save_s, "time to save when stopped", "S"},
+      {"due", 0, 0, G_OPTION_ARG_DOUBLE, &j->deadline_s, "deadline, from now", "S"},
+      {"await", 0, 0, G_OPTION_ARG_STRING_ARRAY, &j->awaits, "job to wait for, repeatable", "ID"},
+      {NULL}};
+  GOptionGroup *group =
+      g_option_group_new ("job", "Options of submit:", "Show the options of submit", NULL, NULL);
+  g_option_group_add_entries (group, entries);
+  return group;
+}
+
+static gboolean
+parse (Options *o, int *argc, char ***argv)
+{
+  const GOptionEntry entries[] = {
+      {"server", 's', 0, G_OPTION_ARG_STRING, &o->server,
+       "nodes or load balancer; default: $HOPROCK_SERVER, or 127.0.0.1:8080", "HOST:PORT,..."},
+      {"json", 'j', 0, G_OPTION_ARG_NONE, &o->json, "one JSON object a line", NULL},
+      {"quiet", 'q', 0, G_OPTION_ARG_NONE, &o->quiet, "say nothing about retries", NULL},
+      {"watch", 'w', 0, G_OPTION_ARG_NONE, &o->watch, "status: until the job ends", NULL},
+      {"file", 'f', 0, G_OPTION_ARG_FILENAME, &o->file, "submit: a submission in JSON", "FILE"},
+      {NULL}};
+  g_autoptr (GOptionContext) context = g_option_context_new (usage);
+  g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_add_group (context, job_options (&o->job));
+  g_autoptr (GError) error = NULL;
+  if (g_option_context_parse (context, argc, argv, &error))
+    return TRUE;
+  wrong_use (error->message);
+  return FALSE;
+}
+
+static const Command *
+command_of (const char *name)
+{
+  for (guint i = 0; name && i < G_N_ELEMENTS (commands); i++)
+    if (g_str_equal (commands[i].name, name))
+      return &commands[i];
+  return NULL;
+}
+
+int
+main (int argc, char **argv)
+{
+  Options o = {.job = {.tasks = 1}};
+  HrClient client = {0};
+  if (!parse (&o, &argc, &argv))
+    return EXIT_WRONG_USE;
+  const Command *command = command_of (argc > 1 ? argv[1] : NULL);
+  if (!command)
+    return wrong_use ("a command is needed: submit, status, cancel, list or nodes");
+  if (argc != (command->takes_id ? 3 : 2))
+    return wrong_use (command->takes_id ? "one job's id is needed" : "unexpected argument");
+  if (command->takes_id && !hr_job_id_valid (argv[2]))
+    return wrong_use ("not a job's id: `job-` and letters, digits, - _ .");
+  const char *set = g_getenv ("HOPROCK_SERVER");
+  const char *servers = o.server ? o.server : set ? set : "127.0.0.1:8080";
+  if (!hr_client_begin (&client, servers, o.quiet))
+    return wrong_use ("--server names no node");
+  int code = command->run (&o, &client, command->takes_id ? argv[2] : NULL);
+  hr_client_end (&client);
+  return code;
+}
--- /dev/null
+++ b/src/protocol/messages.h
@@ -0,0 +1,37 @@
+/* What users send and are told, for programs on their side: the wire's names stay in here. */
+#pragma once
+#include "protocol/jobspec.h"
+
+/* A submission as its user gives it. Names are texts; amounts as in the protocol. */
+typedef struct {
+  char *id, *klass, *team, *shape, *rank, *image, *zone; /* zone: NULL for any */
+  GStrv types, awaits;                                   /* NULL: any; none */
+  int tasks;
+  double cpus, accelerators, memory_gb, image_gb;
+  gboolean one_zone, spread, spot;
+  double estimate_s, checkpoint_s, save_s, deadline_s; /* deadline_s <= 0: none */
+} HrSubmission;
+
+/* The state of a job, as a node answers it. */
+typedef struct {
+  char *id, *state, *reason; /* reason: NULL when none is given */
+  guint64 done, running;
+} HrJobState;
+
+/* The body of a submission, to be freed. */
+char *hr_submission_text (const HrSubmission *s);
+/* The id that a body of a submission names, to be freed; NULL when it names none that is valid. */
+char *hr_submission_id (const char *body, gsize size);
+/* Reads an answer of 200 or 201. FALSE: it makes no sense. */
+gboolean hr_job_state_read (const char *body, gsize size, HrJobState *out);
+void hr_job_state_clear (HrJobState *s);
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (HrJobState, hr_job_state_clear)
+/* Done or withdrawn: it stays so. */
+gboolean hr_job_state_final (const HrJobState *s);
+gboolean hr_job_state_withdrawn (const HrJobState *s);
+/* The reason in an answer of another status; the start of the body when it has none. To be freed.
+ */
+char *hr_error_text (const char *body, gsize size);
+/* Paths, to be freed. */
+char *hr_job_path (const char *id);
+char *hr_cancel_path (const char *id);
--- a/tests/sim/judge.c
+++ b/tests/sim/judge.c
@@ -163,9 +163,10 @@
   return gpus;
 }
 
-/* Tasks of the job wait, and there is room for one of them, or for the whole gang. */
+/* Tasks of the job wait, and there is room for one of them, or for the whole gang. beside: a
+ * machine of that room. */
 static gboolean
-waits_beside_room (World *w, const SJob *j)
+waits_beside_room (World *w, const SJob *j, const SMachine **beside)
 {
   Placed p = placed_tasks (w, j);
   guint needed = j->shape == HR_GANG ? j->tasks : 1, fit[2] = {0};
@@ -175,8 +176,10 @@
     return FALSE;
   for (guint i = 0; i < w->machines->len; i++) {
     const SMachine *m = w->machines->pdata[i];
-    if (!j->spread || p.here[m->zone] + 1 <= (j->tasks + 1) / 2)
-      fit[m->zone] += fitting (w, j, m);
+    guint n = !j->spread || p.here[m->zone] + 1 <= (j->tasks + 1) / 2 ? fitting (w, j, m) : 0;
+    fit[m->zone] += n;
+    if (n)
+      *beside = m;
   }
   return j->one_zone ? MAX (fit[0], fit[1]) >= needed : fit[0] + fit[1] >= needed;
 }
@@ -192,15 +195,16 @@
     w->quiet_at = w->now;
   for (guint i = 0; i < w->jobs->len; i++) {
     SJob *j = w->jobs->pdata[i];
+    const SMachine *beside = NULL;
     gboolean waits = j->accepted && !j->asked_cancel && !j->broken && !j->told_done &&
-                     pipeline_ready (j) && waits_beside_room (w, j);
+                     pipeline_ready (j) && waits_beside_room (w, j, &beside);
     if (!waits)
       j->waits_at = 0;
     else if (!j->waits_at)
       j->waits_at = w->now;
     if (waits && w->now - MAX (j->waits_at, w->quiet_at) > WAITS_S) {
-      w_broken (w, "waits", "%s (%d, %u tasks) waits beside room since %.1f", j->id, j->shape,
-                j->tasks, j->waits_at);
+      w_broken (w, "waits", "%s (%d, %u tasks) waits beside room since %.1f, now on %s", j->id,
+                j->shape, j->tasks, j->waits_at, beside->name);
       j->waits_at = w->now; /* once in a while */
     }
   }
--- /dev/null
+++ b/tests/test_client.c
@@ -0,0 +1,247 @@
+/* The command-line client against a node that answers as the test says. */
+#include <libsoup/soup.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+static const char *program; /* hoprock */
+
+typedef struct {
+  guint status;
+  const char *body, *retry_after;
+} Said;
+
+typedef struct {
+  SoupServer *server;
+  char *address;
+  const Said *said; /* one answer after the other; the last one stays */
+  guint n, asked;
+  GPtrArray *requests; /* "METHOD PATH BODY" */
+} FakeNode;
+
+static void
+on_request (SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
+            gpointer data)
+{
+  FakeNode *f = data;
+  g_autoptr (GBytes) body = soup_message_body_flatten (soup_server_message_get_request_body (msg));
+  g_ptr_array_add (f->requests, g_strdup_printf ("%s %s %.*s", soup_server_message_get_method (msg),
+                                                 path, (int)g_bytes_get_size (body),
+                                                 (const char *)g_bytes_get_data (body, NULL)));
+  const Said *said = &f->said[MIN (f->asked, f->n - 1)];
+  f->asked++;
+  soup_server_message_set_status (msg, said->status, NULL);
+  if (said->retry_after)
+    soup_message_headers_replace (soup_server_message_get_response_headers (msg), "Retry-After",
+                                  said->retry_after);
+  soup_server_message_set_response (msg, "application/json", SOUP_MEMORY_COPY, said->body,
+                                    strlen (said->body));
+}
+
+static FakeNode *
+fake_node (const Said *said, guint n)
+{
+  FakeNode *f = g_new0 (FakeNode, 1);
+  f->said = said;
+  f->n = n;
+  f->requests = g_ptr_array_new_with_free_func (g_free);
+  f->server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (f->server, NULL, on_request, f, NULL);
+  g_autoptr (GInetAddress) loopback = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
+  g_autoptr (GSocketAddress) any = g_inet_socket_address_new (loopback, 0);
+  assert_true (soup_server_listen (f->server, any, 0, NULL));
+  GSList *uris = soup_server_get_uris (f->server);
+  f->address = g_strdup_printf ("127.0.0.1:%d", g_uri_get_port (uris->data));
+  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  return f;
+}
+
+static void
+fake_node_free (FakeNode *f)
+{
+  soup_server_disconnect (f->server);
+  g_object_unref (f->server);
+  g_ptr_array_unref (f->requests);
+  g_free (f->address);
+  g_free (f);
+}
+
+typedef struct {
+  char *out, *err;
+  int code;
+  gboolean ended;
+} Run;
+
+static void
+on_ended (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Run *r = data;
+  g_subprocess_communicate_utf8_finish (G_SUBPROCESS (source), result, &r->out, &r->err, NULL);
+  r->code = g_subprocess_get_exit_status (G_SUBPROCESS (source));
+  r->ended = TRUE;
+}
+
+static char *state_dir;
+
+/* Runs hoprock with these words. */
+static Run
+run (const char *words)
+{
+  Run r = {0};
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSubprocessLauncher) launcher =
+      g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_PIPE);
+  g_subprocess_launcher_setenv (launcher, "XDG_STATE_HOME", state_dir, TRUE);
+  g_autofree char *line = g_strconcat (program, " ", words, NULL);
+  g_auto (GStrv) argv = g_strsplit (line, " ", -1);
+  g_autoptr (GSubprocess) process =
+      g_subprocess_launcher_spawnv (launcher, (const char *const *)argv, &error);
+  if (!process)
+    fail_msg ("%s", error->message);
+  g_subprocess_communicate_utf8_async (process, NULL, NULL, on_ended, &r);
+  while (!r.ended)
+    g_main_context_iteration (NULL, TRUE);
+  return r;
+}
+
+static void
+run_clear (Run *r)
+{
+  g_free (r->out);
+  g_free (r->err);
+}
+
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (Run, run_clear)
+
+static Run
+run_at (const FakeNode *f, const char *words)
+{
+  g_autofree char *all = g_strconcat ("--server ", f->address, " ", words, NULL);
+  return run (all);
+}
+
+static void
+a_submission_is_repeated_as_it_was (void **state)
+{
+  static const Said said[] = {
+      {503, "{\"error\":\"not yet\"}", NULL},
+      {429, "{}", "1"},
+      {201, "{\"name_id\":\"job-a\",\"stance\":\"queued\",\"reason\":\"waits\"}", NULL}};
+  FakeNode *f = fake_node (said, 3);
+  g_auto (Run) r =
+      run_at (f, "submit --class c --team t --image i --cpus 2 --tasks 3 --await job-z");
+  assert_int_equal (r.code, 0);
+  assert_int_equal (f->asked, 3);
+  assert_string_equal (f->requests->pdata[0], f->requests->pdata[1]);
+  assert_string_equal (f->requests->pdata[0], f->requests->pdata[2]);
+  assert_true (g_str_has_prefix (f->requests->pdata[0], "POST /v1/jobs {"));
+  assert_non_null (strstr (f->requests->pdata[0], "\"pieces\":3"));
+  assert_non_null (strstr (f->requests->pdata[0], "\"awaits\":[\"job-z\"]"));
+  assert_non_null (strstr (r.out, "job-a queued"));
+  assert_non_null (strstr (r.err, "503 (not yet)"));
+  fake_node_free (f);
+}
+
+static void
+a_refusal_is_final (void **state)
+{
+  static const Said said[] = {{422, "{\"error\":\"no machine type fits\"}", NULL}};
+  FakeNode *f = fake_node (said, 1);
+  g_auto (Run) r = run_at (f, "submit --class c --team t --image i --cpus 2000");
+  assert_int_equal (r.code, 1);
+  assert_int_equal (f->asked, 1);
+  assert_non_null (strstr (r.err, "refused (422): no machine type fits"));
+  fake_node_free (f);
+}
+
+static void
+a_watch_ends_with_the_job (void **state)
+{
+  static const Said said[] = {
+      {200, "{\"name_id\":\"job-a\",\"stance\":\"running\",\"done\":1,\"running\":2}", NULL},
+      {200, "{\"name_id\":\"job-a\",\"stance\":\"withdrawn\"}", NULL}};
+  FakeNode *f = fake_node (said, 2);
+  g_auto (Run) r = run_at (f, "status job-a --watch --json");
+  assert_int_equal (r.code, 4);
+  assert_non_null (strstr (r.out, "\"state\":\"running\",\"done\":1,\"running\":2}\n"));
+  assert_non_null (strstr (r.out, "\"state\":\"withdrawn\""));
+  fake_node_free (f);
+}
+
+static void
+submitted_jobs_are_listed (void **state)
+{
+  static const Said said[] = {
+      {200, "{\"name_id\":\"job-b\",\"stance\":\"done\",\"done\":1}", NULL}};
+  FakeNode *f = fake_node (said, 1);
+  g_auto (Run) first = run_at (f, "submit --id job-b --class c --team t --image i --cpus 2");
+  g_auto (Run) again = run_at (f, "submit --id job-b --class c --team t --image i --cpus 2");
+  guint before = f->asked;
+  g_auto (Run) listed = run_at (f, "list");
+  assert_int_equal (listed.code, 0);
+  assert_non_null (strstr (listed.out, "job-b done, 1 tasks done"));
+  guint asked_for_b = 0;
+  for (guint i = before; i < f->requests->len; i++)
+    asked_for_b += g_str_has_prefix (f->requests->pdata[i], "GET /v1/jobs/job-b ");
+  assert_int_equal (asked_for_b, 1);
+  g_auto (Run) cancelled = run_at (f, "cancel job-b");
+  assert_int_equal (cancelled.code, 0);
+  assert_true (
+      g_str_has_prefix (f->requests->pdata[f->requests->len - 1], "POST /v1/jobs/job-b/abort"));
+  fake_node_free (f);
+}
+
+static void
+nodes_are_shown (void **state)
+{
+  static const Said said[] = {{200, "{}", NULL},
+                              {200, "# TYPE hoprock_leads gauge\nhoprock_leads 1\n", NULL}};
+  FakeNode *f = fake_node (said, 2);
+  g_auto (Run) r = run_at (f, "nodes");
+  assert_int_equal (r.code, 0);
+  assert_non_null (strstr (r.out, "ready, leads"));
+  g_auto (Run) none = run ("--server 127.0.0.1:1 nodes");
+  assert_int_equal (none.code, 3);
+  assert_non_null (strstr (none.out, "does not answer"));
+  fake_node_free (f);
+}
+
+static void
+wrong_words_are_named (void **state)
+{
+  static const char *const wrong[] = {"",
+                                      "fly",
+                                      "status",
+                                      "status job-a job-b",
+                                      "status nojob",
+                                      "submit --class c",
+                                      "submit --file /nonexistent",
+                                      "submit --id x --class c --team t --image i --cpus 2",
+                                      "list --nonsense",
+                                      "--server , list"};
+  for (guint i = 0; i < G_N_ELEMENTS (wrong); i++) {
+    g_auto (Run) r = run (wrong[i]);
+    if (r.code != 2 || !g_str_has_prefix (r.err, "hoprock: "))
+      fail_msg ("`%s`: exit %d, %s", wrong[i], r.code, r.err);
+  }
+}
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+      cmocka_unit_test (a_submission_is_repeated_as_it_was),
+      cmocka_unit_test (a_refusal_is_final),
+      cmocka_unit_test (a_watch_ends_with_the_job),
+      cmocka_unit_test (submitted_jobs_are_listed),
+      cmocka_unit_test (nodes_are_shown),
+      cmocka_unit_test (wrong_words_are_named),
+  };
+  if (argc != 2)
+    return 2;
+  program = argv[1];
+  state_dir = g_dir_make_tmp ("hoprock-client-XXXXXX", NULL);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
