hoprock-emulator: a deployment on one machine; the soak stands on the same parts

Change: src/emulator: real controllers (processes, relays, HTTP), a load balancer for users, an interface for troubles and state, settings and troubles from files; deploy/install.sh and deploy/demo.sh; the soak is a second program on the same parts. A session for each controller, requests given up after 6 s, killed processes waited for only when their ports are needed. The stand-ins stay in tests/sim, one model for both.

--- a/src/client/hoprock.c
+++ b/src/client/hoprock.c
@@ -302,10 +302,24 @@
   return NULL;
 }
 
+static void
+options_clear (Options *o)
+{
+  HrSubmission *j = &o->job;
+  char *texts[] = {o->server, o->file, j->id,    j->klass, j->team,
+                   j->shape,  j->rank, j->image, j->zone};
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    g_free (texts[i]);
+  g_strfreev (j->types);
+  g_strfreev (j->awaits);
+}
+
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (Options, options_clear)
+
 int
 main (int argc, char **argv)
 {
-  Options o = {.job = {.tasks = 1}};
+  g_auto (Options) o = {.job = {.tasks = 1}};
   HrClient client = {0};
   if (!parse (&o, &argc, &argv))
     return EXIT_WRONG_USE;
@@ -318,9 +332,9 @@
     return wrong_use ("not a job's id: `job-` and letters, digits, - _ .");
   const char *set = g_getenv ("HOPROCK_SERVER");
   const char *servers = o.server ? o.server : set ? set : "127.0.0.1:8080";
-  if (!hr_client_begin (&client, servers, o.quiet))
-    return wrong_use ("--server names no node");
-  int code = command->run (&o, &client, command->takes_id ? argv[2] : NULL);
+  int code = hr_client_begin (&client, servers, o.quiet)
+                 ? command->run (&o, &client, command->takes_id ? argv[2] : NULL)
+                 : wrong_use ("--server names no node");
   hr_client_end (&client);
   return code;
 }
--- /dev/null
+++ b/src/emulator/balancer.c
@@ -0,0 +1,165 @@
+#include "emulator/balancer.h"
+#include "emulator/control.h"
+#include "protocol/jsonx.h"
+#include <string.h>
+
+#define PROBE_EVERY_S 1.0
+#define PROBE_ANSWER_S 1.0
+/* Users wait 5 s for an answer to a submission or cancellation. */
+#define ANSWER_S 5.0
+
+struct Balancer {
+  Live *live;
+  SoupServer *server;
+  gboolean healthy[MAX_NODES];
+  guint open[MAX_NODES]; /* requests that a node has not answered yet */
+};
+
+/* ---- health ---- */
+
+typedef struct {
+  Balancer *balancer;
+  int node;
+} Probe;
+
+static void
+on_probed (World *w, int status, json_t *body, gpointer data)
+{
+  g_autofree Probe *p = data;
+  p->balancer->healthy[p->node] = status == 200;
+}
+
+static void
+probe_all (World *w, gpointer data)
+{
+  Balancer *b = data;
+  for (int i = 0; i < w->n; i++) {
+    Probe *p = g_new (Probe, 1);
+    *p = (Probe){b, i};
+    w_ask (w, i, -1, HR_GET, "/ready", NULL, PROBE_ANSWER_S, on_probed, p);
+  }
+  w_at (w, w->now + PROBE_EVERY_S, probe_all, b);
+}
+
+/* The healthy node with the fewest open requests; -1: none is healthy. */
+static int
+choose (const Balancer *b)
+{
+  int best = -1;
+  for (int i = 0; i < b->live->w->n; i++)
+    if (b->healthy[i] && (best < 0 || b->open[i] < b->open[best]))
+      best = i;
+  return best;
+}
+
+/* ---- requests ---- */
+
+typedef struct {
+  Balancer *balancer;
+  int node;
+  SoupServerMessage *msg;
+  Question *question; /* NULL: about no job that the stand-ins know */
+} Passed;
+
+static void
+reply (SoupServerMessage *msg, int status, const char *text)
+{
+  soup_server_message_set_status (msg, status, NULL);
+  soup_server_message_set_response (msg, "application/json", SOUP_MEMORY_COPY, text, strlen (text));
+}
+
+static void
+on_answered (World *w, int status, json_t *body, gpointer data)
+{
+  g_autofree Passed *p = data;
+  g_autofree Question *question = p->question;
+  g_autoptr (SoupServerMessage) msg = p->msg;
+  g_autofree char *text = body ? hr_json_take_text (json_incref (body)) : g_strdup ("{}");
+  p->balancer->open[p->node]--;
+  if (question && (status == 200 || status == 201)) {
+    question->job->accepted = TRUE;
+    answer_check (w, question, status, body);
+  }
+  reply (msg, status ? status : 504, status ? text : "{\"error\":\"the node does not answer\"}");
+  soup_server_message_unpause (msg);
+}
+
+/* The stand-ins know a job from its first submission on. */
+static SJob *
+job_asked_for (World *w, const char *path, const char *body)
+{
+  static const char jobs[] = "/v1/jobs/";
+  guint32 index;
+  if (body && strcmp (path, "/v1/jobs") == 0)
+    return job_adopt (w, body);
+  if (!g_str_has_prefix (path, jobs))
+    return NULL;
+  const char *rest = path + strlen (jobs);
+  g_autofree char *id = g_strndup (rest, strcspn (rest, "/"));
+  SJob *j = job_by_id (w, id, &index);
+  if (j && g_str_has_suffix (path, "/abort"))
+    j->asked_cancel = TRUE;
+  return j;
+}
+
+static void
+on_request (SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
+            gpointer data)
+{
+  Balancer *b = data;
+  World *w = b->live->w;
+  live_catch_up (b->live);
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (soup_server_message_get_request_body (msg));
+  gsize size = g_bytes_get_size (bytes);
+  g_autofree char *body = size ? g_strndup (g_bytes_get_data (bytes, NULL), size) : NULL;
+  const char *method = soup_server_message_get_method (msg);
+  if (control_request (b->live, msg, path, body))
+    return;
+  int node = choose (b);
+  if (node < 0) {
+    reply (msg, 503, "{\"error\":\"no controller is ready\"}");
+    return;
+  }
+  SJob *j = job_asked_for (w, path, body);
+  Passed *p = g_new (Passed, 1);
+  *p = (Passed){b, node, g_object_ref (msg), j ? question_new (w, j) : NULL};
+  b->open[node]++;
+  soup_server_message_pause (msg);
+  HrMethod kind = strcmp (method, "GET") == 0    ? HR_GET
+                  : strcmp (method, "POST") == 0 ? HR_POST
+                                                 : HR_OTHER_METHOD;
+  w_ask (w, node, -1, kind, path, g_steal_pointer (&body), ANSWER_S, on_answered, p);
+}
+
+Balancer *
+balancer_new (Live *s, const char *address, GError **error)
+{
+  g_autoptr (GSocketConnectable) net = g_network_address_parse (address, 0, error);
+  if (!net)
+    return NULL;
+  GNetworkAddress *where = G_NETWORK_ADDRESS (net);
+  g_autoptr (GSocketAddress) listen = g_inet_socket_address_new_from_string (
+      g_network_address_get_hostname (where), g_network_address_get_port (where));
+  if (!listen) {
+    g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT, "%s is no IP address", address);
+    return NULL;
+  }
+  Balancer *b = g_new0 (Balancer, 1);
+  b->live = s;
+  b->server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (b->server, NULL, on_request, b, NULL);
+  if (!soup_server_listen (b->server, listen, 0, error)) {
+    balancer_free (b);
+    return NULL;
+  }
+  w_at (s->w, 0.1, probe_all, b);
+  return b;
+}
+
+void
+balancer_free (Balancer *b)
+{
+  soup_server_disconnect (b->server);
+  g_object_unref (b->server);
+  g_free (b);
+}
--- /dev/null
+++ b/src/emulator/main.c
@@ -0,0 +1,168 @@
+/* hoprock-emulator: a whole deployment on this machine, for trying hoprock out. Real controllers;
+ * state service, cloud, workers and load balancer are stand-ins. docs/emulator.md says all of it.
+ */
+#include "emulator/balancer.h"
+#include "emulator/control.h"
+#include "protocol/jsonx.h"
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+
+#define FOREVER_S 1e9
+
+typedef struct {
+  char *daemon, *policy, *settings, *troubles, *listen;
+  double seconds;
+} Options;
+
+/* Figures of the settings file, each with its range. */
+typedef struct {
+  const char *key;
+  double least, most;
+  gsize offset;
+} Figure;
+
+typedef struct {
+  double controllers, machines, report_s, lease_s, cancel_s, seed;
+} Figures;
+
+#define FIGURE(key, least, most)                                                                   \
+  {                                                                                                \
+#key, least, most, G_STRUCT_OFFSET(Figures, key)                                               \
+  }
+
+static const Figure known[] = {FIGURE (controllers, 1, MAX_NODES), FIGURE (machines, 1, 200),
+                               FIGURE (report_s, 0.5, 60),         FIGURE (lease_s, 2, 600),
+                               FIGURE (cancel_s, 5, 3600),         FIGURE (seed, 0, 4e9)};
+
+static gboolean
+take_figure (Figures *f, const char *key, const json_t *value)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (known); i++) {
+    double number = json_is_number (value) ? json_number_value (value) : -1;
+    if (!g_str_equal (known[i].key, key))
+      continue;
+    *(double *)((char *)f + known[i].offset) = number;
+    return number >= known[i].least && number <= known[i].most;
+  }
+  return FALSE;
+}
+
+static gboolean
+read_settings (const char *file, Figures *f)
+{
+  json_error_t e;
+  json_t *root = json_load_file (file, 0, &e), *value;
+  const char *key;
+  gboolean good = json_is_object (root);
+  if (!good)
+    fprintf (stderr, "hoprock-emulator: %s:%d: %s\n", file, e.line, e.text);
+  json_object_foreach (root, key, value)
+  {
+    if (!good || take_figure (f, key, value))
+      continue;
+    fprintf (stderr, "hoprock-emulator: %s: %s is not known, or out of range\n", file, key);
+    good = FALSE;
+  }
+  json_decref (root);
+  return good;
+}
+
+static gboolean
+parse (Options *o, int *argc, char ***argv)
+{
+  const GOptionEntry entries[] = {
+      {"daemon", 0, 0, G_OPTION_ARG_FILENAME, &o->daemon, "the controller's program", "FILE"},
+      {"policy", 0, 0, G_OPTION_ARG_FILENAME, &o->policy, "its policy", "FILE"},
+      {"settings", 0, 0, G_OPTION_ARG_FILENAME, &o->settings, "figures, in JSON", "FILE"},
+      {"troubles", 0, 0, G_OPTION_ARG_FILENAME, &o->troubles, "one trouble a line", "FILE"},
+      {"listen", 0, 0, G_OPTION_ARG_STRING, &o->listen, "users' address; default 127.0.0.1:8080",
+       "IP:PORT"},
+      {"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &o->seconds, "end by itself after so long", "S"},
+      {NULL}};
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GOptionContext) context =
+      g_option_context_new ("- a whole hoprock deployment on this machine");
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (g_option_context_parse (context, argc, argv, &error) && *argc == 1 && o->daemon && o->policy)
+    return TRUE;
+  fprintf (stderr, "hoprock-emulator: %s\n",
+           error ? error->message : "--daemon and --policy are needed; see --help");
+  return FALSE;
+}
+
+static gboolean
+on_signal (gpointer live)
+{
+  ((Live *)live)->stop = TRUE;
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+set_figures (World *w, const Figures *f)
+{
+  w->capacity = (guint)f->machines;
+  w->report_s = f->report_s;
+  w->lease_s = f->lease_s;
+  w->cancel_s = f->cancel_s;
+  w->loss = w->dup = 0; /* what goes wrong is what the troubles say */
+}
+
+static gboolean
+plan_file (Live *s, const char *file)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) error = NULL;
+  if (!file)
+    return TRUE;
+  if (g_file_get_contents (file, &text, NULL, &error) && control_plan (s, text, &error))
+    return TRUE;
+  fprintf (stderr, "hoprock-emulator: %s\n", error->message);
+  return FALSE;
+}
+
+/* Runs until it is told to end. Returns the exit code: 1 when a rule was broken. */
+static int
+emulate (Live *s, const Options *o)
+{
+  g_autoptr (GError) error = NULL;
+  const char *listen = o->listen ? o->listen : "127.0.0.1:8080";
+  users_init (s->w, 0, 0);
+  Balancer *b = balancer_new (s, listen, &error);
+  if (!b) {
+    fprintf (stderr, "hoprock-emulator: %s\n", error->message);
+    return 2;
+  }
+  if (!plan_file (s, o->troubles))
+    return 2;
+  printf ("%d controllers; users at %s; logs in %s\n", s->w->n, listen, s->dir);
+  fflush (stdout);
+  live_run (s, o->seconds > 0 ? o->seconds : FOREVER_S);
+  guint broken = s->w->broken->len;
+  for (guint i = 0; i < broken; i++)
+    printf ("broken rule: %s\n", (char *)s->w->broken->pdata[i]);
+  printf ("ended after %.0f s: %u starts, %u rules broken\n", s->w->now, s->w->starts, broken);
+  balancer_free (b);
+  return broken > 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  Options o = {0};
+  Figures f = {3, 24, 2.5, 14, 36, 1};
+  Live live = {0};
+  if (!parse (&o, &argc, &argv) || (o.settings && !read_settings (o.settings, &f)))
+    return 2;
+  sim_log_init ();
+  live.daemon = o.daemon;
+  live.policy = o.policy;
+  live_prepare (&live, (guint32)f.seed, (int)f.controllers);
+  set_figures (live.w, &f);
+  live_begin (&live);
+  g_unix_signal_add (SIGTERM, on_signal, &live);
+  g_unix_signal_add (SIGINT, on_signal, &live);
+  int code = emulate (&live, &o);
+  live_end (&live);
+  return code;
+}
--- a/tests/soak/processes.c
+++ b/src/emulator/processes.c
@@ -1,6 +1,6 @@
 /* The controllers as processes: started, killed, stopped and continued, each by its id, and none
  * but those that this program started. */
-#include "soak/soak.h"
+#include "emulator/live.h"
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -19,16 +19,16 @@
   g_autoptr (GSocketAddress) any = g_inet_socket_address_new (loopback, 0);
   if (!socket || !g_socket_set_option (socket, SOL_SOCKET, SO_REUSEPORT, 1, &error) ||
       !g_socket_bind (socket, any, TRUE, &error))
-    g_error ("soak: no port: %s", error->message);
+    g_error ("emulator: no port: %s", error->message);
   g_autoptr (GSocketAddress) bound = g_socket_get_local_address (socket, NULL);
-  *address = soak_address (G_INET_SOCKET_ADDRESS (bound));
+  *address = live_address (G_INET_SOCKET_ADDRESS (bound));
   return socket;
 }
 
 void
-soak_processes_prepare (Soak *s)
+live_processes_prepare (Live *s)
 {
-  s->relays = g_ptr_array_new_with_free_func (soak_relay_free);
+  s->relays = g_ptr_array_new_with_free_func (live_relay_free);
   for (int i = 0; i < s->w->n; i++) {
     s->nodes[i].held[0] = hold_port (&s->nodes[i].front);
     s->nodes[i].held[1] = hold_port (&s->nodes[i].back);
@@ -37,13 +37,13 @@
   for (int i = 0; i < s->w->n; i++)
     for (int k = 0; k < s->w->n; k++)
       if (k != i)
-        s->nodes[i].peers[k] = soak_relay (s, i, k);
+        s->nodes[i].peers[k] = live_relay (s, i, k);
 }
 
 static char *
-write_settings (Soak *s, int i)
+write_settings (Live *s, int i)
 {
-  const SoakNode *n = &s->nodes[i];
+  const LiveNode *n = &s->nodes[i];
   json_t *root = node_settings (s->w, i), *member;
   json_object_set_new (root, "front", json_string (n->front));
   json_object_set_new (root, "back", json_string (n->back));
@@ -57,7 +57,7 @@
   }
   char *file = g_strdup_printf ("%s/c%d.json", s->dir, i);
   if (json_dump_file (root, file, JSON_INDENT (1)) != 0)
-    g_error ("soak: %s cannot be written", file);
+    g_error ("emulator: %s cannot be written", file);
   json_decref (root);
   return file;
 }
@@ -76,7 +76,7 @@
 }
 
 typedef struct {
-  Soak *soak;
+  Live *live;
   int node;
 } Watched;
 
@@ -84,22 +84,33 @@
 on_ended (GObject *source, GAsyncResult *result, gpointer data)
 {
   g_autofree Watched *watched = data;
-  Soak *s = watched->soak;
+  Live *s = watched->live;
   g_subprocess_wait_finish (G_SUBPROCESS (source), result, NULL);
   if (!s->w || s->nodes[watched->node].process != G_SUBPROCESS (source))
     return; /* ended by us */
-  soak_catch_up (s);
+  live_catch_up (s);
   w_broken (s->w, "ended", "c%d ended by itself", watched->node);
   node_kill (s->w, watched->node);
   w_at (s->w, s->w->now + 1, restart, GINT_TO_POINTER (watched->node));
 }
 
+/* Its ports are free from here on. Waited for only when they are needed: a process with sanitizers
+ * takes a while to go, and the stand-ins must not stand still meanwhile. */
+static void
+await_end (LiveNode *n)
+{
+  if (n->ending)
+    g_subprocess_wait (n->ending, NULL, NULL);
+  g_clear_object (&n->ending);
+}
+
 static void
 start (World *w, int i)
 {
-  Soak *s = w->controllers_data;
-  SoakNode *n = &s->nodes[i];
+  Live *s = w->controllers_data;
+  LiveNode *n = &s->nodes[i];
   g_autofree char *settings = write_settings (s, i);
+  await_end (n);
   g_autoptr (GError) error = NULL;
   g_autoptr (GSubprocessLauncher) launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
   g_subprocess_launcher_setenv (launcher, "LOG_LEVEL", "debug", TRUE);
@@ -110,7 +121,7 @@
   n->process = g_subprocess_launcher_spawn (launcher, &error, s->daemon, "--policy", s->policy,
                                             "--config", settings, NULL);
   if (!n->process)
-    g_error ("soak: %s", error->message);
+    g_error ("emulator: %s", error->message);
   Watched *watched = g_new (Watched, 1);
   *watched = (Watched){s, i};
   g_subprocess_wait_async (n->process, NULL, on_ended, watched);
@@ -119,14 +130,14 @@
 static void
 end (World *w, int i)
 {
-  Soak *s = w->controllers_data;
+  Live *s = w->controllers_data;
   GSubprocess *process = g_steal_pointer (&s->nodes[i].process);
   if (!process)
     return;
   s->kills++;
   g_subprocess_force_exit (process);
-  g_subprocess_wait (process, NULL, NULL); /* its ports are free */
-  g_object_unref (process);
+  await_end (&s->nodes[i]);
+  s->nodes[i].ending = process;
 }
 
 typedef struct {
@@ -138,7 +149,7 @@
 go_on (World *w, gpointer data)
 {
   g_autofree Stopped *stopped = data;
-  Soak *s = w->controllers_data;
+  Live *s = w->controllers_data;
   if (w->nodes[stopped->node].up && w->nodes[stopped->node].gen == stopped->gen)
     g_subprocess_send_signal (s->nodes[stopped->node].process, SIGCONT);
 }
@@ -146,7 +157,7 @@
 static void
 freeze (World *w, int i, double for_s)
 {
-  Soak *s = w->controllers_data;
+  Live *s = w->controllers_data;
   s->freezes++;
   g_subprocess_send_signal (s->nodes[i].process, SIGSTOP);
   Stopped *stopped = g_new (Stopped, 1);
@@ -154,13 +165,14 @@
   w_at (w, w->now + for_s, go_on, stopped);
 }
 
-const WControllers soak_controllers = {start, end, soak_push, freeze, soak_worker_address};
+const WControllers live_controllers = {start, end, live_push, freeze, live_worker_address};
 
 void
-soak_processes_end (Soak *s)
+live_processes_end (Live *s)
 {
   for (int i = 0; i < s->w->n; i++) {
-    SoakNode *n = &s->nodes[i];
+    LiveNode *n = &s->nodes[i];
+    await_end (n);
     for (int k = 0; k < 2; k++)
       g_object_unref (n->held[k]);
     for (int k = 0; k < s->w->n; k++)
--- a/tests/soak/relay.c
+++ b/src/emulator/relay.c
@@ -1,11 +1,11 @@
 /* One way between two controllers: what the one sends is passed on, unless a cut parts them. */
-#include "soak/soak.h"
+#include "emulator/live.h"
 
 #define CHUNK 4096
 #define LOOK_AGAIN_MS 50
 
 typedef struct {
-  Soak *soak;
+  Live *live;
   int from, to;
   GSocketService *service;
 } Relay;
@@ -29,7 +29,7 @@
 static gboolean
 parted (const Relay *r)
 {
-  const World *w = r->soak->w;
+  const World *w = r->live->w;
   return w->nodes[r->from].cut_peers > w->now || w->nodes[r->to].cut_peers > w->now;
 }
 
@@ -138,13 +138,13 @@
   Connecting *c = g_new (Connecting, 1);
   *c = (Connecting){r, g_object_ref (incoming)};
   g_autoptr (GSocketClient) client = g_socket_client_new ();
-  g_socket_client_connect_to_host_async (client, r->soak->nodes[r->to].back, 0, NULL, on_connected,
+  g_socket_client_connect_to_host_async (client, r->live->nodes[r->to].back, 0, NULL, on_connected,
                                          c);
   return TRUE;
 }
 
 char *
-soak_relay (Soak *s, int from, int to)
+live_relay (Live *s, int from, int to)
 {
   Relay *r = g_new0 (Relay, 1);
   *r = (Relay){s, from, to, g_socket_service_new ()};
@@ -154,15 +154,15 @@
   g_autoptr (GError) error = NULL;
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (r->service), any, G_SOCKET_TYPE_STREAM,
                                       G_SOCKET_PROTOCOL_TCP, NULL, &bound, &error))
-    g_error ("soak: a relay cannot listen: %s", error->message);
+    g_error ("emulator: a relay cannot listen: %s", error->message);
   g_signal_connect (r->service, "incoming", G_CALLBACK (on_incoming), r);
   g_ptr_array_add (s->relays, r);
-  return soak_address (G_INET_SOCKET_ADDRESS (bound));
+  return live_address (G_INET_SOCKET_ADDRESS (bound));
 }
 
 /* Links that are still open refer to the relay, so only its listener goes. */
 void
-soak_relay_free (gpointer relay)
+live_relay_free (gpointer relay)
 {
   Relay *r = relay;
   g_socket_service_stop (r->service);
--- a/tests/soak/wire.c
+++ b/src/emulator/wire.c
@@ -1,15 +1,18 @@
 /* HTTP between the controllers and the stand-ins: a request of either side becomes a message of the
  * world, where troubles meet it, and what the world delivers goes out as the real thing. */
-#include "soak/soak.h"
+#include "emulator/live.h"
 #include <string.h>
 
 /* No call of a controller waits longer than this: its watches are the longest. */
 #define CALL_S 30.0
-/* The world gives up waiting long before. */
-#define REQUEST_S 30
+/* Nobody in the world waits longer for a controller. What is given up is taken off the session,
+ * whose work for each message grows with those that are open. */
+#define REQUEST_S 6
+/* Connections to one controller. */
+#define MOST_OPEN 200
 
 char *
-soak_address (GInetSocketAddress *a)
+live_address (GInetSocketAddress *a)
 {
   return g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (a));
 }
@@ -18,7 +21,7 @@
 
 /* Whoever wrote the map with this token; -1: nobody. */
 static int
-node_of_token (Soak *s, const char *body)
+node_of_token (Live *s, const char *body)
 {
   json_t *o = json_loads (body, 0, NULL);
   guint64 token = json_integer_value (json_object_get (o, "baton"));
@@ -49,9 +52,9 @@
 on_call (SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
          gpointer data)
 {
-  SoakListener *l = data;
-  Soak *s = l->soak;
-  soak_catch_up (s);
+  LiveListener *l = data;
+  Live *s = l->live;
+  live_catch_up (s);
   s->requests++;
   SoupMessageBody *received = soup_server_message_get_request_body (msg);
   g_autoptr (GBytes) bytes = soup_message_body_flatten (received);
@@ -78,7 +81,7 @@
 
 /* The world answers a call; status 0: no answer comes. */
 static void
-answer_call (Soak *s, const HrCommand *cmd)
+answer_call (Live *s, const HrCommand *cmd)
 {
   gpointer key, value;
   if (!g_hash_table_steal_extended (s->pending, &cmd->id, &key, &value))
@@ -101,11 +104,11 @@
   soup_server_message_unpause (msg);
 }
 
-SoakListener *
-soak_listen (Soak *s, int node, HrTarget target)
+LiveListener *
+live_listen (Live *s, int node, HrTarget target)
 {
-  SoakListener *l = g_new0 (SoakListener, 1);
-  l->soak = s;
+  LiveListener *l = g_new0 (LiveListener, 1);
+  l->live = s;
   l->node = node;
   l->target = target;
   l->server = soup_server_new (NULL, NULL);
@@ -114,7 +117,7 @@
   g_autoptr (GSocketAddress) any = g_inet_socket_address_new (loopback, 0);
   g_autoptr (GError) error = NULL;
   if (!soup_server_listen (l->server, any, 0, &error))
-    g_error ("soak: a stand-in cannot listen: %s", error->message);
+    g_error ("emulator: a stand-in cannot listen: %s", error->message);
   GSList *uris = soup_server_get_uris (l->server);
   l->address = g_strdup_printf ("127.0.0.1:%d", g_uri_get_port (uris->data));
   g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
@@ -122,7 +125,7 @@
 }
 
 void
-soak_listener_free (SoakListener *l)
+live_listener_free (LiveListener *l)
 {
   soup_server_disconnect (l->server);
   g_object_unref (l->server);
@@ -131,10 +134,10 @@
 }
 
 char *
-soak_worker_address (World *w, guint machine)
+live_worker_address (World *w, guint machine)
 {
-  Soak *s = w->controllers_data;
-  SoakListener *l = soak_listen (s, -1, HR_TO_WORKER);
+  Live *s = w->controllers_data;
+  LiveListener *l = live_listen (s, -1, HR_TO_WORKER);
   g_ptr_array_add (s->workers, l);
   return g_strdup (l->address);
 }
@@ -142,7 +145,7 @@
 /* ---- to controllers ---- */
 
 typedef struct {
-  Soak *soak;
+  Live *live;
   int node;
   guint64 id;
   SoupMessage *msg;
@@ -150,7 +153,7 @@
 
 /* Nothing listens there, or the process ended: who asked learns it at once. */
 static void
-no_answer (Soak *s, int node, guint64 id)
+no_answer (Live *s, int node, guint64 id)
 {
   Node *n = &s->w->nodes[node];
   Req *r = n->up ? g_hash_table_lookup (n->open, &id) : NULL;
@@ -164,14 +167,14 @@
 on_answered (GObject *source, GAsyncResult *result, gpointer data)
 {
   g_autofree Asked *a = data;
-  Soak *s = a->soak;
+  Live *s = a->live;
   g_autoptr (GError) error = NULL;
   g_autoptr (SoupMessage) msg = a->msg;
   g_autoptr (GBytes) bytes =
       soup_session_send_and_read_finish (SOUP_SESSION (source), result, &error);
   if (!s->w)
     return;
-  soak_catch_up (s);
+  live_catch_up (s);
   if (!bytes) {
     no_answer (s, a->node, a->id);
     return;
@@ -184,23 +187,24 @@
 }
 
 static void
-ask (Soak *s, int node, const HrCommand *cmd)
+ask (Live *s, int node, const HrCommand *cmd)
 {
   static const char *const methods[] = {"GET", "POST", "DELETE", "PUT"};
   g_autofree char *uri = g_strconcat ("http://", s->nodes[node].front, cmd->path, NULL);
   Asked *a = g_new (Asked, 1);
   *a = (Asked){s, node, cmd->id, soup_message_new (methods[cmd->method], uri)};
   if (!a->msg)
-    g_error ("soak: no address: %s", uri);
+    g_error ("emulator: no address: %s", uri);
   if (cmd->body)
     soup_message_set_request_body_from_bytes (a->msg, "application/json", cmd->body);
-  soup_session_send_and_read_async (s->session, a->msg, G_PRIORITY_DEFAULT, NULL, on_answered, a);
+  soup_session_send_and_read_async (s->nodes[node].session, a->msg, G_PRIORITY_DEFAULT, NULL,
+                                    on_answered, a);
 }
 
 void
-soak_push (World *w, int node, HrCommand *cmd)
+live_push (World *w, int node, HrCommand *cmd)
 {
-  Soak *s = w->controllers_data;
+  Live *s = w->controllers_data;
   if (cmd->kind == HR_C_REQUEST)
     ask (s, node, cmd);
   else if (cmd->kind == HR_C_RESULT)
@@ -211,27 +215,27 @@
 /* ---- beginning and end ---- */
 
 void
-soak_wire_prepare (Soak *s)
+live_wire_prepare (Live *s)
 {
   s->pending = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_object_unref);
-  s->workers = g_ptr_array_new_with_free_func ((GDestroyNotify)soak_listener_free);
-  s->session = soup_session_new_with_options ("max-conns", 600, "max-conns-per-host", 200,
-                                              "timeout", REQUEST_S, NULL);
+  s->workers = g_ptr_array_new_with_free_func ((GDestroyNotify)live_listener_free);
   for (int i = 0; i < s->w->n; i++) {
-    s->nodes[i].state = soak_listen (s, i, HR_TO_STORE);
-    s->nodes[i].cloud = soak_listen (s, i, HR_TO_CLOUD);
+    s->nodes[i].session = soup_session_new_with_options (
+        "max-conns", MOST_OPEN, "max-conns-per-host", MOST_OPEN, "timeout", REQUEST_S, NULL);
+    s->nodes[i].state = live_listen (s, i, HR_TO_STORE);
+    s->nodes[i].cloud = live_listen (s, i, HR_TO_CLOUD);
   }
 }
 
 void
-soak_wire_end (Soak *s)
+live_wire_end (Live *s)
 {
-  soup_session_abort (s->session);
   for (int i = 0; i < s->w->n; i++) {
-    soak_listener_free (s->nodes[i].state);
-    soak_listener_free (s->nodes[i].cloud);
+    soup_session_abort (s->nodes[i].session);
+    g_object_unref (s->nodes[i].session);
+    live_listener_free (s->nodes[i].state);
+    live_listener_free (s->nodes[i].cloud);
   }
   g_hash_table_unref (s->pending);
   g_ptr_array_unref (s->workers);
-  g_object_unref (s->session);
 }
--- /dev/null
+++ b/tests/emulator.sh
@@ -0,0 +1,42 @@
+#!/bin/sh
+# The emulator as a newcomer meets it: wrong settings and troubles are named; its interface; and the
+# demonstration. $1: target folder, $2: the sources
+set -u
+cd "$2" || exit 1
+tmp=$(mktemp -d)
+emulator_id=
+trap 'test -n "$emulator_id" && kill "$emulator_id" 2>/dev/null; rm -rf "$tmp"' EXIT
+fails=0
+run="$1/hoprock-emulator --daemon $1/hoprockd --policy deploy/policy.hop"
+expect() { # expected status, text in the output, command...
+  want=$1 text=$2
+  shift 2
+  out=$("$@" 2>&1)
+  got=$?
+  if [ "$got" != "$want" ] || ! printf '%s' "$out" | grep -q -- "$text"; then
+    echo "FAILED: $*: status $got (wanted $want), output: $out"
+    fails=$((fails + 1))
+  fi
+}
+expect 2 'are needed' "$1/hoprock-emulator"
+echo '{"controllers": 9}' >"$tmp/many.json"
+expect 2 'controllers is not known, or out of range' $run --settings "$tmp/many.json"
+echo '{"colour": 1}' >"$tmp/odd.json"
+expect 2 'colour is not known' $run --settings "$tmp/odd.json"
+echo 'kind=earthquake at=3' >"$tmp/odd.troubles"
+expect 2 'line 1 is no trouble' $run --troubles "$tmp/odd.troubles" --listen 127.0.0.1:18311
+expect 2 'is no IP address' $run --listen here:80
+$run --listen 127.0.0.1:18312 --seconds 60 >"$tmp/log" 2>&1 &
+emulator_id=$!
+sleep 3
+expect 0 '"controllers_up":\[true,true,true\]' curl -s http://127.0.0.1:18312/emulator
+expect 0 'line 1 is no trouble' curl -s -d 'kind=none' http://127.0.0.1:18312/emulator/troubles
+expect 0 '{}' curl -s -d 'kind=node_crash who=all at=0 back=20' http://127.0.0.1:18312/emulator/troubles
+sleep 2
+expect 0 '"controllers_up":\[false,false,false\]' curl -s http://127.0.0.1:18312/emulator
+kill "$emulator_id"
+wait "$emulator_id"
+emulator_id=
+expect 0 'ended after .* 0 rules broken' cat "$tmp/log"
+expect 0 'job-demo done, 6 tasks done' deploy/demo.sh 127.0.0.1:18313
+exit "$fails"
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -331,6 +331,12 @@
 /* Launches that a controller has just decided on, which know of changes up to this epoch. */
 void judge_launches (World *w, int node, guint64 known, const GPtrArray *effects);
 
+/* ---- adopt.c ---- */
+
+/* A job of somebody outside, known from the body of its submission; NULL: the body names none. The
+ * same again for a repeated one. Its tasks run as long as was estimated, give or take a third. */
+SJob *job_adopt (World *w, const char *body);
+
 /* ---- crowds.c ---- */
 
 SJob *job_new (World *w);
--- a/tests/soak/soak.c
+++ b/tests/soak.c
@@ -1,11 +1,11 @@
-/* hoprock-soak: see soak.h. Usage: hoprock-soak --daemon target/hoprockd --policy deploy/policy.hop
+/* hoprock-soak: real controllers under troubles drawn from a seed (docs/search.md). Usage:
+ * hoprock-soak --daemon target/hoprockd --policy deploy/policy.hop
  * [--seed N] [--runs N] [--seconds S] [--controllers N]. Exit 0: no rule was broken, and each seed
  * was played. */
-#include "soak/soak.h"
+#include "emulator/live.h"
 #include <stdio.h>
 #include <glib/gstdio.h>
 
-#define STEP_MS 4
 /* Short leases, so that a short run sees many of them end. */
 #define REPORT_S 1.0
 #define LEASE_S 8.0
@@ -25,14 +25,6 @@
 #define LAST_LINES 25
 #define MOST_TROUBLES 400
 
-void
-soak_catch_up (Soak *s)
-{
-  double now = (g_get_monotonic_time () - s->began) / 1e6;
-  s->longest_gap = MAX (s->longest_gap, now - s->w->now);
-  world_run (s->w, now);
-}
-
 /* ---- troubles ---- */
 
 typedef struct {
@@ -108,7 +100,7 @@
 }
 
 static void
-print_tail (const SoakNode *n, int node)
+print_tail (const LiveNode *n, int node)
 {
   g_autofree char *text = NULL;
   if (!g_file_get_contents (n->log, &text, NULL, NULL))
@@ -122,20 +114,13 @@
 }
 
 static gboolean
-on_step (gpointer data)
-{
-  soak_catch_up (data);
-  return G_SOURCE_CONTINUE;
-}
-
-static gboolean
-is_void (const Soak *s)
+is_void (const Live *s)
 {
   return s->longest_gap > MOST_GAP_S;
 }
 
 static void
-report (Soak *s, guint32 seed, const HrTrouble *day, guint n)
+report (Live *s, guint32 seed, const HrTrouble *day, guint n)
 {
   World *w = s->w;
   guint withdrawn = 0;
@@ -173,27 +158,19 @@
 static Verdict
 run (const Options *o, guint32 seed)
 {
-  Soak soak = {0}, *s = &soak;
+  Live live = {0}, *s = &live;
   g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
   int nodes = o->controllers ? o->controllers : seed % 2 ? 3 : 5;
-  g_autoptr (GError) error = NULL;
   s->daemon = o->daemon;
   s->policy = o->policy;
-  s->dir = g_dir_make_tmp ("hoprock-soak-XXXXXX", &error);
-  if (!s->dir)
-    g_error ("soak: %s", error->message);
-  World *w = s->w = world_prepare (seed, nodes);
+  live_prepare (s, seed, nodes);
+  World *w = s->w;
   w->report_s = REPORT_S;
   w->lease_s = LEASE_S;
   w->cancel_s = CANCEL_S;
   w->capacity = CAPACITY;
   w->fickle = g_rand_boolean (rand);
-  w->controllers = &soak_controllers;
-  w->controllers_data = s;
-  soak_wire_prepare (s);
-  soak_processes_prepare (s);
-  s->began = g_get_monotonic_time ();
-  world_begin (w);
+  live_begin (s);
   users_init (w, o->seconds * 3 / 4, o->seconds - CALM_S);
   users_probe (w);
   HrTrouble day[MOST_TROUBLES] = {{.kind = TROUBLE_FAST_BOOT, .for_s = o->seconds}};
@@ -206,18 +183,11 @@
     else
       day[n++] = trouble_draw (rand, draw_kind (rand), at, LEASE_S);
   troubles_plan (w, day, n);
-  guint step = g_timeout_add (STEP_MS, on_step, s);
-  while (w->now < o->seconds)
-    g_main_context_iteration (NULL, TRUE);
-  g_source_remove (step);
+  live_run (s, o->seconds);
   check_end (w);
   report (s, seed, day, n);
   Verdict verdict = is_void (s) ? RUN_VOID : w->broken->len ? RUN_BROKEN : RUN_OK;
-  for (int i = 0; i < w->n; i++)
-    node_kill (w, i);
-  soak_wire_end (s);
-  soak_processes_end (s);
-  g_free (s->dir);
+  live_end (s);
   return verdict;
 }
 
