Planning passes are spaced by what they take

Change: hoprockd tells the core how long a batch took (the core has no clock); the next pass comes no sooner than four times the last one's duration. Where passes take less than a twentieth of today's gap nothing changes.

--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -4,6 +4,11 @@
 #include <gio/gio.h>
 #include <string.h>
 
+/* A pass is followed by so many times its own duration without one; and what of a duration counts,
+ * in seconds: a process that stood still says nothing about its passes. */
+#define PASS_REST 4.0
+#define PASS_MOST_S 2.0
+
 typedef struct {
   HrResultFn fn;
   gpointer data;
@@ -297,6 +302,23 @@
   hr_counters_tick (c);
 }
 
+/* Seconds from one planning pass to the next: more with the fleet, and so that passes leave most of
+ * the processor to reports and readings. A leader that plans for seconds on end answers its workers
+ * too late; they report again and again, and its readings come too late for it to go on leading. */
+static double
+plan_gap (const HrCore *c)
+{
+  double by_size = c->pol.plan_gap_s * (1 + c->fleet->len / 200.0);
+  return MAX (by_size, c->pass_took * PASS_REST);
+}
+
+void
+hr_core_step_took (HrCore *c, double seconds)
+{
+  if (c->planned_now)
+    c->pass_took = MIN (seconds, PASS_MOST_S);
+}
+
 void
 hr_core_step (HrCore *c, double now, double wall, GPtrArray *commands, GPtrArray *effects)
 {
@@ -327,9 +349,10 @@
       break;
     }
   }
-  double gap = c->pol.plan_gap_s * (1 + c->fleet->len / 200.0);
-  if (c->leads && c->plan_dirty && now - c->planned_at >= gap) {
+  c->planned_now = FALSE;
+  if (c->leads && c->plan_dirty && now - c->planned_at >= plan_gap (c)) {
     c->plan_dirty = FALSE;
+    c->planned_now = TRUE;
     c->planned_at = now;
     hr_limits_pass (c);
     hr_team_entitle (c);
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -12,6 +12,10 @@
 /* now: a steady clock, wall: the time of day, both in seconds. Commands are
  * HrCommand, effects HrEffect. */
 void hr_core_step (HrCore *c, double now, double wall, GPtrArray *commands, GPtrArray *effects);
+/* The batch that was just worked through took so long, in seconds by the caller's clock. Planning
+ * passes are spaced by that: the core has no clock of its own. Never called: by the fleet's size
+ * alone. */
+void hr_core_step_took (HrCore *c, double seconds);
 /* For tests: be as the version that understood this format of records at most; 0: the one
  * before there were formats. Before the first step. */
 void hr_core_speak (HrCore *c, guint format);
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -181,8 +181,10 @@
   gboolean plan_dirty;
   guint nparts;
   double planned_at;
-  guint booting;   /* machines that were starting at the latest pass, for those who ask */
-  gboolean urgent; /* some machine has orders to send at once */
+  gboolean planned_now; /* the batch being worked through has a planning pass */
+  double pass_took;     /* seconds, of the latest batch with one; 0: not known */
+  guint booting;        /* machines that were starting at the latest pass, for those who ask */
+  gboolean urgent;      /* some machine has orders to send at once */
   gboolean types_asked, listing;
   double types_at, list_at, rent_at;
   double listed_at; /* when the latest whole pass through the cloud's list began */
--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -44,7 +44,9 @@
   g_autoptr (GPtrArray) batch = g_steal_pointer (&d->queue);
   d->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
   g_autoptr (GPtrArray) effects = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_effect_free);
-  hr_core_step (d->core, g_get_monotonic_time () / 1e6, g_get_real_time () / 1e6, batch, effects);
+  gint64 begun = g_get_monotonic_time ();
+  hr_core_step (d->core, begun / 1e6, g_get_real_time () / 1e6, batch, effects);
+  hr_core_step_took (d->core, (g_get_monotonic_time () - begun) / 1e6);
   for (guint i = 0; i < effects->len; i++) {
     HrEffect *e = effects->pdata[i];
     if (e->plain)
--- a/tests/sim/user.c
+++ b/tests/sim/user.c
@@ -116,6 +116,8 @@
 void
 user_cancel_at (World *w, SJob *j, int node)
 {
+  if (!j->asked_cancel)
+    j->asked_cancel_at = w->now;
   j->asked_cancel = TRUE;
   g_autofree char *path = g_strconcat ("/v1/jobs/", j->id, "/abort", NULL);
   w_ask (w, node < 0 ? any_node (w) : node, -1, HR_POST, path, NULL, 5, on_cancel,
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -130,6 +130,7 @@
   guint image;
   gboolean one_zone, spread, spot, broken, submitted, accepted, refused;
   gboolean cancel, asked_cancel;
+  double asked_cancel_at; /* the first time */
   double due_cancel, told_withdrawn, told_done, started, first, done_at;
   double poll_at, ok_at;
   /* By the clock of answers (World.answers), 0: not yet: when a user first heard that it is */
--- /dev/null
+++ b/tests/test_pacing.c
@@ -0,0 +1,48 @@
+/* Planning passes leave most of the processor to reports and readings. */
+#include "script.h"
+#include "coordination/state.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#define RUN_S 30.0
+#define STEP_S 0.1
+
+/* Passes of the leader in RUN_S seconds, each of which is said to take so long. */
+static guint
+passes (double took)
+{
+  Script *s = script_led (2);
+  HrCore *leader = s->nodes[script_leader (s)].core;
+  guint n = 0;
+  for (double t = 0; t < RUN_S; t += STEP_S) {
+    double before = leader->planned_at;
+    script_run (s, STEP_S);
+    leader->plan_dirty = TRUE;
+    script_tick (s, 0.001);
+    n += leader->planned_at > before;
+    hr_core_step_took (leader, took);
+  }
+  script_free (s);
+  return n;
+}
+
+/* Of a pass that takes a second, at most every fifth second is planned; one that takes a
+ * millisecond changes nothing; and a process that stood still for a minute plans on. */
+static void
+long_passes_are_spaced (void **state)
+{
+  guint usual = passes (0);
+  assert_in_range (passes (1), 2, (guint)(RUN_S / 4) + 1);
+  assert_int_equal (passes (0.001), usual);
+  assert_true (passes (60) >= 2);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {cmocka_unit_test (long_passes_are_spaced)};
+  g_log_set_writer_func (script_log, NULL, NULL);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
