The judge of renewals goes by what a controller had read when it answered

The controller stood still while its reading lay in its queue, and what it had decided before left when it went on; the check counted the reading as known by the clock.

--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -80,7 +80,8 @@
   double freeze_next; /* stands still so long in the middle of its next batch */
   /* Changes of the state service that it was sent, and that earlier batches have read. */
   guint64 epoch_sent, epoch_read;
-  GArray *readings; /* Reading, of this process, by time */
+  guint64 epoch_acting; /* that it had read when it made what it sends at the moment */
+  GArray *readings;     /* Reading, of this process, by time */
 } Node;
 
 #define MAX_NODES 5
