Array tasks that wait beside free room get it after 60 s

Cause: room for the next replicas is kept on machines (claims.c), moves from pass to pass, and is left out when lists are projected; a task's projected start then slips, it stays below the wait that is rented for, and nothing is given or rented. Change: held_back.c looks once a second, after a pass has made its own starts; an array's tasks that had room for 60 s get it, whatever it is kept for. Spare room is then found or rented anew.

--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -102,6 +102,7 @@
   double granted_at; /* it could have started something since; 0: it cannot */
   gboolean lent;     /* others may use what it does not start with */
   double lent_until, lent_pause;
+  double held_back_since; /* a task of it waits beside free room since; 0: none does */
   double kept_since; /* only what is reserved for another holds it back since; 0: it does not */
   guint32 part;      /* whose lists it may stand in; HR_NONE: large, any list */
   gboolean parted;   /* its part was chosen */
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -1,6 +1,8 @@
 /* From the plan to orders: what can start now starts, what cannot is made room
  * for, rented for, or waits; idle machines go back. */
+#include "coordination/held_back.h"
 #include "coordination/limits.h"
+#include "coordination/replicas.h"
 #include "coordination/room.h"
 #include <math.h>
 
@@ -10,11 +12,17 @@
   return m->state == HR_M_UP && m->heard_at > 0 && c->now - m->heard_at < c->pol.silent_s;
 }
 
-static gboolean
-startable (HrCore *c, HrJob *j, HrMachine *m)
+gboolean
+hr_dispatch_takes_tasks (const HrCore *c, const HrMachine *m)
+{
+  return hr_reachable (c, m) && c->now >= m->full_until;
+}
+
+gboolean
+hr_dispatch_startable (HrCore *c, HrJob *j, HrMachine *m)
 {
-  return hr_machine_fits (m, &j->spec) && hr_reachable (c, m) && c->now >= m->full_until &&
-         c->now >= j->retry_at && hr_allowed (c, j, m) && hr_zone_ok (c, j, m) &&
+  return hr_machine_fits (m, &j->spec) && hr_dispatch_takes_tasks (c, m) && c->now >= j->retry_at &&
+         hr_allowed (c, j, m) && hr_zone_ok (c, j, m) &&
          (j->spec.shape == HR_SERVICE || hr_machine_fits_beside_claims (m, &j->spec));
 }
 
@@ -35,75 +43,14 @@
   return MAX (t->try, t->rtry) + 1;
 }
 
-/* Time left until the next aim for the start of the class's tasks is missed. */
-static double
-start_left (const HrCore *c, const HrJob *j)
-{
-  double left = INFINITY, waited = c->wall - hr_job_since (j);
-  for (guint i = 0; i < c->set->aims->len; i++) {
-    const HrAim *a = &g_array_index (c->set->aims, HrAim, i);
-    if (a->klass == j->spec.klass && (a->kind == HR_AIM_WAIT || a->kind == HR_AIM_UP) &&
-        a->within > waited + STOP_AND_START_S)
-      left = MIN (left, a->within - waited);
-  }
-  return left;
-}
-
-/* Would a replica more fit there, once batch work made room? */
-static gboolean
-stays_open (const HrCore *c, const HrJobSpec *s, const HrMachine *m, guint replicas)
-{
-  const HrType *t = hr_type (c, m);
-  return m->fixed_cpus + replicas * s->cpus <= t->cpus + 1e-6 &&
-         m->fixed_gpus + replicas * s->gpus <= t->gpus + 1e-6 &&
-         m->fixed_mem + replicas * s->mem <= t->mem + 1e-6;
-}
-
-/* The next arrivals need places where their image is. Are there too few for this one?
- * Machines full of replicas are none, however well the image is cached there. */
-static gboolean
-short_of_places (HrCore *c, const HrJob *j)
-{
-  HrClassStat *s = hr_class (c, j->spec.klass);
-  double weight = 0, own = 0, open = 0, fetch = INFINITY, within = INFINITY;
-  for (guint i = 0; i < c->types->len; i++)
-    fetch = MIN (fetch, j->spec.image_gb / g_array_index (c->types, HrType, i).fetch_rate);
-  for (guint i = 0; i < c->set->aims->len; i++) {
-    HrAim *a = &g_array_index (c->set->aims, HrAim, i);
-    if (a->klass == j->spec.klass && a->kind == HR_AIM_WAIT)
-      within = MIN (within, a->within);
-  }
-  if (fetch + STOP_AND_START_S <= within)
-    return FALSE; /* a fetch in time is cheaper than places kept open */
-  for (guint i = 0; i < s->nimages; i++) {
-    weight += s->images[i].weight;
-    if (s->images[i].image == j->spec.image)
-      own = s->images[i].weight;
-  }
-  for (guint i = 0; i < c->fleet->len; i++) {
-    HrMachine *m = c->fleet->pdata[i];
-    if (m->state == HR_M_UP && !m->drain && m->type != HR_NONE && (!m->spot || j->spec.spot) &&
-        hr_machine_has_image (m, j->spec.image) && stays_open (c, &j->spec, m, 1))
-      open++;
-  }
-  return weight > 0 && open < hr_headroom (c, j->spec.klass) * own / weight;
-}
-
-/* The sooner its image is there the better; then fuller machines first, so that others
- * fall empty and can be returned. */
-static double
-service_score (const HrCore *c, const HrJob *j, const HrMachine *m, gboolean open)
+void
+hr_dispatch_start (HrCore *c, HrJob *j, guint32 task, HrMachine *m)
 {
-  double fetch = hr_fetch_time (c, j, m);
-  double closes = open && fetch > 0 && !stays_open (c, &j->spec, m, 2) ? 1000 : 0;
-  /* Behind a cut of the controllers' own zone its workers still hear the owner. */
-  double home = m->zone == c->set->home ? HR_HOME_S * 10 : 0;
-  return home - 10 * fetch - closes + m->tasks->len * 10 - (m->gpus + m->cpus * 0.1);
+  start (c, j, task, m, next_try (&j->tasks[task]));
 }
 
-/* Machines that something more may start on; the others need not be looked at. */
-static GPtrArray *
-roomy (HrCore *c)
+GPtrArray *
+hr_dispatch_rooms (HrCore *c)
 {
   GPtrArray *a = g_ptr_array_sized_new (c->fleet->len);
   for (guint i = 0; i < c->fleet->len; i++) {
@@ -114,47 +61,6 @@
   return a;
 }
 
-static void
-start_services (HrCore *c, GPtrArray *services)
-{
-  g_autoptr (GPtrArray) rooms = roomy (c);
-  for (guint i = 0; i < services->len; i++) {
-    HrJob *j = services->pdata[i];
-    gboolean open = short_of_places (c, j);
-    for (guint32 k = 0; k < j->ntasks; k++) {
-      HrMachine *best = NULL;
-      double most = 0;
-      if (j->tasks[k].state != HR_T_IDLE || !hr_team_allows (c, j, 1))
-        continue;
-      for (guint n = 0; n < rooms->len; n++) {
-        HrMachine *m = rooms->pdata[n];
-        if (!startable (c, j, m))
-          continue;
-        double score = service_score (c, j, m, open);
-        if (!best || score > most) {
-          most = score;
-          best = m;
-        }
-      }
-      double left = start_left (c, j);
-      if (isfinite (left) && c->now >= j->retry_at &&
-          (!best || hr_fetch_time (c, j, best) + STOP_AND_START_S > left)) {
-        HrMachine *other = hr_swap_for_image (c, j);
-        if (other)
-          best = other;
-      }
-      if (!best) {
-        j->part = HR_NONE; /* not in its part: any machine may */
-        break;
-      }
-      best->fixed_cpus += j->spec.cpus;
-      best->fixed_gpus += j->spec.gpus;
-      best->fixed_mem += j->spec.mem;
-      start (c, j, k, best, next_try (&j->tasks[k]));
-    }
-  }
-}
-
 /* All slots of the gang, if each can start now. */
 static gboolean
 start_gang (HrCore *c, HrJob *j)
@@ -166,7 +72,7 @@
     if (!j->tasks[i].planned || j->tasks[i].state != HR_T_IDLE)
       return FALSE;
     on[i] = c->machines->pdata[j->tasks[i].list];
-    if (!startable (c, j, on[i]))
+    if (!hr_dispatch_startable (c, j, on[i]))
       return FALSE;
   }
   guint32 attempt = hr_job_next_try (j);
@@ -194,7 +100,7 @@
     for (guint i = 0; i < c->fleet->len; i++) {
       HrMachine *m = c->fleet->pdata[i];
       /* Where it was refused, the same attempt would be taken for the refused one. */
-      if (allowed && m->idx != j->tasks[k].machine && startable (c, j, m) &&
+      if (allowed && m->idx != j->tasks[k].machine && hr_dispatch_startable (c, j, m) &&
           (!best || hr_fetch_time (c, j, m) < hr_fetch_time (c, j, best)))
         best = m;
     }
@@ -226,11 +132,12 @@
   for (guint i = 0; i < m->list->len;) {
     HrRef r = g_array_index (m->list, HrRef, i);
     HrJob *j = c->jobs->pdata[r.job];
-    gboolean ok = startable (c, j, m) && (!isfinite (blocked) || may_pass (c, j, m, blocked));
+    gboolean ok =
+        hr_dispatch_startable (c, j, m) && (!isfinite (blocked) || may_pass (c, j, m, blocked));
     if (ok && j->spec.shape == HR_GANG)
       ok = start_gang (c, j);
     else if (ok && (ok = hr_team_allows (c, j, 1)))
-      start (c, j, r.task, m, next_try (&j->tasks[r.task]));
+      hr_dispatch_start (c, j, r.task, m);
     if (ok) {
       i = 0; /* lists changed */
       blocked = INFINITY;
@@ -258,9 +165,8 @@
   return x->job != y->job ? (x->job < y->job ? -1 : 1) : (x->task > y->task) - (x->task < y->task);
 }
 
-/* Sooner done first; then the cheaper machine, then the fuller one. */
-static gboolean
-batch_better (HrCore *c, HrJob *j, HrMachine *a, HrMachine *b)
+gboolean
+hr_dispatch_batch_better (HrCore *c, HrJob *j, HrMachine *a, HrMachine *b)
 {
   double x = hr_estimate (c, j, a), y = hr_estimate (c, j, b);
   if (fabs (x - y) > 1)
@@ -276,7 +182,7 @@
 static void
 start_from_any (HrCore *c, GHashTable *blocked)
 {
-  g_autoptr (GPtrArray) rooms = roomy (c);
+  g_autoptr (GPtrArray) rooms = hr_dispatch_rooms (c);
   g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (HrListedTask));
   for (guint i = 0; i < c->fleet->len && rooms->len; i++)
     hr_list_append (c, c->fleet->pdata[i], all);
@@ -295,15 +201,15 @@
     for (guint k = 0; k < rooms->len; k++) {
       HrMachine *m = rooms->pdata[k];
       double *until = g_hash_table_lookup (blocked, m);
-      if (!startable (c, j, m) || (until && !may_pass (c, j, m, *until)))
+      if (!hr_dispatch_startable (c, j, m) || (until && !may_pass (c, j, m, *until)))
         continue;
-      if (!best || batch_better (c, j, m, best))
+      if (!best || hr_dispatch_batch_better (c, j, m, best))
         best = m;
     }
     if (!best)
       without = r.job;
     else if (c->now + hr_estimate (c, j, best) < l->start + hr_estimate (c, j, l->machine))
-      start (c, j, r.task, best, next_try (&j->tasks[r.task]));
+      hr_dispatch_start (c, j, r.task, best);
   }
 }
 
@@ -358,7 +264,7 @@
       complete_gang (c, j);
   }
   g_ptr_array_sort (services, by_rank);
-  start_services (c, services);
+  hr_replicas_start (c, services);
   guint n = c->fleet->len;
   g_autoptr (GHashTable) blocked =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
@@ -369,6 +275,8 @@
       g_hash_table_insert (blocked, m, g_memdup2 (&until, sizeof until));
   }
   start_from_any (c, blocked);
+  g_autoptr (GPtrArray) still_roomy = hr_dispatch_rooms (c);
+  hr_held_back_tick (c, still_roomy);
   hr_limits_make_room (c);
 
   guint booting;
--- /dev/null
+++ b/src/coordination/held_back.h
@@ -0,0 +1,7 @@
+/* Array tasks that wait beside free room get it after a bounded time. */
+#pragma once
+#include "coordination/state.h"
+
+/* Called in each planning pass once the plan's own starts are made, by a leader that may record
+ * starts. rooms: HrMachine, those that something more may start on. */
+void hr_held_back_tick (HrCore *c, const GPtrArray *rooms);
--- /dev/null
+++ b/src/coordination/replicas.c
@@ -0,0 +1,111 @@
+/* Where the replicas of services start. They stand in no list: a replica has no end. */
+#include "coordination/replicas.h"
+#include "coordination/room.h"
+#include <math.h>
+
+/* Time left until the next aim for the start of the class's tasks is missed. */
+static double
+start_left (const HrCore *c, const HrJob *j)
+{
+  double left = INFINITY, waited = c->wall - hr_job_since (j);
+  for (guint i = 0; i < c->set->aims->len; i++) {
+    const HrAim *a = &g_array_index (c->set->aims, HrAim, i);
+    if (a->klass == j->spec.klass && (a->kind == HR_AIM_WAIT || a->kind == HR_AIM_UP) &&
+        a->within > waited + STOP_AND_START_S)
+      left = MIN (left, a->within - waited);
+  }
+  return left;
+}
+
+/* Would a replica more fit there, once batch work made room? */
+static gboolean
+stays_open (const HrCore *c, const HrJobSpec *s, const HrMachine *m, guint replicas)
+{
+  const HrType *t = hr_type (c, m);
+  return m->fixed_cpus + replicas * s->cpus <= t->cpus + 1e-6 &&
+         m->fixed_gpus + replicas * s->gpus <= t->gpus + 1e-6 &&
+         m->fixed_mem + replicas * s->mem <= t->mem + 1e-6;
+}
+
+/* The next arrivals need places where their image is. Are there too few for this one?
+ * Machines full of replicas are none, however well the image is cached there. */
+static gboolean
+short_of_places (HrCore *c, const HrJob *j)
+{
+  HrClassStat *s = hr_class (c, j->spec.klass);
+  double weight = 0, own = 0, open = 0, fetch = INFINITY, within = INFINITY;
+  for (guint i = 0; i < c->types->len; i++)
+    fetch = MIN (fetch, j->spec.image_gb / g_array_index (c->types, HrType, i).fetch_rate);
+  for (guint i = 0; i < c->set->aims->len; i++) {
+    HrAim *a = &g_array_index (c->set->aims, HrAim, i);
+    if (a->klass == j->spec.klass && a->kind == HR_AIM_WAIT)
+      within = MIN (within, a->within);
+  }
+  if (fetch + STOP_AND_START_S <= within)
+    return FALSE; /* a fetch in time is cheaper than places kept open */
+  for (guint i = 0; i < s->nimages; i++) {
+    weight += s->images[i].weight;
+    if (s->images[i].image == j->spec.image)
+      own = s->images[i].weight;
+  }
+  for (guint i = 0; i < c->fleet->len; i++) {
+    HrMachine *m = c->fleet->pdata[i];
+    if (m->state == HR_M_UP && !m->drain && m->type != HR_NONE && (!m->spot || j->spec.spot) &&
+        hr_machine_has_image (m, j->spec.image) && stays_open (c, &j->spec, m, 1))
+      open++;
+  }
+  return weight > 0 && open < hr_headroom (c, j->spec.klass) * own / weight;
+}
+
+/* The sooner its image is there the better; then fuller machines first, so that others
+ * fall empty and can be returned. */
+static double
+service_score (const HrCore *c, const HrJob *j, const HrMachine *m, gboolean open)
+{
+  double fetch = hr_fetch_time (c, j, m);
+  double closes = open && fetch > 0 && !stays_open (c, &j->spec, m, 2) ? 1000 : 0;
+  /* Behind a cut of the controllers' own zone its workers still hear the owner. */
+  double home = m->zone == c->set->home ? HR_HOME_S * 10 : 0;
+  return home - 10 * fetch - closes + m->tasks->len * 10 - (m->gpus + m->cpus * 0.1);
+}
+
+void
+hr_replicas_start (HrCore *c, GPtrArray *services)
+{
+  g_autoptr (GPtrArray) rooms = hr_dispatch_rooms (c);
+  for (guint i = 0; i < services->len; i++) {
+    HrJob *j = services->pdata[i];
+    gboolean open = short_of_places (c, j);
+    for (guint32 k = 0; k < j->ntasks; k++) {
+      HrMachine *best = NULL;
+      double most = 0;
+      if (j->tasks[k].state != HR_T_IDLE || !hr_team_allows (c, j, 1))
+        continue;
+      for (guint n = 0; n < rooms->len; n++) {
+        HrMachine *m = rooms->pdata[n];
+        if (!hr_dispatch_startable (c, j, m))
+          continue;
+        double score = service_score (c, j, m, open);
+        if (!best || score > most) {
+          most = score;
+          best = m;
+        }
+      }
+      double left = start_left (c, j);
+      if (isfinite (left) && c->now >= j->retry_at &&
+          (!best || hr_fetch_time (c, j, best) + STOP_AND_START_S > left)) {
+        HrMachine *other = hr_swap_for_image (c, j);
+        if (other)
+          best = other;
+      }
+      if (!best) {
+        j->part = HR_NONE; /* not in its part: any machine may */
+        break;
+      }
+      best->fixed_cpus += j->spec.cpus;
+      best->fixed_gpus += j->spec.gpus;
+      best->fixed_mem += j->spec.mem;
+      hr_dispatch_start (c, j, k, best);
+    }
+  }
+}
--- a/src/coordination/room.h
+++ b/src/coordination/room.h
@@ -24,6 +24,16 @@
 gboolean hr_room_take (HrRoom *r, double cpus, double gpus, double mem);
 /* Up, and heard of late. */
 gboolean hr_reachable (const HrCore *c, const HrMachine *m);
+/* Up, heard of late, and not just found full. */
+gboolean hr_dispatch_takes_tasks (const HrCore *c, const HrMachine *m);
+/* Could a task of the job start there now, beside what is kept for services? */
+gboolean hr_dispatch_startable (HrCore *c, HrJob *j, HrMachine *m);
+/* HrMachine: those that something more may start on; the others need not be looked at. */
+GPtrArray *hr_dispatch_rooms (HrCore *c);
+/* Assigns the task to the machine, as its next attempt; it leaves the plan. */
+void hr_dispatch_start (HrCore *c, HrJob *j, guint32 task, HrMachine *m);
+/* Is a better than b? Sooner done first; then the cheaper machine, then the fuller one. */
+gboolean hr_dispatch_batch_better (HrCore *c, HrJob *j, HrMachine *a, HrMachine *b);
 /* What a team is guaranteed it gets from those that run beyond theirs. */
 void hr_team_make_room (HrCore *c, HrRoom *rooms);
 /* Does the team run more than it is guaranteed, or would n more tasks stay within? */
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -183,6 +183,7 @@
   double planned_at;
   gboolean planned_now; /* the batch being worked through has a planning pass */
   double pass_took;     /* seconds, of the latest batch with one; 0: not known */
+  double held_back_at;  /* when jobs that wait beside free room are looked at next */
   guint booting;        /* machines that were starting at the latest pass, for those who ask */
   gboolean urgent;      /* some machine has orders to send at once */
   gboolean types_asked, listing;
