Urgency in one walk of the pipeline; services cannot be awaited

Cause: urgency.c went round by round with a bound of 200,000 steps and gave up silently; a job that names a service was accepted and waited for ever. Change: jobs are visited once, dependents first; a circle in what was read is said and cut. A submission that names a service which goes on gets 422 with the reason, after a reading as every 422; one that was withdrawn takes the job along. Measured: new tests: urgency_of_drawn_pipelines (12 drawn graphs of 40 jobs against the definition, also read backwards and after a cancellation), urgency_of_many_diamonds (2^60 ways), a_circle_is_said_to_be_one, odd_lists_are_refused (12 rows: status, reason, nothing recorded).

--- a/src/bookkeeping/bookkeeping.h
+++ b/src/bookkeeping/bookkeeping.h
@@ -77,6 +77,8 @@
 void hr_dependencies_final (HrCore *c, HrJob *j);
 /* The first of these jobs that this node knows nothing of, or NULL. */
 const char *hr_dependencies_unknown (HrCore *c, GStrv ids);
+/* The first of these jobs that is a service which goes on, or NULL. */
+const char *hr_dependencies_service (HrCore *c, GStrv ids);
 /* Which jobs it waits for, or which cancelled one took it along; NULL: neither. */
 char *hr_dependencies_reason (const HrJob *j);
 void hr_dependencies_tick (HrCore *c);
--- a/src/bookkeeping/dependencies.c
+++ b/src/bookkeeping/dependencies.c
@@ -144,6 +144,17 @@
   return NULL;
 }
 
+const char *
+hr_dependencies_service (HrCore *c, GStrv ids)
+{
+  for (guint i = 0; ids && ids[i]; i++) {
+    const HrJob *j = hr_job_find (c, ids[i]);
+    if (j && j->known && j->stance == HR_QUEUED && j->spec.shape == HR_SERVICE)
+      return ids[i];
+  }
+  return NULL;
+}
+
 char *
 hr_dependencies_reason (const HrJob *j)
 {
--- a/src/coordination/submissions.c
+++ b/src/coordination/submissions.c
@@ -95,6 +95,20 @@
   hr_commit (c, HR_TXN_USER, when, writes, 1, hr_request_timeout (c, request), on_submit, request);
 }
 
+/* All jobs that it awaits are known. A service among them is never done, so the job could never
+ * run; one that was withdrawn takes the job along like any other. */
+static void
+submit_if_possible (HrCore *c, HrUserRequest *request)
+{
+  const char *service = hr_dependencies_service (c, request->awaits);
+  if (!service) {
+    send_submit (c, request);
+    return;
+  }
+  g_autofree char *why = g_strdup_printf ("it awaits %s, a service, which is never done", service);
+  refuse_if_new (c, request, 422, why);
+}
+
 /* A reading sent after the submission came: what is unknown now was never accepted. */
 static void
 on_awaits_read (HrCore *c, gboolean ok, gpointer data)
@@ -108,7 +122,7 @@
   else if (j)
     hr_request_answer (c, request, j, 200); /* an earlier try of this submission */
   else if (!unknown)
-    send_submit (c, request);
+    submit_if_possible (c, request);
   else {
     g_autofree char *why = g_strdup_printf ("it awaits %s, which was never accepted", unknown);
     hr_refuse (c, request->reply_id, 422, 0, why);
@@ -172,5 +186,5 @@
   if (hr_dependencies_unknown (c, request->awaits))
     hr_follow_read (c, on_awaits_read, request);
   else
-    send_submit (c, request);
+    submit_if_possible (c, request);
 }
--- a/src/coordination/urgency.c
+++ b/src/coordination/urgency.c
@@ -7,9 +7,6 @@
 
 /* Runs shorter than that are taken for so long. */
 #define LEAST_ESTIMATE_S 10.0
-/* Steps of one spreading: more than any pipeline takes. A ledger whose jobs await one another
- * in a circle would keep it going for ever. */
-#define MAX_STEPS 200000
 
 /* What the job's own description asks for, as time of day; INFINITY while that is not known. */
 static double
@@ -76,42 +73,132 @@
   return TRUE;
 }
 
+/* ---- in the order of the pipeline ---- */
+
+typedef enum { VISIT_NONE, VISIT_OPEN, VISIT_DONE } Visit;
+
+/* A job whose awaited jobs are being visited, and how many of them were. */
+typedef struct {
+  HrJob *job;
+  guint next;
+} VisitStep;
+
+typedef struct {
+  GHashTable *visits; /* HrJob -> Visit */
+  GArray *path;       /* VisitStep */
+  GPtrArray *done;    /* HrJob, each one behind all that it awaits */
+} Walk;
+
+static void
+enter (Walk *walk, HrJob *j)
+{
+  VisitStep step = {j, 0};
+  g_hash_table_insert (walk->visits, j, GINT_TO_POINTER (VISIT_OPEN));
+  g_array_append_val (walk->path, step);
+}
+
+/* Submissions name only jobs that were accepted before, so the records that this service wrote
+ * hold no circle. One that was read all the same is cut where it closes. */
+static void
+visit_awaited (Walk *walk, HrJob *j)
+{
+  if (!counts (j))
+    return;
+  Visit visit = GPOINTER_TO_INT (g_hash_table_lookup (walk->visits, j));
+  if (visit == VISIT_OPEN)
+    g_warning ("%s awaits itself through other jobs, as its record says; it will never start",
+               j->id);
+  else if (visit == VISIT_NONE)
+    enter (walk, j);
+}
+
+/* The seeds, and what they await, directly or through others: each job before those that it
+ * awaits. Every job and every edge is looked at once. */
+static GPtrArray *
+dependents_first (const GPtrArray *seeds)
+{
+  g_autoptr (GHashTable) visits = g_hash_table_new (g_direct_hash, g_direct_equal);
+  g_autoptr (GArray) path = g_array_new (FALSE, FALSE, sizeof (VisitStep));
+  Walk walk = {visits, path, g_ptr_array_new ()};
+  for (guint i = 0; i < seeds->len; i++) {
+    if (g_hash_table_contains (visits, seeds->pdata[i]))
+      continue;
+    enter (&walk, seeds->pdata[i]);
+    while (path->len) {
+      VisitStep *step = &g_array_index (path, VisitStep, path->len - 1);
+      if (step->next < step->job->nawaits) {
+        visit_awaited (&walk, step->job->awaits[step->next++]);
+        continue;
+      }
+      g_hash_table_insert (visits, step->job, GINT_TO_POINTER (VISIT_DONE));
+      g_ptr_array_add (walk.done, step->job);
+      g_array_set_size (path, path->len - 1);
+    }
+  }
+  for (guint i = 0, n = walk.done->len; i < n / 2; i++) {
+    gpointer first = walk.done->pdata[i];
+    walk.done->pdata[i] = walk.done->pdata[n - 1 - i];
+    walk.done->pdata[n - 1 - i] = first;
+  }
+  return walk.done;
+}
+
+/* Hands on what a job asks for to those that it awaits. Did any of them change? changed: HrJob;
+ * those that did are added. */
+static gboolean
+hand_on (HrCore *c, const HrJob *j, GHashTable *changed)
+{
+  gboolean any = FALSE;
+  for (guint i = 0; i < j->nawaits; i++) {
+    HrJob *awaited = j->awaits[i];
+    if (!counts (awaited) || !take_over (c, awaited, j))
+      continue;
+    any = TRUE;
+    if (changed)
+      g_hash_table_add (changed, awaited);
+  }
+  return any;
+}
+
 void
 hr_urgency_read (HrCore *c, HrJob *j)
 {
   if (!counts (j))
     return;
   recompute (c, j);
-  GQueue todo = G_QUEUE_INIT;
-  g_queue_push_tail (&todo, j);
-  for (guint steps = 0; !g_queue_is_empty (&todo) && steps < MAX_STEPS; steps++) {
-    HrJob *d = g_queue_pop_head (&todo);
-    for (guint i = 0; i < d->nawaits; i++)
-      if (counts (d->awaits[i]) && take_over (c, d->awaits[i], d))
-        g_queue_push_tail (&todo, d->awaits[i]);
-  }
-  g_queue_clear (&todo);
+  if (!hand_on (c, j, NULL))
+    return; /* mostly: nobody else needs to be looked at */
+  g_autoptr (GPtrArray) seeds = g_ptr_array_new ();
+  for (guint i = 0; i < j->nawaits; i++)
+    if (counts (j->awaits[i]))
+      g_ptr_array_add (seeds, j->awaits[i]);
+  g_autoptr (GHashTable) changed = g_hash_table_new (g_direct_hash, g_direct_equal);
+  for (guint i = 0; i < seeds->len; i++)
+    g_hash_table_add (changed, seeds->pdata[i]);
+  g_autoptr (GPtrArray) order = dependents_first (seeds);
+  for (guint i = 0; i < order->len; i++)
+    if (g_hash_table_contains (changed, order->pdata[i]))
+      hand_on (c, order->pdata[i], changed);
 }
 
 void
 hr_urgency_withdrawn (HrCore *c, const GPtrArray *jobs)
 {
-  g_autoptr (GHashTable) queued = g_hash_table_new (g_direct_hash, g_direct_equal);
-  GQueue todo = G_QUEUE_INIT;
+  g_autoptr (GHashTable) affected = g_hash_table_new (g_direct_hash, g_direct_equal);
+  g_autoptr (GPtrArray) seeds = g_ptr_array_new ();
   for (guint k = 0; k < jobs->len; k++) {
     const HrJob *over = jobs->pdata[k];
     for (guint i = 0; i < over->nawaits; i++)
-      if (counts (over->awaits[i]) && g_hash_table_add (queued, over->awaits[i]))
-        g_queue_push_tail (&todo, over->awaits[i]);
+      if (counts (over->awaits[i]) && g_hash_table_add (affected, over->awaits[i]))
+        g_ptr_array_add (seeds, over->awaits[i]);
   }
-  for (guint steps = 0; !g_queue_is_empty (&todo) && steps < MAX_STEPS; steps++) {
-    HrJob *j = g_queue_pop_head (&todo);
-    g_hash_table_remove (queued, j);
-    if (!recompute (c, j))
+  g_autoptr (GPtrArray) order = dependents_first (seeds);
+  for (guint i = 0; i < order->len; i++) {
+    HrJob *j = order->pdata[i];
+    if (!g_hash_table_contains (affected, j) || !recompute (c, j))
       continue;
-    for (guint i = 0; i < j->nawaits; i++)
-      if (counts (j->awaits[i]) && g_hash_table_add (queued, j->awaits[i]))
-        g_queue_push_tail (&todo, j->awaits[i]);
+    for (guint k = 0; k < j->nawaits; k++)
+      if (counts (j->awaits[k]))
+        g_hash_table_add (affected, j->awaits[k]);
   }
-  g_queue_clear (&todo);
 }
--- a/tests/test_awaits.c
+++ b/tests/test_awaits.c
@@ -34,6 +34,60 @@
   ledger_free (l);
 }
 
+static int
+submit_service (LoneNode *n, const char *id)
+{
+  return node_ask (n, HR_POST, "/v1/jobs",
+                   g_strdup_printf ("{\"name_id\":\"%s\",\"jobclass\":\"k\",\"crew\":\"crew\","
+                                    "\"shape\":\"daemon\",\"rank\":\"production\",\"pieces\":1,"
+                                    "\"vcpus\":1,\"accelerators\":0,\"memory_gb\":1,"
+                                    "\"bundle\":\"i\",\"size_gb\":1,\"hulls\":null,"
+                                    "\"quarry\":null,\"together\":false,\"apart\":false,"
+                                    "\"loaners\":false,\"guess_s\":0,\"cairn_s\":0,"
+                                    "\"stash_s\":0,\"due_s\":null}",
+                                    id));
+}
+
+/* What no node accepts leaves nothing behind. */
+static void
+odd_lists_are_refused (void **state)
+{
+  static const struct {
+    const char *awaits;
+    int status;
+    const char *says;
+  } rows[] = {{"\"job-1\"", 400, "awaits"},
+              {"{}", 400, "awaits"},
+              {"[1]", 400, "awaits"},
+              {"[null]", 400, "awaits"},
+              {"[\"\"]", 400, "awaits"},
+              {"[\"job 1\"]", 400, "awaits"},
+              {"[\"job-1\",7]", 400, "awaits"},
+              {"[[\"job-1\"]]", 400, "awaits"},
+              {"[\"job-odd\"]", 422, "job-odd"},
+              {"[\"job-77\"]", 422, "never accepted"},
+              {"[\"job-svc\"]", 422, "a service"},
+              {"[\"job-1\",\"job-svc\"]", 422, "a service"}};
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (node_submit (n, "job-1", NULL, NULL), 201);
+  assert_int_equal (submit_service (n, "job-svc"), 201);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++) {
+    assert_int_equal (node_submit (n, "job-odd", rows[i].awaits, NULL), rows[i].status);
+    assert_non_null (strstr (hr_json_str (n->body, "error"), rows[i].says));
+    assert_null (ledger_job (l, "job-odd"));
+    assert_string_equal (node_poll (n, "job-odd"), "unknown");
+    /* A repetition of what was accepted is known by its id, whatever it holds now. */
+    assert_int_equal (node_submit (n, "job-1", rows[i].awaits, NULL), 200);
+  }
+  /* A service that its user withdrew takes the job along like any other. */
+  assert_int_equal (node_cancel (n, "job-svc"), 200);
+  assert_int_equal (node_submit (n, "job-odd", "[\"job-svc\"]", NULL), 201);
+  assert_string_equal (node_poll (n, "job-odd"), "withdrawn");
+  node_free (n);
+  ledger_free (l);
+}
+
 static void
 unknown_jobs_cannot_be_judged_in_an_outage (void **state)
 {
@@ -261,6 +315,7 @@
 {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (named_jobs_are_checked),
+      cmocka_unit_test (odd_lists_are_refused),
       cmocka_unit_test (unknown_jobs_cannot_be_judged_in_an_outage),
       cmocka_unit_test (a_repeat_is_known_by_its_id),
       cmocka_unit_test (records_have_room),
--- a/tests/test_readiness.c
+++ b/tests/test_readiness.c
@@ -185,6 +185,15 @@
 
 /* ---- deadline and rank ---- */
 
+static guint circles_warned; /* counted from the log */
+
+static void
+count_circles (const char *domain, GLogLevelFlags level, const char *message, gpointer data)
+{
+  if (strstr (message, "awaits itself"))
+    circles_warned++;
+}
+
 #define LAST_STEP ",\"due_s\":500,\"rank\":\"urgent\""
 
 static void
@@ -221,6 +230,166 @@
   ledger_free (l);
 }
 
+/* A drawn pipeline as records: each job awaits up to three of the earlier ones. Of the jobs that
+ * nobody awaits, some have a deadline and a rank. */
+typedef struct {
+  guint n;
+  gboolean awaits[40][40];
+  double due[40]; /* 0: none */
+  HrRank rank[40];
+} Drawn;
+
+#define DRAWN_SEED 4711
+#define DRAWN_JOBS 40
+#define DRAWN_ESTIMATE_S 20.0
+
+static void
+draw_pipeline (GRand *rand, Drawn *d)
+{
+  memset (d, 0, sizeof *d);
+  d->n = DRAWN_JOBS;
+  for (guint i = 0; i < d->n; i++) {
+    for (guint k = g_rand_int_range (rand, 0, 4); i && k > 0; k--)
+      d->awaits[i][g_rand_int_range (rand, 0, i)] = TRUE;
+    d->rank[i] = HR_LOW;
+    if (g_rand_int_range (rand, 0, 4))
+      continue;
+    d->due[i] = g_rand_double_range (rand, 100, 900);
+    d->rank[i] = g_rand_int_range (rand, HR_PRODUCTION, HR_LOW + 1);
+  }
+}
+
+static void
+submit_drawn (LoneNode *n, const Drawn *d)
+{
+  static const char *const ranks[] = {"production", "urgent", "normal", "low"};
+  for (guint i = 0; i < d->n; i++) {
+    g_autofree char *id = g_strdup_printf ("job-d%02u", i);
+    g_autoptr (GString) awaits = g_string_new ("[");
+    for (guint k = 0; k < i; k++)
+      if (d->awaits[i][k])
+        g_string_append_printf (awaits, "%s\"job-d%02u\"", awaits->len > 1 ? "," : "", k);
+    g_string_append_c (awaits, ']');
+    g_autofree char *due = d->due[i] > 0 ? g_strdup_printf ("%f", d->due[i]) : g_strdup ("null");
+    g_autofree char *more =
+        g_strdup_printf (",\"due_s\":%s,\"rank\":\"%s\"", due, ranks[d->rank[i]]);
+    assert_int_equal (node_submit (n, id, awaits->str, more), 201);
+  }
+}
+
+/* Jobs for which `gone` is set were withdrawn, with those that await them. */
+static void
+check_drawn (LoneNode *n, const Drawn *d, const gboolean *gone)
+{
+  double deadline[DRAWN_JOBS];
+  HrRank rank[DRAWN_JOBS];
+  for (gint i = d->n - 1; i >= 0; i--) {
+    g_autofree char *id = g_strdup_printf ("job-d%02d", i);
+    const HrJob *j = hr_job_find (n->core, id);
+    gboolean ready = TRUE;
+    for (gint k = 0; k < i; k++)
+      ready = ready && !d->awaits[i][k];
+    rank[i] = d->rank[i];
+    deadline[i] = d->due[i] > 0 ? j->submitted + d->due[i]
+                  : ready       ? j->submitted + n->core->pol.default_deadline * DRAWN_ESTIMATE_S
+                                : INFINITY;
+    for (guint k = i + 1; k < d->n; k++)
+      if (d->awaits[k][i] && !gone[k]) {
+        rank[i] = MIN (rank[i], rank[k]);
+        deadline[i] = MIN (deadline[i], deadline[k] - DRAWN_ESTIMATE_S);
+      }
+    if (gone[i])
+      continue;
+    assert_int_equal (j->rank, rank[i]);
+    assert_true (j->deadline == deadline[i] || fabs (j->deadline - deadline[i]) < 1e-3);
+  }
+}
+
+static void
+urgency_of_drawn_pipelines (void **state)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (DRAWN_SEED);
+  for (guint round = 0; round < 12; round++) {
+    Drawn d;
+    gboolean gone[DRAWN_JOBS] = {FALSE};
+    Ledger *l = ledger_new ();
+    LoneNode *n = node_up (l);
+    draw_pipeline (rand, &d);
+    submit_drawn (n, &d);
+    check_drawn (n, &d, gone);
+    /* A later leader derives the same, whatever the order in which it reads. */
+    l->backwards = round % 2;
+    hr_follow_reset (n->core);
+    node_run (n, 3);
+    check_drawn (n, &d, gone);
+    guint cancelled = g_rand_int_range (rand, DRAWN_JOBS / 2, DRAWN_JOBS);
+    g_autofree char *id = g_strdup_printf ("job-d%02u", cancelled);
+    assert_int_equal (node_cancel (n, id), 200);
+    gone[cancelled] = TRUE;
+    for (guint i = cancelled; i < d.n; i++)
+      for (guint k = 0; k < i; k++)
+        gone[i] = gone[i] || (d.awaits[i][k] && gone[k]);
+    check_drawn (n, &d, gone);
+    node_free (n);
+    ledger_free (l);
+  }
+}
+
+/* Layers in which each job awaits both of the layer before: the number of ways through them
+ * doubles with each, and the work must not. */
+static void
+urgency_of_many_diamonds (void **state)
+{
+  enum { LAYERS = 60 };
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  for (guint i = 0; i < 2 * LAYERS; i++) {
+    g_autofree char *id = g_strdup_printf ("job-l%03u", i);
+    g_autofree char *awaits =
+        i < 2 ? NULL
+              : g_strdup_printf ("[\"job-l%03u\",\"job-l%03u\"]", i / 2 * 2 - 2, i / 2 * 2 - 1);
+    gboolean last = i == 2 * LAYERS - 1;
+    assert_int_equal (node_submit (n, id, awaits, last ? LAST_STEP : NULL), 201);
+  }
+  const HrJob *first = hr_job_find (n->core, "job-l000"), *last = hr_job_find (n->core, "job-l119");
+  assert_int_equal (first->rank, HR_URGENT);
+  assert_float_equal (first->deadline, last->deadline - (LAYERS - 1) * DRAWN_ESTIMATE_S, 1e-3);
+  assert_int_equal (node_cancel (n, "job-l119"), 200);
+  assert_int_equal (first->rank, HR_LOW);
+  node_free (n);
+  ledger_free (l);
+}
+
+/* Records that await one another in a circle are no work of this service. They are said to be, and
+ * keep nobody busy. */
+static void
+a_circle_is_said_to_be_one (void **state)
+{
+  static const char *const ids[] = {"job-x", "job-y", "job-z"};
+  Ledger *l = ledger_new ();
+  LoneNode *n = node_up (l);
+  assert_int_equal (node_submit (n, "job-1", NULL, LAST_STEP), 201);
+  g_autofree char *record = g_strdup (ledger_job (l, "job-1"));
+  for (guint i = 0; i < G_N_ELEMENTS (ids); i++) {
+    json_t *o = json_loads (record, 0, NULL);
+    json_object_set_new (o, "a", json_pack ("[s]", ids[(i + 1) % G_N_ELEMENTS (ids)]));
+    g_autofree char *text = hr_json_take_text (o), *path = g_strconcat ("h/j/", ids[i], NULL);
+    l->epoch++;
+    ledger_set (l, path, text);
+  }
+  guint handler = g_log_set_handler ("hoprock", G_LOG_LEVEL_WARNING, count_circles, NULL);
+  node_run (n, 2);
+  g_log_remove_handler ("hoprock", handler);
+  assert_true (circles_warned > 0);
+  assert_string_equal (node_poll (n, "job-x"), "queued");
+  assert_false (node_opens (n, "job-x"));
+  assert_int_equal (node_cancel (n, "job-y"), 200);
+  assert_string_equal (node_poll (n, "job-x"), "withdrawn");
+  assert_string_equal (node_poll (n, "job-z"), "withdrawn");
+  node_free (n);
+  ledger_free (l);
+}
+
 /* The end of a job that others await is recorded before other ends: they start after it. */
 static void
 awaited_ends_go_first (void **state)
@@ -324,6 +493,9 @@
       cmocka_unit_test (no_assignment_is_recorded),
       cmocka_unit_test (no_launch_is_ordered),
       cmocka_unit_test (urgency_flows_up_and_back),
+      cmocka_unit_test (urgency_of_drawn_pipelines),
+      cmocka_unit_test (urgency_of_many_diamonds),
+      cmocka_unit_test (a_circle_is_said_to_be_one),
       cmocka_unit_test (lists_stay_in_order),
       cmocka_unit_test (awaited_ends_go_first),
       cmocka_unit_test (machines_are_wanted_a_boot_ahead),
