Soak: answers of two reports that a controller has at once may be seen in either order

Change: of a process, an answer is held against what that controller had answered when the report was handed to it; in the simulated cluster, as before, against all that it has answered. A real fault (an answer after a later session's was seen) is still reported.

--- a/tests/sim/messages.c
+++ b/tests/sim/messages.c
@@ -180,6 +180,8 @@
       *key = c->id;
       r->refs++;
       g_hash_table_insert (n->open, key, r);
+      if (w->controllers && r->machine >= 0)
+        node_note_report (w, r->to, c->id, ((SMachine *)w->machines->pdata[r->machine])->name);
       node_push (w, r->to, c);
     }
   }
