Reading the change again: conditions and callbacks that stood twice; rooms only when looked at

Cause: has_room of held_back.c repeated four conditions of what may start on a machine; the list of machines with room was made in every planning pass for a look once a second; starting a node later stood seven times; the soak's file names stood twice, a submission's body too, in test_awaits; one comment in command.h stood above the wrong function. Change: hr_dispatch_has_room serves both; held_back.c makes the list itself once it is due and asks each job once whether it waits; node_start_at; files are removed where they are named; one body in lone_node. Behaviour is as it was.

--- a/src/coordination/command.h
+++ b/src/coordination/command.h
@@ -84,9 +84,9 @@
 /* The first id named, or the one after `id`; NULL after the last. */
 const char *hr_named_next (const HrNamedWithdrawals *n, const char *id);
 
-/* With an empty hint when it is to be one. */
 /* As it stands in a request line. */
 HrMethod hr_method_of (const char *name);
+/* With an empty hint when it is to be one. */
 HrCommand *hr_command_new (HrCommandKind kind);
 void hr_command_free (HrCommand *c);
 void hr_effect_free (HrEffect *e);
--- a/src/coordination/dispatch.c
+++ b/src/coordination/dispatch.c
@@ -13,16 +13,16 @@
 }
 
 gboolean
-hr_dispatch_takes_tasks (const HrCore *c, const HrMachine *m)
+hr_dispatch_has_room (HrCore *c, HrJob *j, HrMachine *m)
 {
-  return hr_reachable (c, m) && c->now >= m->full_until;
+  return hr_machine_fits (m, &j->spec) && hr_reachable (c, m) && c->now >= m->full_until &&
+         hr_allowed (c, j, m) && hr_zone_ok (c, j, m);
 }
 
 gboolean
 hr_dispatch_startable (HrCore *c, HrJob *j, HrMachine *m)
 {
-  return hr_machine_fits (m, &j->spec) && hr_dispatch_takes_tasks (c, m) && c->now >= j->retry_at &&
-         hr_allowed (c, j, m) && hr_zone_ok (c, j, m) &&
+  return c->now >= j->retry_at && hr_dispatch_has_room (c, j, m) &&
          (j->spec.shape == HR_SERVICE || hr_machine_fits_beside_claims (m, &j->spec));
 }
 
@@ -275,8 +275,7 @@
       g_hash_table_insert (blocked, m, g_memdup2 (&until, sizeof until));
   }
   start_from_any (c, blocked);
-  g_autoptr (GPtrArray) still_roomy = hr_dispatch_rooms (c);
-  hr_held_back_tick (c, still_roomy);
+  hr_held_back_tick (c);
   hr_limits_make_room (c);
 
   guint booting;
--- a/src/coordination/held_back.c
+++ b/src/coordination/held_back.c
@@ -21,14 +21,6 @@
          j->nlive + j->ndone < j->ntasks && c->now >= j->retry_at && hr_team_allows (c, j, 1);
 }
 
-/* A task of the job fits there now, as far as machine, team and zones go. */
-static gboolean
-has_room (HrCore *c, HrJob *j, const HrMachine *m)
-{
-  return hr_machine_fits (m, &j->spec) && hr_dispatch_takes_tasks (c, m) && hr_allowed (c, j, m) &&
-         hr_zone_ok (c, j, (HrMachine *)m);
-}
-
 /* The machine with room where the job's next task would be done first; NULL: there is none.
  * first: any one will do. */
 static HrMachine *
@@ -39,7 +31,7 @@
   j->part = HR_NONE; /* room in any part of the fleet counts */
   for (guint i = 0; i < rooms->len && !(best && first); i++) {
     HrMachine *m = rooms->pdata[i];
-    if (has_room (c, j, m) && (!best || hr_dispatch_batch_better (c, j, m, best)))
+    if (hr_dispatch_has_room (c, j, m) && (!best || hr_dispatch_batch_better (c, j, m, best)))
       best = m;
   }
   j->part = part;
@@ -74,20 +66,22 @@
 }
 
 void
-hr_held_back_tick (HrCore *c, const GPtrArray *rooms)
+hr_held_back_tick (HrCore *c)
 {
   if (c->now < c->held_back_at)
     return;
   c->held_back_at = c->now + LOOK_EVERY_S;
-  const HrJobSpec *failed =
-      NULL; /* of the latest job without room: with many, others follow suit */
+  g_autoptr (GPtrArray) rooms = hr_dispatch_rooms (c);
+  /* Of the latest job without room: where many wait, others like it follow. */
+  const HrJobSpec *failed = NULL;
   for (guint i = 0; i < c->open->len; i++) {
     HrJob *j = c->jobs->pdata[g_array_index (c->open, guint32, i)];
-    gboolean beside = waits (c, j) && !(failed && asks_for_more (&j->spec, failed)) &&
-                      machine_with_room (c, j, rooms, TRUE);
-    if (!beside) {
-      if (waits (c, j))
-        failed = &j->spec;
+    if (!waits (c, j)) {
+      j->held_back_since = 0;
+      continue;
+    }
+    if ((failed && asks_for_more (&j->spec, failed)) || !machine_with_room (c, j, rooms, TRUE)) {
+      failed = &j->spec;
       j->held_back_since = 0;
       continue;
     }
--- a/src/coordination/held_back.h
+++ b/src/coordination/held_back.h
@@ -3,5 +3,5 @@
 #include "coordination/state.h"
 
 /* Called in each planning pass once the plan's own starts are made, by a leader that may record
- * starts. rooms: HrMachine, those that something more may start on. */
-void hr_held_back_tick (HrCore *c, const GPtrArray *rooms);
+ * starts. */
+void hr_held_back_tick (HrCore *c);
--- a/src/coordination/room.h
+++ b/src/coordination/room.h
@@ -24,8 +24,9 @@
 gboolean hr_room_take (HrRoom *r, double cpus, double gpus, double mem);
 /* Up, and heard of late. */
 gboolean hr_reachable (const HrCore *c, const HrMachine *m);
-/* Up, heard of late, and not just found full. */
-gboolean hr_dispatch_takes_tasks (const HrCore *c, const HrMachine *m);
+/* Does a task of the job fit there now, as far as machine and zones go, in room that may be kept
+ * for others? */
+gboolean hr_dispatch_has_room (HrCore *c, HrJob *j, HrMachine *m);
 /* Could a task of the job start there now, beside what is kept for services? */
 gboolean hr_dispatch_startable (HrCore *c, HrJob *j, HrMachine *m);
 /* HrMachine: those that something more may start on; the others need not be looked at. */
--- a/src/emulator/live.c
+++ b/src/emulator/live.c
@@ -49,26 +49,6 @@
   g_source_remove (step);
 }
 
-static void
-remove_file (const char *file)
-{
-  if (g_unlink (file) != 0)
-    g_warning ("emulator: %s is left behind: %s", file, g_strerror (errno));
-}
-
-static void
-remove_files (Live *s)
-{
-  for (int i = 0; i < s->w->n; i++) {
-    g_autofree char *log = g_strdup_printf ("%s/c%d.log", s->dir, i);
-    g_autofree char *settings = g_strdup_printf ("%s/c%d.json", s->dir, i);
-    remove_file (log);
-    remove_file (settings);
-  }
-  if (g_rmdir (s->dir) != 0)
-    g_warning ("emulator: %s is left behind: %s", s->dir, g_strerror (errno));
-}
-
 void
 live_end (Live *s)
 {
@@ -76,7 +56,7 @@
     node_kill (s->w, i);
   live_wire_end (s);
   live_processes_end (s);
-  if (s->remove_files)
-    remove_files (s);
+  if (s->remove_files && g_rmdir (s->dir) != 0)
+    g_warning ("emulator: %s is left behind: %s", s->dir, g_strerror (errno));
   g_free (s->dir);
 }
--- a/src/emulator/processes.c
+++ b/src/emulator/processes.c
@@ -1,6 +1,7 @@
 /* The controllers as processes: started, killed, stopped and continued, each by its id, and none
  * but those that this program started. */
 #include "emulator/live.h"
+#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -40,6 +41,12 @@
         s->nodes[i].peers[k] = live_relay (s, i, k);
 }
 
+static char *
+settings_file (const Live *s, int i)
+{
+  return g_strdup_printf ("%s/c%d.json", s->dir, i);
+}
+
 static char *
 write_settings (Live *s, int i)
 {
@@ -55,7 +62,7 @@
     int k = json_string_value (json_object_get (member, "label"))[1] - '0';
     json_object_set_new (member, "endpoint", json_string (n->peers[k]));
   }
-  char *file = g_strdup_printf ("%s/c%d.json", s->dir, i);
+  char *file = settings_file (s, i);
   if (json_dump_file (root, file, JSON_INDENT (1)) != 0)
     g_error ("emulator: %s cannot be written", file);
   json_decref (root);
@@ -69,12 +76,6 @@
   prctl (PR_SET_PDEATHSIG, SIGKILL);
 }
 
-static void
-restart (World *w, gpointer node)
-{
-  node_start (w, GPOINTER_TO_INT (node));
-}
-
 typedef struct {
   Live *live;
   int node;
@@ -91,7 +92,7 @@
   live_catch_up (s);
   w_broken (s->w, "ended", "c%d ended by itself", watched->node);
   node_kill (s->w, watched->node);
-  w_at (s->w, s->w->now + 1, restart, GINT_TO_POINTER (watched->node));
+  node_start_at (s->w, watched->node, s->w->now + 1);
 }
 
 /* Its ports are free from here on. Waited for only when they are needed: a process with sanitizers
@@ -174,6 +175,21 @@
 
 const WControllers live_controllers = {start, end, live_push, freeze, live_worker_address};
 
+static void
+remove_file (const char *file)
+{
+  if (g_unlink (file) != 0)
+    g_warning ("emulator: %s is left behind: %s", file, g_strerror (errno));
+}
+
+static void
+remove_files (const Live *s, int i)
+{
+  g_autofree char *settings = settings_file (s, i);
+  remove_file (settings);
+  remove_file (s->nodes[i].log);
+}
+
 void
 live_processes_end (Live *s)
 {
@@ -184,6 +200,8 @@
       g_object_unref (n->held[k]);
     for (int k = 0; k < s->w->n; k++)
       g_free (n->peers[k]);
+    if (s->remove_files)
+      remove_files (s, i);
     g_free (n->front);
     g_free (n->back);
     g_free (n->log);
--- a/tests/sim/fate.c
+++ b/tests/sim/fate.c
@@ -9,12 +9,6 @@
 /* Longer than a leader's lease of the state service. */
 #define AWAY_S 7.0
 
-static void
-start_again (World *w, gpointer node)
-{
-  node_start (w, GPOINTER_TO_INT (node));
-}
-
 static void
 end_process (World *w, gpointer node)
 {
@@ -40,7 +34,7 @@
 {
   gpointer node = GINT_TO_POINTER (r->node >= 0 ? r->node : r->to);
   w_at (w, at, end_process, node);
-  w_at (w, at + away, start_again, node);
+  node_start_at (w, GPOINTER_TO_INT (node), at + away);
 }
 
 void
--- a/tests/sim/faults.c
+++ b/tests/sim/faults.c
@@ -1,19 +1,13 @@
 /* Troubles drawn from the seed: alone, together, and in the middle of each other. */
 #include "sim/faults.h"
 
-static void
-start (World *w, gpointer p)
-{
-  node_start (w, GPOINTER_TO_INT (p));
-}
-
 void
 fault_crash (World *w, int i)
 {
   node_kill (w, i);
   /* Back after a while, now and then within a fraction of a second. */
-  w_at (w, w->now + (w_rand (w, 0, 1) < 0.3 ? w_rand (w, 0.05, 0.5) : w_rand (w, 3, 7)), start,
-        GINT_TO_POINTER (i));
+  node_start_at (w, i,
+                 w->now + (w_rand (w, 0, 1) < 0.3 ? w_rand (w, 0.05, 0.5) : w_rand (w, 3, 7)));
 }
 
 /* Again and again, each time back within a fraction of a second. */
@@ -22,7 +16,7 @@
 {
   int i = GPOINTER_TO_INT (p);
   node_kill (w, i);
-  w_at (w, w->now + w_rand (w, 0.05, 0.5), start, p);
+  node_start_at (w, GPOINTER_TO_INT (p), w->now + w_rand (w, 0.05, 0.5));
 }
 
 static void
--- a/tests/sim/lone_node.c
+++ b/tests/sim/lone_node.c
@@ -237,18 +237,31 @@
   return GPOINTER_TO_INT (status);
 }
 
-int
-node_submit (LoneNode *n, const char *id, const char *awaits, const char *more)
+static int
+submit (LoneNode *n, const char *id, const char *shape, guint estimate, const char *awaits,
+        const char *more)
 {
   return node_ask (
       n, HR_POST, "/v1/jobs",
       g_strdup_printf ("{\"name_id\":\"%s\",\"jobclass\":\"k\",\"crew\":\"crew\","
-                       "\"shape\":\"batch\",\"pieces\":2,\"vcpus\":1,\"accelerators\":0,"
+                       "\"shape\":\"%s\",\"pieces\":2,\"vcpus\":1,\"accelerators\":0,"
                        "\"memory_gb\":1,\"bundle\":\"i\",\"size_gb\":1,\"hulls\":null,"
                        "\"quarry\":null,\"together\":false,\"apart\":false,"
-                       "\"loaners\":false,\"guess_s\":20,\"cairn_s\":0,\"stash_s\":0%s%s%s}",
-                       id, awaits ? ",\"awaits\":" : "", awaits ? awaits : "",
-                       more ? more : ",\"due_s\":null,\"rank\":\"low\""));
+                       "\"loaners\":false,\"guess_s\":%u,\"cairn_s\":0,\"stash_s\":0%s%s%s}",
+                       id, shape, estimate, awaits ? ",\"awaits\":" : "", awaits ? awaits : "",
+                       more));
+}
+
+int
+node_submit (LoneNode *n, const char *id, const char *awaits, const char *more)
+{
+  return submit (n, id, "batch", 20, awaits, more ? more : ",\"due_s\":null,\"rank\":\"low\"");
+}
+
+int
+node_submit_service (LoneNode *n, const char *id)
+{
+  return submit (n, id, "daemon", 0, NULL, ",\"due_s\":null,\"rank\":\"production\"");
 }
 
 const char *
--- a/tests/sim/lone_node.h
+++ b/tests/sim/lone_node.h
@@ -46,6 +46,8 @@
 /* Submits a job with these fields beside the usual ones (an array of two small tasks of 20 s).
  * awaits: an array, or NULL; more: `due_s` and `rank` with a comma before them, or NULL. */
 int node_submit (LoneNode *n, const char *id, const char *awaits, const char *more);
+/* A service of two small replicas. */
+int node_submit_service (LoneNode *n, const char *id);
 /* The job's stance as the node tells it; "unknown" with a 404. */
 const char *node_poll (LoneNode *n, const char *id);
 int node_cancel (LoneNode *n, const char *id);
--- a/tests/sim/pipeline.c
+++ b/tests/sim/pipeline.c
@@ -76,12 +76,6 @@
     w_broken (w, "orphaned", "%s/%u is on a machine", j->id, task);
 }
 
-static void
-restart (World *w, gpointer p)
-{
-  node_start (w, GPOINTER_TO_INT (p));
-}
-
 /* Whatever was not in the state service by now is lost. */
 static void
 shock (World *w)
@@ -90,7 +84,7 @@
     w->outage = MAX (w->outage, w->now + w_rand (w, 3, 15));
   for (int k = 0; k < w->n; k++) {
     node_kill (w, k);
-    w_at (w, w->now + w_rand (w, 0.1, 5), restart, GINT_TO_POINTER (k));
+    node_start_at (w, k, w->now + w_rand (w, 0.1, 5));
   }
 }
 
--- a/tests/sim/troubles.c
+++ b/tests/sim/troubles.c
@@ -92,12 +92,6 @@
 
 /* ---- beginnings ---- */
 
-static void
-start_node (World *w, gpointer p)
-{
-  node_start (w, GPOINTER_TO_INT (p));
-}
-
 static void
 hit_node (World *w, const HrTrouble *t, int i, gboolean first)
 {
@@ -109,7 +103,7 @@
                   : t->back_s > 0              ? t->back_s
                                                : trouble_rand (w, BACK_MIN_S, BACK_MAX_S);
     node_kill (w, i);
-    w_at (w, w->now + back, start_node, GINT_TO_POINTER (i));
+    node_start_at (w, i, w->now + back);
   } else if (t->kind == TROUBLE_NODE_FREEZE)
     node_freeze (w, i, t->for_s);
   else if (t->kind == TROUBLE_STATE_REFUSES)
--- a/tests/sim/upgrade.c
+++ b/tests/sim/upgrade.c
@@ -15,12 +15,6 @@
   world_restart (w);
 }
 
-static void
-start (World *w, gpointer p)
-{
-  node_start (w, GPOINTER_TO_INT (p));
-}
-
 /* Its process ends, if it is there; from now on it comes back new. */
 static void
 turn (World *w, gpointer p)
@@ -29,7 +23,7 @@
   node_kill (w, i);
   w->nodes[i].speaks = HR_FORMAT;
   w->nodes[i].upgraded = TRUE;
-  w_at (w, w->now + (i == 0 ? w->last_down : DOWN_S), start, p);
+  node_start_at (w, GPOINTER_TO_INT (p), w->now + (i == 0 ? w->last_down : DOWN_S));
 }
 
 /* The first node's turn is the last. */
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -314,6 +314,18 @@
     start_core (w, i);
 }
 
+static void
+start_due (World *w, gpointer node)
+{
+  node_start (w, GPOINTER_TO_INT (node));
+}
+
+void
+node_start_at (World *w, int i, double at)
+{
+  w_at (w, at, start_due, GINT_TO_POINTER (i));
+}
+
 void
 node_kill (World *w, int i)
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -259,6 +259,8 @@
 void w_meet_fate (World *w, Req *r, WFate fate, double t);
 
 void node_start (World *w, int i);
+/* Starts it then, unless it is up by that time. */
+void node_start_at (World *w, int i, double at);
 void node_kill (World *w, int i);
 
 /* Large arrays and services, some of which are withdrawn. */
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -180,19 +180,13 @@
 
 /* ---- an upgrade ---- */
 
-static void
-start_node (World *w, gpointer node)
-{
-  node_start (w, GPOINTER_TO_INT (node));
-}
-
 /* Each one comes back in the version that it has by then. */
 static void
 end_all (World *w, gpointer unused)
 {
   for (int i = 0; i < w->n; i++) {
     node_kill (w, i);
-    w_at (w, w->now + END_ALL_BACK_S, start_node, GINT_TO_POINTER (i));
+    node_start_at (w, i, w->now + END_ALL_BACK_S);
   }
 }
 
--- a/tests/test_awaits.c
+++ b/tests/test_awaits.c
@@ -34,20 +34,6 @@
   ledger_free (l);
 }
 
-static int
-submit_service (LoneNode *n, const char *id)
-{
-  return node_ask (n, HR_POST, "/v1/jobs",
-                   g_strdup_printf ("{\"name_id\":\"%s\",\"jobclass\":\"k\",\"crew\":\"crew\","
-                                    "\"shape\":\"daemon\",\"rank\":\"production\",\"pieces\":1,"
-                                    "\"vcpus\":1,\"accelerators\":0,\"memory_gb\":1,"
-                                    "\"bundle\":\"i\",\"size_gb\":1,\"hulls\":null,"
-                                    "\"quarry\":null,\"together\":false,\"apart\":false,"
-                                    "\"loaners\":false,\"guess_s\":0,\"cairn_s\":0,"
-                                    "\"stash_s\":0,\"due_s\":null}",
-                                    id));
-}
-
 /* What no node accepts leaves nothing behind. */
 static void
 odd_lists_are_refused (void **state)
@@ -71,7 +57,7 @@
   Ledger *l = ledger_new ();
   LoneNode *n = node_up (l);
   assert_int_equal (node_submit (n, "job-1", NULL, NULL), 201);
-  assert_int_equal (submit_service (n, "job-svc"), 201);
+  assert_int_equal (node_submit_service (n, "job-svc"), 201);
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++) {
     assert_int_equal (node_submit (n, "job-odd", rows[i].awaits, NULL), rows[i].status);
     assert_non_null (strstr (hr_json_str (n->body, "error"), rows[i].says));
@@ -126,7 +112,7 @@
   assert_int_equal (node_submit (n, "job-1", NULL, NULL), 201);
   g_autofree char *text = g_strdup (ledger_job (l, "job-1"));
   g_autofree char *many = many_ids (320);
-  assert_int_equal (submit_service (n, "job-svc"), 201);
+  assert_int_equal (node_submit_service (n, "job-svc"), 201);
   const char *const awaits[] = {"[\"job-9\"]", many, "[\"job-svc\"]"};
   for (guint i = 0; i < G_N_ELEMENTS (awaits); i++) {
     g_autofree char *id = g_strdup_printf ("job-e%u", i), *path = g_strconcat ("h/j/", id, NULL);
