Review, case 1: large services that stop all controllers

Cause: a planning pass takes time in the square of the number of replicas of a service that sets `together` or `apart` while a machine boots, about 40 s for one of 100,000 replicas. The leader answers nobody meanwhile, loses its lock, and the next one does the same.

Nothing is fixed.

--- /dev/null
+++ b/review/run_case.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Runs case $1 (see its claim.txt) and writes its record. Exit 1: the rule was broken; 0: it held; 2: the case
+# could not run. With TROUBLE=0 in the environment it does the same without the disruption.
+set -uo pipefail
+number=$1
+cd "$(dirname "$0")/.." || exit 2
+export RECORD="$PWD/review/$number/record.txt" TROUBLE="${TROUBLE:-1}"
+rm -f "$RECORD"
+if [ ! -x target/hoprockd ]; then
+  echo "target/hoprockd is missing: build the project first" >&2
+  exit 2
+fi
+bash review/build.sh || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout -k 2 117 "review/.build/case$number" target/hoprockd deploy/policy.hop "$folder"
+code=$?
+[ "$code" -le 2 ] || code=2
+if [ -n "${KEEP_LOGS:-}" ]; then
+  cp "$folder"/*.log "$KEEP_LOGS"/
+fi
+tail -n 1 "$RECORD"
+exit "$code"
