--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -19,5 +19,5 @@
 if [ -n "${KEEP_LOGS:-}" ]; then
   cp "$folder"/*.log "$KEEP_LOGS"/
 fi
-tail -n 1 "$RECORD"
+grep "result:" "$RECORD" | tail -n 1
 exit "$code"
