Review: each script reads TROUBLE itself

Cause: run.sh left TROUBLE to the program behind it, so that the script did not show that it can run without the disruption.

--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# Runs case $1 (see its claim.txt) and writes its record. Exit 1: the rule was broken; 0: it held; 2: the case
-# could not run. With TROUBLE=0 in the environment it does the same without the disruption.
+# Runs case $1 (see its claim.txt), with the disruption unless $2 is 0, and writes its record. Exit 1: the rule
+# was broken; 0: it held; 2: the case could not run. Each case's run.sh passes its TROUBLE on.
 set -uo pipefail
 number=$1
+export TROUBLE="$2"
 cd "$(dirname "$0")/.." || exit 2
-export RECORD="$PWD/review/$number/record.txt" TROUBLE="${TROUBLE:-1}"
+export RECORD="$PWD/review/$number/record.txt"
 rm -f "$RECORD"
 if [ ! -x target/hoprockd ]; then
   echo "target/hoprockd is missing: build the project first" >&2
