--- a/src/bookkeeping/replica.c
+++ b/src/bookkeeping/replica.c
@@ -4,6 +4,7 @@
 #include "bookkeeping/store_keys.h"
 #include "protocol/http_method.h"
 #include "protocol/json_util.h"
+#include "protocol/random_range.h"
 #include "protocol/store_api.h"
 
 #define READ_TIMEOUT_S 2.0
@@ -186,7 +187,7 @@
     apply_changes (store, body);
   else
     store->replica.next_watch_at =
-        store->now + g_rand_double_range (store->random, MIN_WATCH_RETRY_S, MAX_WATCH_RETRY_S);
+        store->now + hr_random_range (store->random, MIN_WATCH_RETRY_S, MAX_WATCH_RETRY_S);
 }
 
 static void
--- a/src/bookkeeping/replica_listing.c
+++ b/src/bookkeeping/replica_listing.c
@@ -6,6 +6,7 @@
 #include "bookkeeping/tables.h"
 #include "protocol/http_method.h"
 #include "protocol/json_util.h"
+#include "protocol/random_range.h"
 #include "protocol/store_api.h"
 
 #define LISTING_TIMEOUT_S 5.0
@@ -46,7 +47,7 @@
   hr_replica_update_availability (store, FALSE);
   store->replica.state = HR_REPLICA_NOT_SYNCED;
   store->replica.list_retry_at =
-      store->now + g_rand_double_range (store->random, MIN_RETRY_S, MAX_RETRY_S);
+      store->now + hr_random_range (store->random, MIN_RETRY_S, MAX_RETRY_S);
 }
 
 static void
--- a/src/bookkeeping/transactions.c
+++ b/src/bookkeeping/transactions.c
@@ -2,6 +2,7 @@
 #include "bookkeeping/token_bucket.h"
 #include "protocol/http_method.h"
 #include "protocol/json_util.h"
+#include "protocol/random_range.h"
 #include "protocol/store_api.h"
 
 #define MAX_TRANSACTIONS_IN_FLIGHT 8
@@ -100,11 +101,11 @@
 {
   HrTransactions *transactions = &store->transactions;
   transactions->paused_until =
-      store->now + g_rand_double_range (store->random, MIN_BUSY_PAUSE_S, MAX_BUSY_PAUSE_S);
+      store->now + hr_random_range (store->random, MIN_BUSY_PAUSE_S, MAX_BUSY_PAUSE_S);
   /* Users' requests at other controllers have priority; this node does not see their writes. */
   transactions->background_paused_until =
       store->now +
-      g_rand_double_range (store->random, MIN_BACKGROUND_PAUSE_S, MAX_BACKGROUND_PAUSE_S);
+      hr_random_range (store->random, MIN_BACKGROUND_PAUSE_S, MAX_BACKGROUND_PAUSE_S);
   /* The shared allowance is used up: writes from the tokens saved here would be refused. */
   transactions->allowance.tokens = 0;
   transactions->allowance.refilled_at = store->now;
--- a/src/coordination/leadership/election.c
+++ b/src/coordination/leadership/election.c
@@ -7,6 +7,7 @@
 #include "coordination/state.h"
 #include "protocol/http_method.h"
 #include "protocol/json_util.h"
+#include "protocol/random_range.h"
 #include "protocol/store_api.h"
 
 #define STORE_TIMEOUT_S 2.0
@@ -41,7 +42,7 @@
   if (status == 400)
     leadership->lock_lease_id = 0; /* the lease no longer exists in the store */
   leadership->next_election_at =
-      core->now + g_rand_double_range (core->random, ELECTION_PAUSE_MIN_S, ELECTION_PAUSE_MAX_S);
+      core->now + hr_random_range (core->random, ELECTION_PAUSE_MIN_S, ELECTION_PAUSE_MAX_S);
   /* Whether the election succeeded, failed or has an unknown result, the next read shows which
    * process the leader record names. */
   hr_replica_read (store, on_leader_record_reread, NULL);
@@ -59,7 +60,7 @@
     leadership->lock_lease_renewed_at = sent_at;
   } else
     leadership->next_election_at =
-        core->now + g_rand_double_range (core->random, LEASE_PAUSE_MIN_S, LEASE_PAUSE_MAX_S);
+        core->now + hr_random_range (core->random, LEASE_PAUSE_MIN_S, LEASE_PAUSE_MAX_S);
 }
 
 static void
--- a/src/coordination/leadership/leadership.c
+++ b/src/coordination/leadership/leadership.c
@@ -5,6 +5,7 @@
 #include "coordination/membership/membership.h"
 #include "coordination/state.h"
 #include "protocol/json_util.h"
+#include "protocol/random_range.h"
 
 /* Once the lock is free, each member delays its election by a random time up to this. */
 #define MAX_ELECTION_JITTER_S 0.4
@@ -128,7 +129,7 @@
   /* Jitter, so that the members do not all start an election at the same time. A node that
    * is still the leader does not wait. */
   double wait_s =
-      leadership->is_leader ? 0 : g_rand_double_range (core->random, 0, MAX_ELECTION_JITTER_S);
+      leadership->is_leader ? 0 : hr_random_range (core->random, 0, MAX_ELECTION_JITTER_S);
   leadership->next_election_at = core->now + wait_s;
   leadership->lock_free_since = core->now;
 }
--- a/src/coordination/scaling/instance_requests.c
+++ b/src/coordination/scaling/instance_requests.c
@@ -8,6 +8,7 @@
 #include "protocol/http_method.h"
 #include "protocol/json_util.h"
 #include "protocol/cloud.h"
+#include "protocol/random_range.h"
 
 #define MAX_INSTANCES_PER_REQUEST 50
 #define CALL_TIMEOUT_S 6
@@ -114,7 +115,7 @@
     break;
   case ANSWER_INCONCLUSIVE:
     core->scaling.paused_until =
-        core->now + g_rand_double_range (core->random, MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S);
+        core->now + hr_random_range (core->random, MIN_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S);
     g_queue_push_tail (&core->scaling.requests_to_retry, request);
     return;
   }
--- a/tests/sim/cluster.c
+++ b/tests/sim/cluster.c
@@ -1,5 +1,6 @@
 #include "coordination/command.h"
 #include "coordination/core.h"
+#include "protocol/random_range.h"
 #include "sim/cloud.h"
 #include "sim/invariant_checks.h"
 #include "sim/log.h"
@@ -54,7 +55,7 @@
 double
 sim_rand_range (SimCluster *cluster, double lo, double hi)
 {
-  return g_rand_double_range (cluster->rand, lo, hi);
+  return hr_random_range (cluster->rand, lo, hi);
 }
 
 static void run_node (SimCluster *cluster, gpointer data);
--- a/tests/sim/trouble_draw.c
+++ b/tests/sim/trouble_draw.c
@@ -1,4 +1,5 @@
 /* Draws a fault of a given kind from a random stream. */
+#include "protocol/random_range.h"
 #include "sim/troubles.h"
 
 #define MIN_DURATION_S 0.5
@@ -20,7 +21,7 @@
 {
   fault->for_s = 0;
   fault->back_s =
-      g_rand_boolean (rand) ? g_rand_double_range (rand, 0.1, 1) : g_rand_double_range (rand, 1, 7);
+      g_rand_boolean (rand) ? hr_random_range (rand, 0.1, 1) : hr_random_range (rand, 1, 7);
 }
 
 static void
@@ -28,19 +29,19 @@
 {
   fault->for_s = 0;
   fault->count = g_rand_int_range (rand, 1, 8);
-  fault->hang_s = g_rand_boolean (rand) ? g_rand_double_range (rand, 1, lease_s) : 0;
+  fault->hang_s = g_rand_boolean (rand) ? hr_random_range (rand, 1, lease_s) : 0;
 }
 
 HrFault
 fault_draw (GRand *rand, HrFaultKind kind, double at_s, double lease_s)
 {
   HrFault fault = {.at_s = at_s, .kind = kind};
-  fault.for_s = g_rand_double_range (rand, MIN_DURATION_S, MAX_DURATION_LEASES * lease_s);
+  fault.for_s = hr_random_range (rand, MIN_DURATION_S, MAX_DURATION_LEASES * lease_s);
   fault.who = g_rand_int_range (rand, WHO_LEADER, WHO_ALL + 1);
-  fault.share = g_rand_double_range (rand, 0.1, 0.9);
+  fault.share = hr_random_range (rand, 0.1, 0.9);
   fault.hold = g_rand_boolean (rand);
   fault.at_once = g_rand_boolean (rand);
-  fault.delay_s = g_rand_double_range (rand, 0.05, 0.4);
+  fault.delay_s = hr_random_range (rand, 0.05, 0.4);
   if (kind == FAULT_ZONE_CUT)
     fault.zone = ZONE (g_rand_int_range (rand, 0, 2));
   if (kind == FAULT_MACHINE_CRASH)
--- a/tests/sim/trouble_users.c
+++ b/tests/sim/trouble_users.c
@@ -49,8 +49,8 @@
     request_after (cluster, job, REQUEST_POLL, node,
                    fault_rand (cluster, CLOSE_POLL_SPAN_S, LATER_POLL_SPAN_S));
   }
-  request_after (cluster, job, REQUEST_SUBMIT, fault_random_node (cluster),
-                 fault_rand (cluster, 0, CLOSE_POLL_SPAN_S));
+  double delay_s = fault_rand (cluster, 0, CLOSE_POLL_SPAN_S);
+  request_after (cluster, job, REQUEST_SUBMIT, fault_random_node (cluster), delay_s);
   cluster->faults.effects[FAULT_CLOSE_POLLS]++;
 }
 
@@ -63,9 +63,10 @@
   if (!fault_window_active (cluster, close_polls))
     return;
   poll_closely (cluster, job);
-  if (accepted && fault_rand (cluster, 0, 1) < close_polls->share)
-    request_after (cluster, job, REQUEST_CANCEL, fault_random_node (cluster),
-                   fault_rand (cluster, 0, CLOSE_POLL_SPAN_S));
+  if (accepted && fault_rand (cluster, 0, 1) < close_polls->share) {
+    double delay_s = fault_rand (cluster, 0, CLOSE_POLL_SPAN_S);
+    request_after (cluster, job, REQUEST_CANCEL, fault_random_node (cluster), delay_s);
+  }
 }
 
 void
@@ -106,9 +107,10 @@
   }
   fault_shuffle (cluster, jobs);
   g_ptr_array_set_size (jobs, MIN (jobs->len, fault->count));
-  for (guint i = 0; i < jobs->len; i++)
-    request_after (cluster, jobs->pdata[i], REQUEST_CANCEL, fault_random_node (cluster),
-                   fault_rand (cluster, 0, CANCEL_NOW_SPAN_S));
+  for (guint i = 0; i < jobs->len; i++) {
+    double delay_s = fault_rand (cluster, 0, CANCEL_NOW_SPAN_S);
+    request_after (cluster, jobs->pdata[i], REQUEST_CANCEL, fault_random_node (cluster), delay_s);
+  }
   cluster->faults.effects[FAULT_CANCEL_NOW] += jobs->len;
   if (fault->hang_s <= 0)
     return;
--- a/tests/sim/troubles.c
+++ b/tests/sim/troubles.c
@@ -1,5 +1,6 @@
 /* Begins planned faults at their times or events and applies them to controllers, machines and
  * services. */
+#include "protocol/random_range.h"
 #include "sim/cloud.h"
 #include "sim/faults.h"
 #include "sim/log.h"
@@ -19,7 +20,7 @@
 double
 fault_rand (SimCluster *cluster, double lo, double hi)
 {
-  return g_rand_double_range (cluster->faults.rand, lo, hi);
+  return hr_random_range (cluster->faults.rand, lo, hi);
 }
 
 gboolean
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -8,6 +8,7 @@
  * Exit status 0: no rule was broken, and every seed was played to the end. */
 #include "coordination/core.h"
 #include "emulator/emulator.h"
+#include "protocol/random_range.h"
 #include "sim/log.h"
 #include "sim/pipeline.h"
 #include "sim/store.h"
@@ -86,17 +87,17 @@
 {
   day[0] = (HrFault){.at_s = at,
                      .kind = FAULT_MACHINE_CUT,
-                     .share = g_rand_double_range (rand, 0.3, 1),
-                     .for_s = g_rand_double_range (rand, 1, LEASE_S),
+                     .share = hr_random_range (rand, 0.3, 1),
+                     .for_s = hr_random_range (rand, 1, LEASE_S),
                      .hold = g_rand_boolean (rand)};
   day[1] = (HrFault){
       .at_s = at + 0.2, .kind = FAULT_CANCEL_NOW, .count = g_rand_int_range (rand, 3, 12)};
-  day[2] = (HrFault){.at_s = at + g_rand_double_range (rand, 0.5, 3),
+  day[2] = (HrFault){.at_s = at + hr_random_range (rand, 0.5, 3),
                      .kind = FAULT_NODE_CRASH,
                      .who = WHO_LEADER,
-                     .back_s = g_rand_double_range (rand, 0.1, 1),
+                     .back_s = hr_random_range (rand, 0.1, 1),
                      .times = g_rand_int_range (rand, 2, 7),
-                     .every_s = g_rand_double_range (rand, 1.2, 4)};
+                     .every_s = hr_random_range (rand, 1.2, 4)};
   return 3;
 }
 
@@ -209,7 +210,7 @@
   double gap = cluster->n > 1 ? (last - first) / (cluster->n - 1) : 0;
   upgrade_roll (cluster, first, gap, REPLACEMENT_DOWN_S);
   upgrade_lower_limits (cluster, last + REPLACEMENT_DOWN_S +
-                                     g_rand_double_range (rand, 0, LOWER_LIMITS_WITHIN_S));
+                                     hr_random_range (rand, 0, LOWER_LIMITS_WITHIN_S));
   if (g_rand_double (rand) < CRASH_ALL_SHARE)
     sim_schedule (cluster, first + (g_rand_int_range (rand, 0, cluster->n) + 0.5) * gap, crash_all,
                   NULL);
@@ -272,7 +273,7 @@
   guint n = 1;
   double last = options->seconds - RECOVERY_S - 1.3 * LEASE_S;
   for (double at = FAULTS_FROM_S; at < last && n + 3 < MAX_FAULTS;
-       at += g_rand_double_range (rand, 0, 2 * FAULT_EVERY_S))
+       at += hr_random_range (rand, 0, 2 * FAULT_EVERY_S))
     if (g_rand_double (rand) < ACROSS_TERMS_SHARE)
       n += draw_cancels_across_terms (rand, at, day + n);
     else
--- a/tests/test_pairs.c
+++ b/tests/test_pairs.c
@@ -8,6 +8,7 @@
  * its controller, is carried out or answered, a worker is answered, or the leader record names a
  * new leader. A day that breaks a rule is shrunk: faults are removed and shortened while it still
  * breaks a rule; the rest is printed. */
+#include "protocol/random_range.h"
 #include "sim/fault_scenario.h"
 #include "sim/log.h"
 #include "sim/user.h"
@@ -67,7 +68,7 @@
     double at = FIRST_AT_S + i * PAIR_EVERY_S;
     HrFault *first = &day.faults[day.n++], *second = &day.faults[day.n++];
     *first = fault_draw (rand, pair.first, at, 14);
-    *second = fault_draw (rand, pair.second, at + g_rand_double_range (rand, 0, WITHIN_S), 14);
+    *second = fault_draw (rand, pair.second, at + hr_random_range (rand, 0, WITHIN_S), 14);
     second->on = pair.trigger;
   }
   return day;
--- a/tests/test_readiness.c
+++ b/tests/test_readiness.c
@@ -10,6 +10,7 @@
 #include "coordination/jobs/open_jobs.h"
 #include "coordination/jobs/task_lifecycle.h"
 #include "protocol/json_util.h"
+#include "protocol/random_range.h"
 #include "sim/single_node.h"
 #include <math.h>
 #include <setjmp.h>
@@ -272,7 +273,7 @@
     pipeline->priority[i] = HR_PRIORITY_LOW;
     if (g_rand_int_range (rand, 0, 4))
       continue;
-    pipeline->due_s[i] = g_rand_double_range (rand, 100, 900);
+    pipeline->due_s[i] = hr_random_range (rand, 100, 900);
     pipeline->priority[i] = g_rand_int_range (rand, HR_PRIORITY_PRODUCTION, HR_PRIORITY_LOW + 1);
   }
 }
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -3,6 +3,7 @@
 #include "bookkeeping/record.h"
 #include "bookkeeping/tables.h"
 #include "protocol/json_util.h"
+#include "protocol/random_range.h"
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -20,14 +21,14 @@
   spec.shape = g_rand_int_range (rand, 0, 3);
   spec.priority = g_rand_int_range (rand, 0, 4);
   spec.tasks = tasks;
-  spec.cpus = g_rand_double_range (rand, 0, 16);
+  spec.cpus = hr_random_range (rand, 0, 16);
   spec.gpus = g_rand_int_range (rand, 0, 4);
-  spec.memory_gb = g_rand_double_range (rand, 0, 96);
+  spec.memory_gb = hr_random_range (rand, 0, 96);
   spec.types = g_rand_boolean (rand) ? 0 : 1 + 2 * g_rand_int_range (rand, 0, 2);
   spec.one_zone = g_rand_boolean (rand);
   spec.spread = g_rand_boolean (rand);
   spec.allows_spot = g_rand_boolean (rand);
-  spec.deadline_s = g_rand_boolean (rand) ? -1 : g_rand_double_range (rand, 1, 100);
+  spec.deadline_s = g_rand_boolean (rand) ? -1 : hr_random_range (rand, 1, 100);
   return spec;
 }
 
--- a/tests/test_windows.c
+++ b/tests/test_windows.c
@@ -6,6 +6,7 @@
  *   test_windows [FROM TO]        plays the seeds FROM to TO - 1 instead of the default ones */
 #include "coordination/command.h"
 #include "protocol/json_util.h"
+#include "protocol/random_range.h"
 #include "scripted_fleet.h"
 #include <setjmp.h>
 #include <stdarg.h>
@@ -53,7 +54,7 @@
 static double
 draw (Day *day, double low, double high)
 {
-  return g_rand_double_range (day->rand, low, high);
+  return hr_random_range (day->rand, low, high);
 }
 
 static guint
