--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -29,7 +29,8 @@
 
 /* An attempt to run a task on a machine, under one incarnation of the machine's worker. */
 typedef struct {
-  guint32 machine, incarnation, attempt;
+  guint64 incarnation;
+  guint32 machine, attempt;
 } HrPlacement;
 
 typedef struct {
--- a/src/bookkeeping/machine.h
+++ b/src/bookkeeping/machine.h
@@ -33,7 +33,7 @@
 
 /* The machine's worker, as the leader knows it (coordination/agents/). */
 typedef struct {
-  guint32 incarnation;
+  guint64 incarnation;
   guint64 sequence;         /* sequence number of the newest message */
   guint64 fencing_token;    /* newest token that the worker has reported */
   double sequence_at;       /* when the newest message arrived */
--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -20,8 +20,8 @@
     return json_integer (HR_RECORD_TASK_DONE);
   if (placement->machine == HR_NONE)
     return json_integer (HR_RECORD_TASK_UNPLACED);
-  return json_pack ("[sii]", hr_intern_name (machines, placement->machine),
-                    (int)placement->incarnation, (int)placement->attempt);
+  return json_pack ("[sII]", hr_intern_name (machines, placement->machine),
+                    (json_int_t)placement->incarnation, (json_int_t)placement->attempt);
 }
 
 static json_t *
--- a/src/bookkeeping/record_read.c
+++ b/src/bookkeeping/record_read.c
@@ -148,11 +148,11 @@
 read_placement (HrTask *task, json_t *entry, HrIntern *machines)
 {
   const char *machine_name;
-  int incarnation, attempt;
-  if (json_unpack (entry, "[sii]", &machine_name, &incarnation, &attempt) != 0)
+  json_int_t incarnation, attempt; /* the incarnation: 64 bits without a sign */
+  if (json_unpack (entry, "[sII]", &machine_name, &incarnation, &attempt) != 0)
     return FALSE;
   task->recorded.machine = hr_intern (machines, machine_name);
-  task->recorded.incarnation = incarnation;
+  task->recorded.incarnation = (guint64)incarnation;
   task->recorded.attempt = attempt;
   return TRUE;
 }
--- a/src/bookkeeping/store.h
+++ b/src/bookkeeping/store.h
@@ -81,7 +81,8 @@
 
 /* Writes that are applied atomically if all conditions hold (transactions.h). */
 typedef struct {
-  json_t *conditions, *writes; /* JSON arrays of the request */
+  GArray *conditions; /* HrStoreCondition */
+  GArray *writes;     /* HrStoreWrite */
 } HrTransaction;
 
 /* A transaction that is queued or in flight. */
--- a/src/bookkeeping/transactions.c
+++ b/src/bookkeeping/transactions.c
@@ -19,12 +19,29 @@
 
 /* ---- building ---- */
 
+static void
+condition_clear (gpointer data)
+{
+  HrStoreCondition *condition = data;
+  g_free (condition->key);
+}
+
+static void
+write_clear (gpointer data)
+{
+  HrStoreWrite *change = data;
+  g_free (change->key);
+  g_free (change->value);
+}
+
 HrTransaction *
 hr_transaction_new (void)
 {
   HrTransaction *transaction = g_rc_box_new0 (HrTransaction);
-  transaction->conditions = json_array ();
-  transaction->writes = json_array ();
+  transaction->conditions = g_array_new (FALSE, FALSE, sizeof (HrStoreCondition));
+  g_array_set_clear_func (transaction->conditions, condition_clear);
+  transaction->writes = g_array_new (FALSE, FALSE, sizeof (HrStoreWrite));
+  g_array_set_clear_func (transaction->writes, write_clear);
   return transaction;
 }
 
@@ -32,8 +49,8 @@
 transaction_clear (gpointer data)
 {
   HrTransaction *transaction = data;
-  json_decref (transaction->conditions);
-  json_decref (transaction->writes);
+  g_array_unref (transaction->conditions);
+  g_array_unref (transaction->writes);
 }
 
 void
@@ -45,34 +62,29 @@
 void
 hr_transaction_require (HrTransaction *transaction, const char *key, guint64 revision)
 {
-  json_array_append_new (transaction->conditions, hr_store_condition (key, revision));
-}
-
-static json_t *
-pack_put (const char *key, char *value_text, guint64 lease_id)
-{
-  json_t *value = json_loads (value_text, JSON_DECODE_ANY, NULL);
-  g_free (value_text);
-  return hr_store_put (key, value, lease_id);
+  HrStoreCondition condition = {g_strdup (key), revision};
+  g_array_append_val (transaction->conditions, condition);
 }
 
 void
 hr_transaction_put (HrTransaction *transaction, const char *key, char *value_text)
 {
-  json_array_append_new (transaction->writes, pack_put (key, value_text, 0));
+  hr_transaction_put_with_lease (transaction, key, value_text, 0);
 }
 
 void
 hr_transaction_put_with_lease (HrTransaction *transaction, const char *key, char *value_text,
                                guint64 lease_id)
 {
-  json_array_append_new (transaction->writes, pack_put (key, value_text, lease_id));
+  HrStoreWrite change = {g_strdup (key), value_text, lease_id};
+  g_array_append_val (transaction->writes, change);
 }
 
 void
 hr_transaction_delete (HrTransaction *transaction, const char *key)
 {
-  json_array_append_new (transaction->writes, hr_store_delete (key));
+  HrStoreWrite change = {.key = g_strdup (key)};
+  g_array_append_val (transaction->writes, change);
 }
 
 /* ---- sending ---- */
@@ -104,8 +116,7 @@
       store->now + hr_random_range (store->random, MIN_BUSY_PAUSE_S, MAX_BUSY_PAUSE_S);
   /* Users' requests at other controllers have priority; this node does not see their writes. */
   transactions->background_paused_until =
-      store->now +
-      hr_random_range (store->random, MIN_BACKGROUND_PAUSE_S, MAX_BACKGROUND_PAUSE_S);
+      store->now + hr_random_range (store->random, MIN_BACKGROUND_PAUSE_S, MAX_BACKGROUND_PAUSE_S);
   /* The shared allowance is used up: writes from the tokens saved here would be refused. */
   transactions->allowance.tokens = 0;
   transactions->allowance.refilled_at = store->now;
@@ -149,8 +160,7 @@
   HrTokenBucket *allowance = &store->transactions.allowance;
   while (!g_queue_is_empty (queue) && may_send (store, kind)) {
     HrPendingTransaction *pending = g_queue_peek_head (queue);
-    if (!hr_token_bucket_take (allowance, store->now,
-                               json_array_size (pending->transaction->writes),
+    if (!hr_token_bucket_take (allowance, store->now, pending->transaction->writes->len,
                                reserved_shares[kind] * allowance->burst))
       return;
     g_queue_pop_head (queue);
--- a/src/coordination/agents/direct_orders.c
+++ b/src/coordination/agents/direct_orders.c
@@ -5,7 +5,6 @@
 #include "coordination/state.h"
 #include "protocol/http_method.h"
 #include "protocol/worker.h"
-#include <string.h>
 
 /* Seconds until a direct call times out. */
 #define DIRECT_TIMEOUT_S 3.0
@@ -43,10 +42,9 @@
 
 /* Applies the list of tasks in a worker's answer or refusal. */
 static void
-apply_answer (HrCore *core, HrMachine *machine, const json_t *body)
+apply_answer (HrCore *core, HrMachine *machine, json_t *body)
 {
-  g_autofree char *text = json_dumps (body, JSON_COMPACT);
-  g_autoptr (HrHeartbeat) answer = hr_heartbeat_parse (text, text ? strlen (text) : 0, NULL);
+  g_autoptr (HrHeartbeat) answer = hr_heartbeat_read (body, NULL);
   if (answer)
     hr_heartbeat_direct_answer_received (core, machine, answer);
 }
@@ -108,7 +106,8 @@
                        core->leadership.term_began_at, has_launch};
   machine->agent.direct_calls_in_flight++;
   core->metrics.counters.direct_calls++;
-  g_debug ("direct: machine=%s incarnation=%u token=%" G_GUINT64_FORMAT " stops=%u launches=%u",
+  g_debug ("direct: machine=%s incarnation=%" G_GUINT64_FORMAT " token=%" G_GUINT64_FORMAT
+           " stops=%u launches=%u",
            machine->name, machine->agent.incarnation, core->leadership.fencing_token,
            hr_orders_count (orders, HR_ORDER_STOP), hr_orders_count (orders, HR_ORDER_LAUNCH));
   char *body = hr_orders_text (core->leadership.fencing_token, machine->agent.incarnation, orders);
--- a/src/coordination/agents/heartbeats.c
+++ b/src/coordination/agents/heartbeats.c
@@ -71,7 +71,7 @@
 }
 
 static void
-begin_incarnation (HrCore *core, HrMachine *machine, guint32 incarnation)
+begin_incarnation (HrCore *core, HrMachine *machine, guint64 incarnation)
 {
   detect_unreceived_answer (core, machine);
   machine->agent.incarnation = incarnation;
@@ -163,8 +163,7 @@
   g_autoptr (GError) error = NULL;
   HrHeartbeat *heartbeat = hr_heartbeat_parse (data, len, &error);
   if (!heartbeat) {
-    g_info ("malformed heartbeat refused: %s", error->message);
-    core->metrics.counters.reports_malformed++;
+    hr_refusal_record (core, HR_REFUSAL_REPORT, NULL, error->message);
     hr_core_refuse (core, command->id, 400, 0, error->message);
   }
   return heartbeat;
--- a/src/coordination/agents/lease_renewal.c
+++ b/src/coordination/agents/lease_renewal.c
@@ -135,8 +135,8 @@
   core->metrics.counters.reports_superseded += kind == HR_HEARTBEAT_SUPERSEDED;
   core->metrics.counters.reports_before_token += kind == HR_HEARTBEAT_BEFORE_TOKEN;
   log_answer (core, machine, heartbeat, kind, orders);
-  json_t *body = hr_heartbeat_answer (core->leadership.fencing_token, orders);
-  hr_core_reply (core, command->id, 200, body, 0);
+  hr_core_reply_json (core, command->id, 200,
+                      hr_orders_text (core->leadership.fencing_token, 0, orders));
 }
 
 void
--- a/src/coordination/agents/orders.c
+++ b/src/coordination/agents/orders.c
@@ -6,11 +6,12 @@
 
 /* Logs an order that is about to be sent. @reason: why a task is stopped; NULL for other orders. */
 static void
-log_order (const char *order, const char *job_id, guint32 task_index, guint32 attempt,
+log_order (const char *order, const char *job_id, guint32 task_index, guint64 attempt,
            const HrMachine *machine, gboolean is_direct, const char *reason)
 {
-  g_debug ("%s: task=%s/%u attempt=%u machine=%s incarnation=%u via=%s%s%s", order, job_id,
-           task_index, attempt, machine->name, machine->agent.incarnation,
+  g_debug ("%s: task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s incarnation=%" G_GUINT64_FORMAT
+           " via=%s%s%s",
+           order, job_id, task_index, attempt, machine->name, machine->agent.incarnation,
            is_direct ? "direct" : "answer", reason ? " why=" : "", reason ? reason : "");
 }
 
@@ -69,7 +70,7 @@
 
 void
 hr_orders_append_stop (HrCore *core, const HrMachine *machine, GArray *orders, const char *job_id,
-                       guint32 task_index, guint32 attempt, HrStopReason reason)
+                       guint32 task_index, guint64 attempt, HrStopReason reason)
 {
   hr_order_stop (orders, job_id, task_index, attempt, 0);
   core->metrics.counters.stops++;
@@ -78,7 +79,7 @@
 
 void
 hr_orders_append_clear (HrCore *core, const HrMachine *machine, GArray *orders, const char *job_id,
-                        guint32 task_index, guint32 attempt)
+                        guint32 task_index, guint64 attempt)
 {
   hr_order_clear (orders, job_id, task_index, attempt);
   core->metrics.counters.clears++;
@@ -87,7 +88,7 @@
 
 gboolean
 hr_orders_contain_stop (const GArray *orders, const char *job_id, guint32 task_index,
-                        guint32 attempt)
+                        guint64 attempt)
 {
   for (guint i = 0; i < orders->len; i++) {
     const HrOrder *order = &g_array_index (orders, HrOrder, i);
--- a/src/coordination/agents/orders.h
+++ b/src/coordination/agents/orders.h
@@ -27,7 +27,7 @@
  * Appends a stop without a grace period, for the answer to a heartbeat.
  */
 void hr_orders_append_stop (HrCore *core, const HrMachine *machine, GArray *orders,
-                            const char *job_id, guint32 task_index, guint32 attempt,
+                            const char *job_id, guint32 task_index, guint64 attempt,
                             HrStopReason reason);
 
 /**
@@ -37,7 +37,7 @@
  * Appends a clear order, for the answer to a heartbeat.
  */
 void hr_orders_append_clear (HrCore *core, const HrMachine *machine, GArray *orders,
-                             const char *job_id, guint32 task_index, guint32 attempt);
+                             const char *job_id, guint32 task_index, guint64 attempt);
 
 /**
  * hr_orders_contain_stop:
@@ -45,7 +45,7 @@
  * Returns: whether the orders contain a stop of this attempt.
  */
 gboolean hr_orders_contain_stop (const GArray *orders, const char *job_id, guint32 task_index,
-                                 guint32 attempt);
+                                 guint64 attempt);
 
 /**
  * hr_orders_count:
--- a/src/coordination/agents/silent_machines.c
+++ b/src/coordination/agents/silent_machines.c
@@ -75,7 +75,7 @@
 {
   if (machine->state == HR_MACHINE_DELETING && machine->tasks->len &&
       hr_lease_has_expired (core, machine))
-    hr_termination_end_incarnations (core, machine, G_MAXUINT32,
+    hr_termination_end_incarnations (core, machine, G_MAXUINT64,
                                      HR_PROOF_LEASE_EXPIRED_IN_DELETION);
 }
 
@@ -84,7 +84,7 @@
 {
   gboolean is_silent = verdict == HR_SILENCE_WAIT || verdict == HR_SILENCE_LONG;
   if (is_silent && hr_lease_has_expired (core, machine) && machine->tasks->len)
-    hr_termination_end_incarnations (core, machine, G_MAXUINT32, HR_PROOF_LEASE_EXPIRED);
+    hr_termination_end_incarnations (core, machine, G_MAXUINT64, HR_PROOF_LEASE_EXPIRED);
   if (return_reasons[verdict])
     hr_fleet_request_deletion (core, machine, return_reasons[verdict]);
 }
--- a/src/coordination/agents/termination_proof.c
+++ b/src/coordination/agents/termination_proof.c
@@ -97,7 +97,7 @@
 /* Returns the index of the attempt in the machine's direct launches, or -1 if there is none. */
 static int
 find_direct_launch (const HrMachine *machine, guint32 job_index, guint32 task_index,
-                    guint32 attempt)
+                    guint64 attempt)
 {
   for (guint i = 0; i < machine->agent.direct_launches->len; i++) {
     const HrDirectLaunch *launch =
@@ -113,7 +113,7 @@
  * heartbeat never arrive late. */
 HrClearVerdict
 hr_termination_clear_verdict (const HrCore *core, const HrMachine *machine, guint32 job_index,
-                              guint32 task_index, guint32 attempt)
+                              guint32 task_index, guint64 attempt)
 {
   if (!no_launch_outstanding (machine))
     return HR_CLEAR_LAUNCH_OUTSTANDING;
@@ -129,7 +129,7 @@
 
 void
 hr_termination_track_direct_launch (HrMachine *machine, guint32 job_index, guint32 task_index,
-                                    guint32 attempt, guint64 token)
+                                    guint64 attempt, guint64 token)
 {
   int found = find_direct_launch (machine, job_index, task_index, attempt);
   if (found >= 0) {
@@ -142,7 +142,7 @@
 
 void
 hr_termination_untrack_direct_launch (HrMachine *machine, guint32 job_index, guint32 task_index,
-                                      guint32 attempt)
+                                      guint64 attempt)
 {
   int found = find_direct_launch (machine, job_index, task_index, attempt);
   if (found >= 0)
@@ -150,7 +150,7 @@
 }
 
 void
-hr_termination_end_incarnations (HrCore *core, HrMachine *machine, guint32 last_incarnation,
+hr_termination_end_incarnations (HrCore *core, HrMachine *machine, guint64 last_incarnation,
                                  HrTerminationProof proof)
 {
   g_autoptr (GArray) tasks = g_array_copy (machine->tasks);
--- a/src/coordination/agents/termination_proof.h
+++ b/src/coordination/agents/termination_proof.h
@@ -89,7 +89,7 @@
  */
 HrClearVerdict hr_termination_clear_verdict (const HrCore *core, const HrMachine *machine,
                                              guint32 job_index, guint32 task_index,
-                                             guint32 attempt);
+                                             guint64 attempt);
 
 /**
  * hr_termination_track_direct_launch:
@@ -98,7 +98,7 @@
  * Records the launch, because copies of the call may reach the worker late.
  */
 void hr_termination_track_direct_launch (HrMachine *machine, guint32 job_index, guint32 task_index,
-                                         guint32 attempt, guint64 token);
+                                         guint64 attempt, guint64 token);
 
 /**
  * hr_termination_untrack_direct_launch:
@@ -107,7 +107,7 @@
  * cleared.
  */
 void hr_termination_untrack_direct_launch (HrMachine *machine, guint32 job_index,
-                                           guint32 task_index, guint32 attempt);
+                                           guint32 task_index, guint64 attempt);
 
 /**
  * hr_termination_end_incarnations:
@@ -116,5 +116,5 @@
  *
  * Removes every task of the incarnations up to @last_incarnation from the machine.
  */
-void hr_termination_end_incarnations (HrCore *core, HrMachine *machine, guint32 last_incarnation,
+void hr_termination_end_incarnations (HrCore *core, HrMachine *machine, guint64 last_incarnation,
                                       HrTerminationProof proof);
--- a/src/coordination/effects.c
+++ b/src/coordination/effects.c
@@ -1,12 +1,16 @@
 #include "coordination/effects.h"
 #include "coordination/state.h"
+#include "protocol/cloud.h"
 #include "protocol/json_util.h"
+#include "protocol/store_api.h"
+#include "protocol/worker.h"
 
 /* A call that awaits its response. Exactly one of the two callbacks is set. */
 typedef struct {
   HrResultCallback callback;
   HrStoreCallback store_callback;
   gpointer data;
+  HrTarget target;
   double sent_at; /* monotonic time, s */
 } PendingCall;
 
@@ -32,6 +36,7 @@
   effect->body = body;
   effect->call.timeout_s = timeout_s;
   PendingCall *pending = g_new0 (PendingCall, 1);
+  pending->target = target;
   pending->sent_at = core->now;
   g_hash_table_insert (core->calls.pending, g_memdup2 (&effect->id, sizeof effect->id), pending);
   return pending;
@@ -65,6 +70,15 @@
   effect->body = hr_json_take_text (body);
 }
 
+void
+hr_core_reply_json (HrCore *core, guint64 id, int status, char *text)
+{
+  HrEffect *effect = add_effect (core, HR_EFFECT_REPLY);
+  effect->id = id;
+  effect->reply.status = status;
+  effect->body = text;
+}
+
 void
 hr_core_reply_text (HrCore *core, guint64 id, char *text)
 {
@@ -90,6 +104,24 @@
   effect->peer_status = status;
 }
 
+static const char *const target_names[] = {
+    [HR_TO_STORE] = "state-service", [HR_TO_CLOUD] = "cloud", [HR_TO_WORKER] = "worker"};
+
+/* Returns the members of the answers of a service. */
+static const HrJsonMember *
+answer_members (HrTarget target)
+{
+  switch (target) {
+  case HR_TO_STORE:
+    return hr_store_answer_members;
+  case HR_TO_CLOUD:
+    return hr_cloud_answer_members;
+  case HR_TO_WORKER:
+    return hr_heartbeat_members;
+  }
+  g_assert_not_reached ();
+}
+
 char *
 hr_core_new_tag (HrCore *core)
 {
@@ -110,11 +142,11 @@
     gsize len;
     const char *data = g_bytes_get_data (command->body, &len);
     g_autoptr (GError) error = NULL;
-    body = hr_json_parse (data, len, &error);
+    body = hr_json_parse (data, len, answer_members (pending->target), &error);
     /* A successful response with an unparsable body counts as no response: the receiver may have
      * carried out the call. */
     if (!body && status == 200) {
-      g_info ("cannot parse the body of a response: %s", error->message);
+      hr_refusal_record (core, HR_REFUSAL_ANSWER, target_names[pending->target], error->message);
       status = 0;
     }
   }
--- a/src/coordination/effects.h
+++ b/src/coordination/effects.h
@@ -73,6 +73,17 @@
  */
 void hr_core_reply (HrCore *core, guint64 id, int status, json_t *body, int retry_after);
 
+/**
+ * hr_core_reply_json:
+ * @core: the controller
+ * @id: the id of the request
+ * @status: HTTP status
+ * @text: (transfer full): the JSON body
+ *
+ * Replies to a request with a body that is JSON text already.
+ */
+void hr_core_reply_json (HrCore *core, guint64 id, int status, char *text);
+
 /**
  * hr_core_reply_text:
  * @core: the controller
--- a/src/coordination/jobs/failover.c
+++ b/src/coordination/jobs/failover.c
@@ -78,7 +78,7 @@
 /* Treats a machine that is known only from a record as up, until its worker sends a heartbeat or
  * the termination of its tasks is proven. */
 static void
-assume_up (HrCore *core, HrMachine *machine, guint32 incarnation)
+assume_up (HrCore *core, HrMachine *machine, guint64 incarnation)
 {
   if (machine->state != HR_MACHINE_GONE)
     return;
--- a/src/coordination/jobs/request_routing.c
+++ b/src/coordination/jobs/request_routing.c
@@ -122,6 +122,8 @@
     start_job_request (core, command->id, HR_REQUEST_CANCEL, target.job_id);
     break;
   case ROUTE_REFUSE:
+    if (command->request.is_too_large)
+      hr_refusal_record (core, HR_REFUSAL_SIZE, NULL, target.reason);
     hr_core_refuse (core, command->id, target.status, 0, target.reason);
     break;
   }
--- a/src/coordination/jobs/submissions.c
+++ b/src/coordination/jobs/submissions.c
@@ -8,7 +8,7 @@
 #include "coordination/jobs/admission.h"
 #include "coordination/jobs/open_jobs.h"
 #include "coordination/jobs/dependencies.h"
-#include "protocol/json_util.h"
+#include "protocol/messages.h"
 #include "protocol/store_api.h"
 #include <string.h>
 
@@ -218,12 +218,15 @@
 {
   gsize length = 0;
   const char *data = command->body ? g_bytes_get_data (command->body, &length) : NULL;
-  json_t *object = hr_json_parse (data, length, invalid);
+  json_t *object = hr_json_parse (data, length, hr_submission_members, invalid);
   const char *id = NULL;
   HrJobSpec spec = {0};
   g_auto (GStrv) awaits = NULL;
   gboolean is_valid = object && hr_jobspec_parse (object, core->names, &spec, &id, invalid) &&
                       hr_jobspec_parse_awaits (object, &awaits, invalid);
+  g_autofree char *id_of_invalid = object ? NULL : hr_submission_id (data, length);
+  if (!object)
+    id = id_of_invalid;
   HrUserRequest *request = NULL;
   if (is_valid || hr_job_id_valid (id)) {
     request = hr_user_request_new (command->id, HR_REQUEST_SUBMIT, id, core->wall_time);
@@ -240,6 +243,9 @@
   g_autoptr (GError) invalid = NULL;
   HrUserRequest *request = parse_submission (core, command, &invalid);
   if (!request) {
+    gboolean is_syntax = g_error_matches (invalid, HR_PROTOCOL_ERROR, HR_PROTOCOL_ERROR_SYNTAX);
+    hr_refusal_record (core, is_syntax ? HR_REFUSAL_SYNTAX : HR_REFUSAL_FIELD, NULL,
+                       invalid->message);
     hr_core_refuse (core, command->id, 400, 0, invalid->message);
     return;
   }
--- a/src/coordination/jobs/user_requests.c
+++ b/src/coordination/jobs/user_requests.c
@@ -179,6 +179,9 @@
       hr_submission_write (core, g_steal_pointer (&request));
     break;
   case HR_VERDICT_REFUSE:
+    if (request->kind == HR_REQUEST_SUBMIT)
+      hr_refusal_record (core, verdict->status == 422 ? HR_REFUSAL_INFEASIBLE : HR_REFUSAL_FIELD,
+                         request->job_id, verdict->reason);
     hr_core_refuse (core, request->reply_id, verdict->status, 0, verdict->reason);
     break;
   case HR_VERDICT_REFUSE_TEMPORARILY:
--- a/src/coordination/metrics/counters.h
+++ b/src/coordination/metrics/counters.h
@@ -24,6 +24,16 @@
   X (reports_refused_order, reports_refused_order,                                                 \
      "reports not answered, since an order to the worker may still come")                          \
   X (reports_malformed, reports_malformed, "reports that make no sense")                           \
+  X (submissions_refused_syntax, submissions_refused_syntax,                                       \
+     "submissions answered with 400: not JSON")                                                    \
+  X (submissions_refused_field, submissions_refused_field,                                         \
+     "submissions answered with 400: a field is missing or invalid")                               \
+  X (submissions_refused_size, submissions_refused_size,                                           \
+     "submissions answered with 400: larger than 64 KiB")                                          \
+  X (submissions_refused_infeasible, submissions_refused_infeasible,                               \
+     "submissions answered with 422: the job can never run")                                       \
+  X (answers_unreadable, answers_unreadable,                                                       \
+     "answers of the state service, the cloud or workers that are not JSON")                       \
   X (starts, starts, "start orders sent")                                                          \
   X (stops, stops, "stop orders sent")                                                             \
   X (clears, clears, "clear orders sent")                                                          \
--- a/src/coordination/metrics/metrics_state.h
+++ b/src/coordination/metrics/metrics_state.h
@@ -3,11 +3,13 @@
 #pragma once
 #include "coordination/metrics/counters.h"
 #include "coordination/metrics/histogram.h"
+#include "coordination/metrics/refusals.h"
 
 typedef struct {
   HrCounters counters;
   HrCounters counters_logged; /* as of the latest log line */
   double counters_logged_at;
-  HrHistogram read_latency; /* duration of reads of the store, s (store_events.c) */
-  HrHistogram renewal_age;  /* age of the latest read when a lease is renewed, s (agents/) */
+  HrRefusalLog refusals[HR_REFUSAL_KINDS]; /* by HrRefusalKind (refusals.c) */
+  HrHistogram read_latency;                /* duration of reads of the store, s (store_events.c) */
+  HrHistogram renewal_age; /* age of the latest read when a lease is renewed, s (agents/) */
 } HrMetrics;
--- a/src/coordination/scaling/fleet.c
+++ b/src/coordination/scaling/fleet.c
@@ -16,7 +16,7 @@
 hr_fleet_remove (HrCore *core, HrMachine *machine, const char *why)
 {
   GArray *list = machine->plan.list;
-  hr_termination_end_incarnations (core, machine, G_MAXUINT32, HR_PROOF_MACHINE_DELETED);
+  hr_termination_end_incarnations (core, machine, G_MAXUINT64, HR_PROOF_MACHINE_DELETED);
   machine->state = HR_MACHINE_GONE;
   machine->instance.is_deleted = TRUE;
   for (guint i = 0; i < list->len; i++) {
--- a/src/protocol/cloud.c
+++ b/src/protocol/cloud.c
@@ -8,6 +8,36 @@
  * image's fetch time is its size divided by the rate. */
 #define MIN_FETCH_RATE 1e-3
 
+static const HrJsonMember machine_type_members[] = {{.name = HR_WIRE_TYPE_NAME},
+                                                    {.name = HR_WIRE_CPUS},
+                                                    {.name = HR_WIRE_GPUS},
+                                                    {.name = HR_WIRE_MEMORY_GB},
+                                                    {.name = HR_WIRE_CACHE_GB},
+                                                    {.name = HR_WIRE_FETCH_GB_PER_S},
+                                                    {.name = HR_WIRE_PRICE},
+                                                    {.name = HR_WIRE_SPOT_PRICE},
+                                                    {.name = HR_WIRE_BOOT_S},
+                                                    {.name = HR_WIRE_ZONES, .kind = HR_JSON_LIST},
+                                                    {.name = NULL}};
+
+static const HrJsonMember instance_members[] = {{.name = HR_WIRE_ID},
+                                                {.name = HR_WIRE_ADDRESS},
+                                                {.name = HR_WIRE_MACHINE_TYPE},
+                                                {.name = HR_WIRE_ZONE},
+                                                {.name = HR_WIRE_SPOT},
+                                                {.name = HR_WIRE_STATE},
+                                                {.name = HR_WIRE_INSTANCE_AGE_S},
+                                                {.name = NULL}};
+
+const HrJsonMember hr_cloud_answer_members[] = {
+    {.name = HR_WIRE_MACHINE_TYPES, .kind = HR_JSON_LIST, .members = machine_type_members},
+    {.name = HR_WIRE_INSTANCES,
+     .kind = HR_JSON_LIST,
+     .members = instance_members}, /* or the names of new instances */
+    {.name = HR_WIRE_MORE},
+    {.name = HR_WIRE_ERROR},
+    {.name = NULL}};
+
 static void
 type_clear (gpointer data)
 {
--- a/src/protocol/cloud.h
+++ b/src/protocol/cloud.h
@@ -30,6 +30,9 @@
   double age; /* seconds since the instance was requested */
 } HrListedInstance;
 
+/* The members of all answers of the cloud. */
+extern const HrJsonMember hr_cloud_answer_members[];
+
 /* A request for instances. */
 typedef struct {
   const char *name; /* idempotency key: a repeated request with the same name creates nothing */
--- a/src/protocol/jobspec.c
+++ b/src/protocol/jobspec.c
@@ -16,6 +16,29 @@
                                      HR_WIRE_SHAPE_SERVICE};
 static const char *const priorities[] = {"production", "urgent", "normal", "low"};
 
+const HrJsonMember hr_submission_members[] = {{.name = HR_WIRE_ID},
+                                              {.name = HR_WIRE_JOB_CLASS},
+                                              {.name = HR_WIRE_TEAM},
+                                              {.name = HR_WIRE_SHAPE},
+                                              {.name = HR_WIRE_PRIORITY},
+                                              {.name = HR_WIRE_TASKS, .kind = HR_JSON_COUNT},
+                                              {.name = HR_WIRE_CPUS},
+                                              {.name = HR_WIRE_GPUS},
+                                              {.name = HR_WIRE_MEMORY_GB},
+                                              {.name = HR_WIRE_IMAGE},
+                                              {.name = HR_WIRE_IMAGE_GB},
+                                              {.name = HR_WIRE_MACHINE_TYPES, .kind = HR_JSON_LIST},
+                                              {.name = HR_WIRE_ZONE},
+                                              {.name = HR_WIRE_ONE_ZONE},
+                                              {.name = HR_WIRE_SPREAD},
+                                              {.name = HR_WIRE_SPOT},
+                                              {.name = HR_WIRE_ESTIMATE_S},
+                                              {.name = HR_WIRE_CHECKPOINT_S},
+                                              {.name = HR_WIRE_SAVE_S},
+                                              {.name = HR_WIRE_DEADLINE_S},
+                                              {.name = HR_WIRE_AWAITS, .kind = HR_JSON_LIST},
+                                              {.name = NULL}};
+
 void
 hr_names_init (HrNames *names)
 {
--- a/src/protocol/jobspec.h
+++ b/src/protocol/jobspec.h
@@ -2,7 +2,7 @@
  * stored in the job's record in the state store. Times are in seconds, sizes in gigabytes. */
 #pragma once
 #include "protocol/intern.h"
-#include <jansson.h>
+#include "protocol/json_reader.h"
 
 /* Batch: tasks that run to their end, each on its own. Gang: all tasks run at the same time.
  * Service: replicas that run until the job is cancelled. The values are stored in records. */
@@ -77,6 +77,9 @@
  */
 gboolean hr_job_id_valid (const char *id);
 
+/* The members of a submission. */
+extern const HrJsonMember hr_submission_members[];
+
 /**
  * hr_jobspec_parse:
  * @object: (nullable): the body of a submission
--- a/src/protocol/json_util.c
+++ b/src/protocol/json_util.c
@@ -20,10 +20,10 @@
   const json_t *value = json_object_get (object, key);
   if (!json_is_integer (value))
     return FALSE;
-  json_int_t i = json_integer_value (value);
-  if (i < 0 || (guint64)i > max)
+  guint64 count = (guint64)json_integer_value (value);
+  if (count > max)
     return FALSE;
-  *out = (guint64)i;
+  *out = count;
   return TRUE;
 }
 
@@ -43,18 +43,6 @@
   return TRUE;
 }
 
-json_t *
-hr_json_parse (const char *data, gsize len, GError **error)
-{
-  json_error_t parse_error;
-  json_t *value =
-      json_loadb (data ? data : "", data ? len : 0, JSON_REJECT_DUPLICATES, &parse_error);
-  if (!value)
-    g_set_error (error, HR_PROTOCOL_ERROR, HR_PROTOCOL_ERROR_SYNTAX,
-                 "not valid JSON at byte %d: %s", parse_error.position, parse_error.text);
-  return value;
-}
-
 char *
 hr_json_take_text (json_t *value)
 {
--- a/src/protocol/json_util.h
+++ b/src/protocol/json_util.h
@@ -1,7 +1,6 @@
 /* Type-checked access to JSON values, on top of jansson. Each function accepts NULL or a value of
  * another type in place of the object, and treats every field as missing then. */
 #pragma once
-#include "protocol/protocol_error.h"
 #include <glib.h>
 #include <jansson.h>
 
@@ -19,7 +18,8 @@
  * hr_json_count:
  * @object: (nullable): a JSON object
  * @key: name of the field
- * @max: the largest valid count
+ * @max: the largest valid count; above %G_MAXINT64 only for an %HR_JSON_COUNT that hr_json_parse()
+ *   has read, whose integer holds the 64 bits without a sign
  * @out: (out): the count; unchanged on failure
  *
  * Returns: %FALSE if the field is missing or not an integer from 0 to @max
@@ -46,17 +46,6 @@
  */
 gboolean hr_json_bool (const json_t *object, const char *key, gboolean *out);
 
-/**
- * hr_json_parse:
- * @data: (nullable): a complete body
- * @len: its length in bytes
- * @error: %HR_PROTOCOL_ERROR_SYNTAX; its message may quote bytes of @data that are not valid UTF-8
- *
- * Returns: (transfer full) (nullable): the parsed value; %NULL with @error set when the body is not
- *   exactly one JSON value
- */
-json_t *hr_json_parse (const char *data, gsize len, GError **error);
-
 /**
  * hr_json_take_text:
  * @value: (transfer full): any value
--- a/src/protocol/messages.c
+++ b/src/protocol/messages.c
@@ -10,6 +10,15 @@
 static const char *const state_names[] = {HR_WIRE_JOB_QUEUED, HR_WIRE_JOB_RUNNING, HR_WIRE_JOB_DONE,
                                           HR_WIRE_JOB_CANCELLED};
 
+static const HrJsonMember id_member[] = {{.name = HR_WIRE_ID}, {.name = NULL}};
+static const HrJsonMember error_member[] = {{.name = HR_WIRE_ERROR}, {.name = NULL}};
+static const HrJsonMember status_members[] = {{.name = HR_WIRE_ID},
+                                              {.name = HR_WIRE_STATE},
+                                              {.name = HR_WIRE_REASON},
+                                              {.name = HR_WIRE_DONE, .kind = HR_JSON_COUNT},
+                                              {.name = HR_WIRE_RUNNING, .kind = HR_JSON_COUNT},
+                                              {.name = NULL}};
+
 static json_t *
 text_or_null (const char *text)
 {
@@ -61,7 +70,7 @@
 char *
 hr_submission_id (const char *body, gsize size)
 {
-  json_t *object = hr_json_parse (body, size, NULL);
+  json_t *object = hr_json_parse (body, size, id_member, NULL);
   const char *id = hr_json_str (object, HR_WIRE_ID);
   char *copy = hr_job_id_valid (id) ? g_strdup (id) : NULL;
   json_decref (object);
@@ -71,7 +80,7 @@
 gboolean
 hr_job_status_read (const char *body, gsize size, HrJobStatus *out)
 {
-  json_t *object = hr_json_parse (body, size, NULL);
+  json_t *object = hr_json_parse (body, size, status_members, NULL);
   const char *id = hr_json_str (object, HR_WIRE_ID), *state = hr_json_str (object, HR_WIRE_STATE);
   gboolean valid = id && state;
   memset (out, 0, sizeof *out);
@@ -117,7 +126,7 @@
 char *
 hr_error_text (const char *body, gsize size)
 {
-  json_t *object = hr_json_parse (body, size, NULL);
+  json_t *object = hr_json_parse (body, size, error_member, NULL);
   const char *error = hr_json_str (object, HR_WIRE_ERROR);
   g_autofree char *excerpt = g_strndup (body ? body : "", MIN (size, MAX_EXCERPT_BYTES));
   char *text = error ? g_strdup (error) : g_utf8_make_valid (excerpt, -1);
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -19,6 +19,52 @@
  * only when its lease expires. */
 #define CANCEL_MARGIN_S 2
 
+static const HrJsonMember controller_members[] = {
+    {.name = "label"}, {.name = "area"}, {.name = "endpoint"}, {.name = NULL}};
+static const HrJsonMember service_members[] = {
+    {.name = "cloud"}, {.name = "state"}, {.name = NULL}};
+static const HrJsonMember team_members[] = {{.name = "name"},     {.name = "cpus"},
+                                            {.name = "gpus"},     {.name = "cpus_max"},
+                                            {.name = "gpus_max"}, {.name = NULL}};
+static const HrJsonMember objective_members[] = {{.name = "kind"},     {.name = "class"},
+                                                 {.name = "within_s"}, {.name = "after_s"},
+                                                 {.name = "share"},    {.name = NULL}};
+static const HrJsonMember worker_members[] = {{.name = "report_s"},    {.name = "lease_s"},
+                                              {.name = "gang_wait_s"}, {.name = "gang_peer_s"},
+                                              {.name = "cancel_s"},    {.name = NULL}};
+static const HrJsonMember limit_members[] = {{.name = "rps"},
+                                             {.name = "write_rps"},
+                                             {.name = "value_kb"},
+                                             {.name = "txn_ops"},
+                                             {.name = NULL}};
+static const HrJsonMember store_members[] = {
+    {.name = "rps"},
+    {.name = "write_rps"},
+    {.name = "value_kb"},
+    {.name = "txn_ops"},
+    {.name = "next", .kind = HR_JSON_OBJECT, .members = limit_members},
+    {.name = NULL}};
+static const HrJsonMember cloud_members[] = {
+    {.name = "rps"}, {.name = "list_lag_s"}, {.name = NULL}};
+static const HrJsonMember machine_limit_members[] = {{.name = "fd_limit"}, {.name = NULL}};
+static const HrJsonMember fact_members[] = {
+    {.name = "teams", .kind = HR_JSON_LIST, .members = team_members},
+    {.name = "objectives", .kind = HR_JSON_LIST, .members = objective_members},
+    {.name = "workers", .kind = HR_JSON_OBJECT, .members = worker_members},
+    {.name = "state", .kind = HR_JSON_OBJECT, .members = store_members},
+    {.name = "cloud", .kind = HR_JSON_OBJECT, .members = cloud_members},
+    {.name = "machine_limits", .kind = HR_JSON_OBJECT, .members = machine_limit_members},
+    {.name = NULL}};
+static const HrJsonMember settings_members[] = {
+    {.name = "label"},
+    {.name = "area"},
+    {.name = "front"},
+    {.name = "back"},
+    {.name = "members", .kind = HR_JSON_LIST, .members = controller_members},
+    {.name = "outside", .kind = HR_JSON_OBJECT, .members = service_members},
+    {.name = "facts", .kind = HR_JSON_OBJECT, .members = fact_members},
+    {.name = NULL}};
+
 static void
 member_clear (gpointer data)
 {
@@ -303,7 +349,7 @@
   gsize len;
   if (!g_file_get_contents (path, &data, &len, error))
     return NULL;
-  json_t *root = hr_json_parse (data, len, error);
+  json_t *root = hr_json_parse (data, len, settings_members, error);
   HrSettings *settings = root ? hr_settings_parse (root, names, error) : NULL;
   json_decref (root);
   if (!settings)
--- a/src/protocol/store_api.c
+++ b/src/protocol/store_api.c
@@ -1,10 +1,34 @@
 #include "protocol/store_api.h"
 #include "protocol/json_util.h"
+#include "protocol/json_writer.h"
 #include "protocol/wire_names.h"
 
 /* Maximum number of keys on one page of a list. */
 #define LIST_PAGE_KEYS "1000"
 
+static const HrJsonMember row_members[] = {{.name = HR_WIRE_KEY},
+                                           {.name = HR_WIRE_VALUE, .kind = HR_JSON_ANY},
+                                           {.name = HR_WIRE_KEY_REVISION, .kind = HR_JSON_COUNT},
+                                           {.name = NULL}};
+
+static const HrJsonMember change_members[] = {{.name = HR_WIRE_PUT},
+                                              {.name = HR_WIRE_DELETE},
+                                              {.name = HR_WIRE_VALUE, .kind = HR_JSON_ANY},
+                                              {.name = HR_WIRE_KEY_REVISION, .kind = HR_JSON_COUNT},
+                                              {.name = NULL}};
+
+const HrJsonMember hr_store_answer_members[] = {
+    {.name = HR_WIRE_KEY},
+    {.name = HR_WIRE_VALUE, .kind = HR_JSON_ANY},
+    {.name = HR_WIRE_KEY_REVISION, .kind = HR_JSON_COUNT},
+    {.name = HR_WIRE_STORE_REVISION, .kind = HR_JSON_COUNT},
+    {.name = HR_WIRE_LEASE_ID, .kind = HR_JSON_COUNT},
+    {.name = HR_WIRE_LIST_ROWS, .kind = HR_JSON_LIST, .members = row_members},
+    {.name = HR_WIRE_MORE},
+    {.name = HR_WIRE_CHANGES, .kind = HR_JSON_LIST, .members = change_members},
+    {.name = HR_WIRE_ERROR},
+    {.name = NULL}};
+
 char *
 hr_store_list_path (const char *prefix, const char *cursor)
 {
@@ -46,19 +70,19 @@
 gboolean
 hr_store_read_lease_id (const json_t *answer, guint64 *lease_id)
 {
-  return hr_json_count (answer, HR_WIRE_LEASE_ID, G_MAXINT64, lease_id) && *lease_id;
+  return hr_json_count (answer, HR_WIRE_LEASE_ID, G_MAXUINT64, lease_id) && *lease_id;
 }
 
 gboolean
 hr_store_read_revision (const json_t *answer, guint64 *revision)
 {
-  return hr_json_count (answer, HR_WIRE_STORE_REVISION, G_MAXINT64, revision);
+  return hr_json_count (answer, HR_WIRE_STORE_REVISION, G_MAXUINT64, revision);
 }
 
 gboolean
 hr_store_read_key_revision (const json_t *answer, guint64 *revision)
 {
-  return hr_json_count (answer, HR_WIRE_KEY_REVISION, G_MAXINT64, revision);
+  return hr_json_count (answer, HR_WIRE_KEY_REVISION, G_MAXUINT64, revision);
 }
 
 const json_t *
@@ -104,30 +128,49 @@
   return more;
 }
 
-json_t *
-hr_store_condition (const char *key, guint64 revision)
+static void
+write_condition (yajl_gen generator, const HrStoreCondition *condition)
 {
-  return json_pack ("{sssI}", HR_WIRE_KEY, key, HR_WIRE_KEY_REVISION, (json_int_t)revision);
+  yajl_gen_map_open (generator);
+  hr_json_write_string (generator, HR_WIRE_KEY);
+  hr_json_write_string (generator, condition->key);
+  hr_json_write_string (generator, HR_WIRE_KEY_REVISION);
+  hr_json_write_count (generator, condition->revision);
+  yajl_gen_map_close (generator);
 }
 
-json_t *
-hr_store_put (const char *key, json_t *value, guint64 lease_id)
+static void
+write_change (yajl_gen generator, const HrStoreWrite *change)
 {
-  json_t *put = json_pack ("{ssso}", HR_WIRE_PUT, key, HR_WIRE_VALUE, value);
-  if (lease_id)
-    json_object_set_new (put, HR_WIRE_LEASE_ID, json_integer (lease_id));
-  return put;
-}
-
-json_t *
-hr_store_delete (const char *key)
-{
-  return json_pack ("{ss}", HR_WIRE_DELETE, key);
+  yajl_gen_map_open (generator);
+  hr_json_write_string (generator, change->value ? HR_WIRE_PUT : HR_WIRE_DELETE);
+  hr_json_write_string (generator, change->key);
+  if (change->value) {
+    hr_json_write_string (generator, HR_WIRE_VALUE);
+    hr_json_write_raw (generator, change->value);
+  }
+  if (change->lease_id) {
+    hr_json_write_string (generator, HR_WIRE_LEASE_ID);
+    hr_json_write_count (generator, change->lease_id);
+  }
+  yajl_gen_map_close (generator);
 }
 
 char *
-hr_store_commit_text (json_t *conditions, json_t *writes)
-{
-  return hr_json_take_text (
-      json_pack ("{sOsO}", HR_WIRE_CONDITIONS, conditions, HR_WIRE_WRITES, writes));
+hr_store_commit_text (const GArray *conditions, const GArray *writes)
+{
+  yajl_gen generator = yajl_gen_alloc (NULL);
+  yajl_gen_map_open (generator);
+  hr_json_write_string (generator, HR_WIRE_CONDITIONS);
+  yajl_gen_array_open (generator);
+  for (guint i = 0; i < conditions->len; i++)
+    write_condition (generator, &g_array_index (conditions, HrStoreCondition, i));
+  yajl_gen_array_close (generator);
+  hr_json_write_string (generator, HR_WIRE_WRITES);
+  yajl_gen_array_open (generator);
+  for (guint i = 0; i < writes->len; i++)
+    write_change (generator, &g_array_index (writes, HrStoreWrite, i));
+  yajl_gen_array_close (generator);
+  yajl_gen_map_close (generator);
+  return hr_json_writer_finish (generator);
 }
--- a/src/protocol/store_api.h
+++ b/src/protocol/store_api.h
@@ -5,6 +5,7 @@
  * The caller frees the paths and bodies that are returned. Values read from an answer belong to the
  * answer and are valid as long as it is. */
 #pragma once
+#include "protocol/json_reader.h"
 #include <glib.h>
 #include <jansson.h>
 
@@ -13,6 +14,22 @@
 /* Path for requesting leases. */
 #define HR_STORE_LEASES_PATH "/leases"
 
+/* The members of all answers of the store. */
+extern const HrJsonMember hr_store_answer_members[];
+
+/* A condition of a transaction. */
+typedef struct {
+  char *key;
+  guint64 revision; /* that the key must have; 0: the key must not exist */
+} HrStoreCondition;
+
+/* A change that a transaction makes. */
+typedef struct {
+  char *key;
+  char *value;      /* JSON text; NULL: the key is deleted */
+  guint64 lease_id; /* lease to which the key is attached; 0: none */
+} HrStoreWrite;
+
 /* One change, or one row of a list of keys. */
 typedef struct {
   const char *key;
@@ -142,36 +159,11 @@
  */
 gboolean hr_store_list_has_more (const json_t *answer);
 
-/**
- * hr_store_condition:
- * @revision: the revision that the key must have; 0: the key must not exist
- *
- * Returns: (transfer full): a condition of a transaction
- */
-json_t *hr_store_condition (const char *key, guint64 revision);
-
-/**
- * hr_store_put:
- * @value: (transfer full): the new value
- * @lease_id: the lease to which the key is attached: the store deletes the key when the lease ends;
- *   0: no lease
- *
- * Returns: (transfer full): a write of a transaction
- */
-json_t *hr_store_put (const char *key, json_t *value, guint64 lease_id);
-
-/**
- * hr_store_delete:
- *
- * Returns: (transfer full): the deletion of a key, for a transaction
- */
-json_t *hr_store_delete (const char *key);
-
 /**
  * hr_store_commit_text:
- *
- * Takes its own references to @conditions and @writes.
+ * @conditions: a list of #HrStoreCondition
+ * @writes: a list of #HrStoreWrite
  *
  * Returns: (transfer full): the body of a transaction
  */
-char *hr_store_commit_text (json_t *conditions, json_t *writes);
+char *hr_store_commit_text (const GArray *conditions, const GArray *writes);
--- a/src/protocol/worker.c
+++ b/src/protocol/worker.c
@@ -1,6 +1,7 @@
 #include "protocol/worker.h"
 #include "protocol/jobspec.h"
 #include "protocol/json_util.h"
+#include "protocol/json_writer.h"
 #include "protocol/wire_names.h"
 #include <string.h>
 
@@ -12,6 +13,24 @@
 static const char *const causes[] = {"",      "done", "halted", "peers",  "incomplete",
                                      "error", "full", "in_use", "unknown"};
 
+static const HrJsonMember task_members[] = {
+    {.name = HR_WIRE_TASK},           {.name = HR_WIRE_ATTEMPT, .kind = HR_JSON_COUNT},
+    {.name = HR_WIRE_STATE},          {.name = HR_WIRE_EXIT_CAUSE},
+    {.name = HR_WIRE_PROGRESS_SAVED}, {.name = NULL}};
+
+const HrJsonMember hr_heartbeat_members[] = {
+    {.name = HR_WIRE_MACHINE},
+    {.name = HR_WIRE_ADDRESS},
+    {.name = HR_WIRE_MACHINE_TYPE},
+    {.name = HR_WIRE_ZONE},
+    {.name = HR_WIRE_SPOT},
+    {.name = HR_WIRE_INCARNATION, .kind = HR_JSON_COUNT},
+    {.name = HR_WIRE_SEQUENCE, .kind = HR_JSON_COUNT},
+    {.name = HR_WIRE_FENCING_TOKEN, .kind = HR_JSON_COUNT},
+    {.name = HR_WIRE_PREEMPTION_NOTICE_S},
+    {.name = HR_WIRE_TASKS, .kind = HR_JSON_LIST, .members = task_members},
+    {.name = NULL}};
+
 const char *
 hr_exit_name (HrExitCause cause)
 {
@@ -49,7 +68,7 @@
   guint64 task, attempt;
   if (!slash || !state_name ||
       !g_ascii_string_to_unsigned (slash + 1, 10, 0, HR_MAX_TASKS - 1, &task, NULL) ||
-      !hr_json_count (object, HR_WIRE_ATTEMPT, G_MAXUINT32, &attempt))
+      !hr_json_count (object, HR_WIRE_ATTEMPT, G_MAXUINT64, &attempt))
     return FALSE;
   char *job_id = g_strndup (name, slash - name);
   g_ptr_array_add (heartbeat->job_ids, job_id);
@@ -74,45 +93,60 @@
       strlen (heartbeat->machine) > MAX_MACHINE_NAME_BYTES || !heartbeat->address ||
       !heartbeat->type || !heartbeat->zone ||
       !hr_json_bool (root, HR_WIRE_SPOT, &heartbeat->is_spot) ||
-      !hr_json_count (root, HR_WIRE_INCARNATION, G_MAXUINT32, &heartbeat->incarnation) ||
-      !hr_json_count (root, HR_WIRE_SEQUENCE, G_MAXINT64, &heartbeat->sequence) ||
-      !hr_json_count (root, HR_WIRE_FENCING_TOKEN, G_MAXINT64, &heartbeat->fencing_token))
+      !hr_json_count (root, HR_WIRE_INCARNATION, G_MAXUINT64, &heartbeat->incarnation) ||
+      !hr_json_count (root, HR_WIRE_SEQUENCE, G_MAXUINT64, &heartbeat->sequence) ||
+      !hr_json_count (root, HR_WIRE_FENCING_TOKEN, G_MAXUINT64, &heartbeat->fencing_token))
     return FALSE;
   if (!hr_json_num (root, HR_WIRE_PREEMPTION_NOTICE_S, &heartbeat->preemption_notice_s))
     heartbeat->preemption_notice_s = -1;
   return TRUE;
 }
 
-HrHeartbeat *
-hr_heartbeat_parse (const char *data, gsize len, GError **error)
+/* Parses the list of tasks. */
+static gboolean
+parse_tasks (const json_t *list, HrHeartbeat *heartbeat, GError **error)
 {
-  json_t *root = hr_json_parse (data, len, error);
-  if (!root)
-    return NULL;
-  g_autoptr (HrHeartbeat) heartbeat = g_new0 (HrHeartbeat, 1);
-  heartbeat->root = root;
-  heartbeat->tasks = g_array_new (FALSE, TRUE, sizeof (HrReportedTask));
-  heartbeat->job_ids = g_ptr_array_new_with_free_func (g_free);
-  if (!parse_header (root, heartbeat)) {
-    g_set_error_literal (error, HR_PROTOCOL_ERROR, HR_PROTOCOL_ERROR_FIELD,
-                         "not a worker's report: a field is missing or of the wrong type");
-    return NULL;
-  }
-  json_t *list = json_object_get (root, HR_WIRE_TASKS), *object;
   size_t i;
+  json_t *object;
   json_array_foreach (list, i, object)
   {
     HrReportedTask reported;
     if (!parse_task (object, heartbeat, &reported)) {
       g_set_error (error, HR_PROTOCOL_ERROR, HR_PROTOCOL_ERROR_FIELD,
                    HR_WIRE_TASKS "[%zu] is not a task's state", i);
-      return NULL;
+      return FALSE;
     }
     g_array_append_val (heartbeat->tasks, reported);
   }
+  return TRUE;
+}
+
+HrHeartbeat *
+hr_heartbeat_read (json_t *root, GError **error)
+{
+  g_autoptr (HrHeartbeat) heartbeat = g_new0 (HrHeartbeat, 1);
+  heartbeat->root = json_incref (root);
+  heartbeat->tasks = g_array_new (FALSE, TRUE, sizeof (HrReportedTask));
+  heartbeat->job_ids = g_ptr_array_new_with_free_func (g_free);
+  if (!parse_header (root, heartbeat)) {
+    g_set_error_literal (error, HR_PROTOCOL_ERROR, HR_PROTOCOL_ERROR_FIELD,
+                         "not a worker's report: a field is missing or of the wrong type");
+    return NULL;
+  }
+  if (!parse_tasks (json_object_get (root, HR_WIRE_TASKS), heartbeat, error))
+    return NULL;
   return g_steal_pointer (&heartbeat);
 }
 
+HrHeartbeat *
+hr_heartbeat_parse (const char *data, gsize len, GError **error)
+{
+  json_t *root = hr_json_parse (data, len, hr_heartbeat_members, error);
+  HrHeartbeat *heartbeat = root ? hr_heartbeat_read (root, error) : NULL;
+  json_decref (root);
+  return heartbeat;
+}
+
 void
 hr_heartbeat_free (HrHeartbeat *heartbeat)
 {
@@ -135,14 +169,14 @@
 }
 
 void
-hr_order_launch (GArray *orders, const char *job_id, guint32 task_index, guint32 attempt)
+hr_order_launch (GArray *orders, const char *job_id, guint32 task_index, guint64 attempt)
 {
   HrOrder order = {HR_ORDER_LAUNCH, job_id, task_index, attempt, 0};
   g_array_append_val (orders, order);
 }
 
 void
-hr_order_stop (GArray *orders, const char *job_id, guint32 task_index, guint32 attempt,
+hr_order_stop (GArray *orders, const char *job_id, guint32 task_index, guint64 attempt,
                double grace_s)
 {
   HrOrder order = {HR_ORDER_STOP, job_id, task_index, attempt, grace_s};
@@ -150,37 +184,28 @@
 }
 
 void
-hr_order_clear (GArray *orders, const char *job_id, guint32 task_index, guint32 attempt)
+hr_order_clear (GArray *orders, const char *job_id, guint32 task_index, guint64 attempt)
 {
   HrOrder order = {HR_ORDER_CLEAR, job_id, task_index, attempt, 0};
   g_array_append_val (orders, order);
 }
 
-static json_t *
-order_pack (const HrOrder *order)
+static void
+write_order (yajl_gen generator, const HrOrder *order)
 {
   g_autofree char *task = g_strdup_printf ("%s/%u", order->job, order->task);
-  json_t *object = json_pack ("{sssssi}", HR_WIRE_ORDER_VERB, order_verbs[order->kind],
-                              HR_WIRE_TASK, task, HR_WIRE_ATTEMPT, (int)order->attempt);
-  if (order->kind == HR_ORDER_STOP)
-    json_object_set_new (object, HR_WIRE_ORDER_GRACE_S, json_real (order->grace_s));
-  return object;
-}
-
-static json_t *
-orders_pack (const GArray *orders)
-{
-  json_t *list = json_array ();
-  for (guint i = 0; i < orders->len; i++)
-    json_array_append_new (list, order_pack (&g_array_index (orders, HrOrder, i)));
-  return list;
-}
-
-json_t *
-hr_heartbeat_answer (guint64 fencing_token, const GArray *orders)
-{
-  return json_pack ("{sIso}", HR_WIRE_FENCING_TOKEN, (json_int_t)fencing_token, HR_WIRE_ORDERS,
-                    orders_pack (orders));
+  yajl_gen_map_open (generator);
+  hr_json_write_string (generator, HR_WIRE_ORDER_VERB);
+  hr_json_write_string (generator, order_verbs[order->kind]);
+  hr_json_write_string (generator, HR_WIRE_TASK);
+  hr_json_write_string (generator, task);
+  hr_json_write_string (generator, HR_WIRE_ATTEMPT);
+  hr_json_write_count (generator, order->attempt);
+  if (order->kind == HR_ORDER_STOP) {
+    hr_json_write_string (generator, HR_WIRE_ORDER_GRACE_S);
+    hr_json_write_real (generator, order->grace_s);
+  }
+  yajl_gen_map_close (generator);
 }
 
 json_t *
@@ -192,8 +217,19 @@
 char *
 hr_orders_text (guint64 fencing_token, guint64 incarnation, const GArray *orders)
 {
-  json_t *object = hr_heartbeat_answer (fencing_token, orders);
-  if (incarnation)
-    json_object_set_new (object, HR_WIRE_INCARNATION, json_integer (incarnation));
-  return hr_json_take_text (object);
+  yajl_gen generator = yajl_gen_alloc (NULL);
+  yajl_gen_map_open (generator);
+  hr_json_write_string (generator, HR_WIRE_FENCING_TOKEN);
+  hr_json_write_count (generator, fencing_token);
+  hr_json_write_string (generator, HR_WIRE_ORDERS);
+  yajl_gen_array_open (generator);
+  for (guint i = 0; i < orders->len; i++)
+    write_order (generator, &g_array_index (orders, HrOrder, i));
+  yajl_gen_array_close (generator);
+  if (incarnation) {
+    hr_json_write_string (generator, HR_WIRE_INCARNATION);
+    hr_json_write_count (generator, incarnation);
+  }
+  yajl_gen_map_close (generator);
+  return hr_json_writer_finish (generator);
 }
--- a/src/protocol/worker.h
+++ b/src/protocol/worker.h
@@ -3,7 +3,7 @@
  * contains orders. Orders are also sent to the worker directly, which answers
  * with a heartbeat. */
 #pragma once
-#include "protocol/protocol_error.h"
+#include "protocol/json_reader.h"
 #include <jansson.h>
 #include <glib.h>
 
@@ -36,7 +36,7 @@
 typedef struct {
   const char *job; /* job id; belongs to the heartbeat (HrHeartbeat.job_ids) */
   guint32 task;    /* index in the job */
-  guint32 attempt;
+  guint64 attempt;
   HrReportedState state;
   HrExitCause cause;
   gboolean progress_saved; /* was stopped and has saved its progress */
@@ -55,6 +55,9 @@
   GPtrArray *job_ids;         /* strings that HrReportedTask.job points to */
 } HrHeartbeat;
 
+/* The members of a heartbeat. */
+extern const HrJsonMember hr_heartbeat_members[];
+
 /**
  * hr_heartbeat_parse:
  * @data: (nullable): the body of a heartbeat
@@ -67,6 +70,18 @@
  */
 HrHeartbeat *hr_heartbeat_parse (const char *data, gsize len, GError **error);
 
+/**
+ * hr_heartbeat_read:
+ * @root: (transfer none) (nullable): a body that was read with %hr_heartbeat_members; a reference
+ * is kept
+ * @error: an #HrProtocolError
+ *
+ * Reads a heartbeat, such as the answer to orders.
+ *
+ * Returns: (transfer full) (nullable): the heartbeat; %NULL with @error set when @root is malformed
+ */
+HrHeartbeat *hr_heartbeat_read (json_t *root, GError **error);
+
 /**
  * hr_heartbeat_free:
  * @heartbeat: (nullable): a heartbeat
@@ -92,7 +107,8 @@
 typedef struct {
   HrOrderKind kind;
   const char *job; /* borrowed: must stay valid until the orders are serialised */
-  guint32 task, attempt;
+  guint32 task;
+  guint64 attempt;
   double grace_s; /* for HR_ORDER_STOP: time for a checkpoint */
 } HrOrder;
 
@@ -110,7 +126,7 @@
  *
  * Appends an order to launch an attempt of a task.
  */
-void hr_order_launch (GArray *orders, const char *job_id, guint32 task_index, guint32 attempt);
+void hr_order_launch (GArray *orders, const char *job_id, guint32 task_index, guint64 attempt);
 
 /**
  * hr_order_stop:
@@ -121,7 +137,7 @@
  *
  * Appends an order to stop an attempt of a task.
  */
-void hr_order_stop (GArray *orders, const char *job_id, guint32 task_index, guint32 attempt,
+void hr_order_stop (GArray *orders, const char *job_id, guint32 task_index, guint64 attempt,
                     double grace_s);
 
 /**
@@ -131,7 +147,7 @@
  *
  * Appends an order to forget an attempt that has exited.
  */
-void hr_order_clear (GArray *orders, const char *job_id, guint32 task_index, guint32 attempt);
+void hr_order_clear (GArray *orders, const char *job_id, guint32 task_index, guint64 attempt);
 
 /**
  * hr_orders_text:
@@ -140,19 +156,11 @@
  *   message names no incarnation
  * @orders: a list of orders
  *
- * Returns: (transfer full): the body of a request that sends orders to a worker
+ * Returns: (transfer full): the body of a request that sends orders to a worker, or of the answer
+ * to a heartbeat, which renews the worker's lease
  */
 char *hr_orders_text (guint64 fencing_token, guint64 incarnation, const GArray *orders);
 
-/**
- * hr_heartbeat_answer:
- * @fencing_token: the leader's fencing token
- * @orders: a list of orders
- *
- * Returns: (transfer full): the answer to a heartbeat, which renews the worker's lease
- */
-json_t *hr_heartbeat_answer (guint64 fencing_token, const GArray *orders);
-
 /**
  * hr_redirect_answer:
  * @leader: the label of the leading controller
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -25,7 +25,7 @@
   const char *id;
   hr_names_init (&names);
   hr_intern (&names.types, "g8");
-  json_t *object = hr_json_parse (text, strlen (text), error);
+  json_t *object = hr_json_parse (text, strlen (text), hr_submission_members, error);
   gboolean ok = object && hr_jobspec_parse (object, &names, spec, &id, error);
   json_decref (object);
   hr_names_clear (&names);
