Messages: reading a number takes time in its own length, not in the body's

Cause: g_strlcpy() returns the length of its source, so each number of a body cost a pass over the rest of it. Found by parsing answers of the state service of 1, 4 and 8 MiB: the last did not end within ten minutes.

--- a/src/protocol/json_reader.c
+++ b/src/protocol/json_reader.c
@@ -218,8 +218,10 @@
     return go_on (reader);
   char usual[USUAL_NUMBER_BYTES];
   g_autofree char *longer = len < sizeof usual ? NULL : g_strndup (digits, len);
-  if (!longer)
-    g_strlcpy (usual, digits, len + 1);
+  if (!longer) {
+    memcpy (usual, digits, len);
+    usual[len] = 0;
+  }
   json_t *value = number_value (longer ? longer : usual, expected->kind == HR_JSON_COUNT);
   return value ? keep (reader, value) : stop_at_member (reader, "a number out of range");
 }
