State service: more changes than one answer may hold are listed anew

Cause: the HTTP client dropped an answer above 8 MiB as if none had come, and the replica repeated the read. The limit itself was too high for the machines: 8 MiB of changes take 129 MiB as a tree, 1 MiB takes 16 MiB; controllers have 46 to 208 MB.

Change: an answer above 1 MiB, twice the largest page of a list, has a status of its own, by its announced length before its body is read; after a read of changes the replica then lists the store anew, in pages of at most 512 KiB, as after 410.

Evidence: a_controller_that_missed_many_changes_never_answers_again fails without the change in replica.c (no listing within 6 s of reads), too_large_answer_counts_as_no_answer without the one in http_client.c (status 200 for an answer of 1 MiB and one byte); both pass with them.

--- a/src/bookkeeping/replica.c
+++ b/src/bookkeeping/replica.c
@@ -138,10 +138,15 @@
     return;
   store->replica.read_in_flight = FALSE;
   gboolean ok = status == 200 && apply_changes (store, body);
-  gboolean is_busy = status == 429, is_history_lost = status == 410;
+  gboolean is_busy = status == 429;
+  gboolean is_history_lost = status == 410 || status == HR_STATUS_ANSWER_TOO_LARGE;
   hr_replica_update_availability (store, ok || is_busy || is_history_lost);
   if (ok)
     record_read_success (store, sent_at);
+  if (status == HR_STATUS_ANSWER_TOO_LARGE)
+    g_message ("the changes after revision %" G_GUINT64_FORMAT
+               " are too many for one answer; listing the state store again",
+               store->replica.applied_revision);
   if (is_history_lost)
     store->events->history_lost (store->core);
   if (is_busy)
--- a/src/bookkeeping/store.h
+++ b/src/bookkeeping/store.h
@@ -180,7 +180,7 @@
  * @machine_types_read: a change of the machine types was read; value NULL: they were deleted
  * @changes_applied: all changes of a response were applied
  * @read_answered: a read succeeded; latency_s: time from the request to the response
- * @history_lost: the log of the state store no longer holds the changes since the last read; the
+ * @history_lost: the changes since the last read cannot be read, or not in one answer; the
  *   replica must be reset
  * @cancellation_read: a record with the state cancelled was read; called before the job's state
  *   changes
--- a/src/coordination/command.h
+++ b/src/coordination/command.h
@@ -29,7 +29,7 @@
       gboolean is_too_large; /* the body exceeded the limit and was discarded */
     } request;
     struct {
-      int status; /* HTTP status; 0: no response was received */
+      int status; /* HTTP status; 0: no response; or HR_STATUS_ANSWER_TOO_LARGE */
     } result;
     HrPeerStatus *peer_status;
   };
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -2,8 +2,9 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
-/* A larger answer counts as no usable answer: no service sends one this large. */
-#define MAX_ANSWER_BYTES ((gsize)8 * 1024 * 1024)
+/* Larger answers are dropped. Pages of lists have at most 512 KiB; only the answer with the changes
+ * of the state store has no limit, and parsed it takes sixteen times its size in memory. */
+#define MAX_ANSWER_BYTES ((gsize)1024 * 1024)
 /* Calls to the state store with a longer timeout are watches. */
 #define WATCH_TIMEOUT_S 10
 /* Longer than any call, since each call has a timer of its own. */
@@ -42,7 +43,7 @@
   guint64 id;
   SoupMessage *msg;
   GCancellable *cancel;
-  guint timer; /* source of the deadline; 0: the deadline has passed and the result was delivered */
+  guint timer; /* source of the deadline; 0: the result was delivered before the call has ended */
 } Call;
 
 static void
@@ -67,19 +68,43 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Ends a call whose answer is announced as too large before its body is read. */
+static void
+on_headers (SoupMessage *msg, gpointer data)
+{
+  Call *call = data;
+  SoupMessageHeaders *headers = soup_message_get_response_headers (msg);
+  if (!call->timer ||
+      soup_message_headers_get_content_length (headers) <= (goffset)MAX_ANSWER_BYTES)
+    return;
+  g_source_remove (call->timer);
+  call->timer = 0;
+  deliver_result (call, HR_STATUS_ANSWER_TOO_LARGE, NULL);
+  g_cancellable_cancel (call->cancel);
+}
+
+/* Delivers the answer; NULL: none was received. */
+static void
+deliver_answer (Call *call, GBytes *body)
+{
+  if (!body)
+    deliver_result (call, 0, NULL);
+  else if (g_bytes_get_size (body) > MAX_ANSWER_BYTES)
+    deliver_result (call, HR_STATUS_ANSWER_TOO_LARGE, NULL);
+  else
+    deliver_result (call, soup_message_get_status (call->msg), g_bytes_ref (body));
+}
+
 static void
 on_done (GObject *src, GAsyncResult *res, gpointer data)
 {
   Call *call = data;
   g_autoptr (GError) error = NULL;
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (src), res, &error);
+  g_autoptr (GBytes) body = soup_session_send_and_read_finish (SOUP_SESSION (src), res, &error);
   if (call->timer) {
-    gboolean usable = body && g_bytes_get_size (body) <= MAX_ANSWER_BYTES;
     g_source_remove (call->timer);
-    deliver_result (call, usable ? soup_message_get_status (call->msg) : 0,
-                    usable ? g_steal_pointer (&body) : NULL);
+    deliver_answer (call, body);
   }
-  g_clear_pointer (&body, g_bytes_unref);
   g_object_unref (call->cancel);
   g_object_unref (call->msg);
   g_free (call);
@@ -151,6 +176,7 @@
     g_autoptr (GBytes) body = g_bytes_new (effect->body, strlen (effect->body));
     soup_message_set_request_body_from_bytes (call->msg, "application/json", body);
   }
+  g_signal_connect (call->msg, "got-headers", G_CALLBACK (on_headers), call);
   call->cancel = g_cancellable_new ();
   call->timer = g_timeout_add (MAX (1, (guint)(effect->call.timeout_s * 1000)), on_deadline, call);
   soup_session_send_and_read_async (call->client->sessions[session_kind (effect)], call->msg,
--- a/tests/test_store_reads.c
+++ b/tests/test_store_reads.c
@@ -173,6 +173,29 @@
   cluster_free (cluster);
 }
 
+/* The answer to a read is larger than the controller accepts, and so is that to each read after it.
+ */
+static void
+a_controller_that_missed_many_changes_never_answers_again (void **state G_GNUC_UNUSED)
+{
+  Cluster *cluster = cluster_new_with_leader (2);
+  int leader = cluster_leader (cluster), other = 1 - leader;
+  cluster_hold (cluster, other, "/changes", NULL);
+  cluster_submit (cluster, leader, "job-a", 1);
+  cluster_serve (cluster);
+  for (int i = 0; i < 60 && !cluster_count_calls (cluster, other, "/kv?", NULL); i++) {
+    cluster_tick (cluster, 0.1);
+    ClusterCall *read_call = cluster_find_call (cluster, other, READ, NULL);
+    if (read_call)
+      cluster_answer_with (cluster, read_call, HR_STATUS_ANSWER_TOO_LARGE, NULL);
+  }
+  assert_true (cluster_count_calls (cluster, other, "/kv?", NULL) > 0);
+  cluster_release (cluster);
+  cluster_run (cluster, 2);
+  assert_string_equal (cluster_poll_state (cluster, other, "job-a"), "queued");
+  cluster_free (cluster);
+}
+
 /* A new process answers nothing before it has read the state store. */
 static void
 a_new_process_answers_nothing_before_it_has_read (void **state G_GNUC_UNUSED)
@@ -424,6 +447,7 @@
       cmocka_unit_test (concurrent_submissions_write_one_record),
       cmocka_unit_test (a_late_answer_does_not_reopen_a_cancelled_job),
       cmocka_unit_test (no_node_answers_with_an_older_state),
+      cmocka_unit_test (a_controller_that_missed_many_changes_never_answers_again),
   };
   g_log_set_writer_func (cluster_log_writer, NULL, NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -4,6 +4,7 @@
 #include "transport/http_client.h"
 #include "transport/process_metrics.h"
 #include <gio/gio.h>
+#include <libsoup/soup.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -310,6 +311,41 @@
   run_loop_for (&fixture, 0.1);
 }
 
+static void
+on_large_request (SoupServer *server G_GNUC_UNUSED, SoupServerMessage *msg,
+                  const char *path G_GNUC_UNUSED, GHashTable *query G_GNUC_UNUSED, gpointer data)
+{
+  const gsize *size = data;
+  char *text = g_strnfill (*size, ' ');
+  soup_server_message_set_status (msg, 200, NULL);
+  soup_server_message_set_response (msg, "application/json", SOUP_MEMORY_TAKE, text, *size);
+}
+
+static void
+too_large_answer_counts_as_no_answer (void **state G_GNUC_UNUSED)
+{
+  guint16 port = free_port ();
+  gsize size = 1024 * 1024;
+  g_autoptr (SoupServer) server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (server, NULL, on_large_request, &size, NULL);
+  assert_true (soup_server_listen_local (server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+  Fixture fixture = {.status = -1};
+  g_autofree char *store = g_strdup_printf ("127.0.0.1:%u", port);
+  HrHttpClient *client = hr_http_client_new (store, store, 100, on_command, &fixture);
+  send_call (client, 5);
+  for (int i = 0; i < 50 && fixture.results < 1; i++)
+    run_loop_for (&fixture, 0.1);
+  assert_int_equal (fixture.status, 200);
+  size++;
+  send_call (client, 5);
+  for (int i = 0; i < 50 && fixture.results < 2; i++)
+    run_loop_for (&fixture, 0.1);
+  assert_int_equal (fixture.results, 2);
+  assert_int_equal (fixture.status, HR_STATUS_ANSWER_TOO_LARGE);
+  hr_http_client_free (client);
+  run_loop_for (&fixture, 0.1);
+}
+
 /* Guards against metrics appended to orders to workers: the reply's flag for plain text was read
  * from a call, where the worker's address is stored in the same place. */
 static void
@@ -343,6 +379,7 @@
       cmocka_unit_test (connections_add_no_loop_sources),
       cmocka_unit_test (client_may_disconnect_before_the_reply),
       cmocka_unit_test (calls_end_at_their_deadline),
+      cmocka_unit_test (too_large_answer_counts_as_no_answer),
       cmocka_unit_test (workers_take_precedence_over_users),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
