--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -43,10 +43,11 @@
   GPtrArray *relays;   /* Relay of relay.c */
   GHashTable *pending; /* id of a call -> SoupServerMessage */
   guint64 last_call_id;
-  gboolean stop;        /* makes emulator_run() return */
-  double longest_gap;   /* longest time between two updates of the cluster, in seconds */
-  guint kills, freezes; /* number of times that controllers were killed and frozen */
-  guint requests;       /* number of requests that the simulated servers received */
+  gboolean stop;          /* makes emulator_run() return */
+  double longest_gap;     /* longest time between two updates of the cluster, in seconds */
+  guint kills, freezes;   /* number of times that controllers were killed and frozen */
+  guint requests;         /* number of requests that the simulated servers received */
+  GRand *unknown_members; /* draws members to add to every message to a controller; NULL: none */
 };
 
 /* ---- emulator.c: life cycle and clock ---- */
--- a/src/emulator/wire.c
+++ b/src/emulator/wire.c
@@ -2,6 +2,7 @@
  * becomes a message of the simulated cluster, which delays, drops or duplicates it according to the
  * planned faults. Messages that the cluster delivers are sent over real HTTP. */
 #include "emulator/emulator.h"
+#include "json_variants.h"
 #include "sim/request.h"
 #include <string.h>
 
@@ -17,6 +18,23 @@
 /* Data key set on a message whose client has closed the connection. */
 #define DISCONNECTED_KEY "disconnected"
 
+/* Bodies above this size are left as they are: a request may have 64 KiB. */
+#define MAX_EXTENDED_BYTES 32768
+
+/* Returns the body as it is sent to a controller: with a member that it does not know, if the
+ * emulator adds those. */
+static GBytes *
+body_to_send (Emulator *emulator, GBytes *body)
+{
+  gsize size;
+  const char *data = g_bytes_get_data (body, &size);
+  if (!emulator->unknown_members || size > MAX_EXTENDED_BYTES)
+    return g_bytes_ref (body);
+  g_autofree char *text = g_strndup (data, size);
+  char *extended = json_with_unknown_member (emulator->unknown_members, text);
+  return g_bytes_new_take (extended, strlen (extended));
+}
+
 char *
 emulator_address (GInetSocketAddress *address)
 {
@@ -97,7 +115,8 @@
     return;
   }
   gsize size = 0;
-  const char *text = command->body ? g_bytes_get_data (command->body, &size) : NULL;
+  g_autoptr (GBytes) body = command->body ? body_to_send (emulator, command->body) : NULL;
+  const char *text = body ? g_bytes_get_data (body, &size) : NULL;
   soup_server_message_set_status (msg, command->result.status, NULL);
   soup_server_message_set_response (msg, "application/json", SOUP_MEMORY_COPY, size ? text : "{}",
                                     size ? size : 2);
@@ -199,8 +218,10 @@
                                   soup_message_new (methods[command->request.method], uri)};
   if (!forwarded->msg)
     g_error ("emulator: invalid URL: %s", uri);
-  if (command->body)
-    soup_message_set_request_body_from_bytes (forwarded->msg, "application/json", command->body);
+  if (command->body) {
+    g_autoptr (GBytes) body = body_to_send (emulator, command->body);
+    soup_message_set_request_body_from_bytes (forwarded->msg, "application/json", body);
+  }
   soup_session_send_and_read_async (emulator->nodes[node].session, forwarded->msg,
                                     G_PRIORITY_DEFAULT, NULL, on_answered, forwarded);
 }
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -1,6 +1,7 @@
 /* hoprock-soak: real controllers under faults drawn from a seed (docs/search.md). Usage:
  * hoprock-soak --daemon target/hoprockd --policy deploy/policy.hop
- * [--seed N] [--runs N] [--seconds S] [--controllers N] [--old-daemon FILE [--old-format N]].
+ * [--seed N] [--runs N] [--seconds S] [--controllers N] [--old-daemon FILE [--old-format N]]
+ * [--unknown-members].
  * With --old-daemon all controllers start with that program and are replaced in turn while users
  * submit pipelines and faults continue; then the limits of the state store are lowered.
  * --old-format 0 means that the old program supports neither record formats nor pipelines.
@@ -178,6 +179,7 @@
 
 typedef struct {
   char *daemon, *policy, *old_daemon;
+  gboolean unknown_members;
   int seed, runs, seconds, controllers, old_format;
 } Options;
 
@@ -256,6 +258,8 @@
   emulator->policy = options->policy;
   emulator->old_daemon = options->old_daemon;
   emulator_prepare (emulator, seed, nodes);
+  g_autoptr (GRand) unknown_members = options->unknown_members ? g_rand_new_with_seed (seed) : NULL;
+  emulator->unknown_members = unknown_members;
   SimCluster *cluster = emulator->cluster;
   cluster->report_s = REPORT_S;
   cluster->lease_s = LEASE_S;
@@ -309,6 +313,8 @@
        "N"},
       {"seconds", 0, 0, G_OPTION_ARG_INT, &options.seconds, "the duration of each run (45 to 3600)",
        "S"},
+      {"unknown-members", 0, 0, G_OPTION_ARG_NONE, &options.unknown_members,
+       "add members that no controller knows to every message to a controller", NULL},
       {"controllers", 0, 0, G_OPTION_ARG_INT, &options.controllers,
        "the number of controllers, 1 to 5; default: 3 or 5 by seed", "N"},
       {NULL}};
