Tests: slowly sent requests (known red), and a machine that no controller knows

slow_request_keeps_its_connection: a request sent a byte a second keeps its connection beyond the 26 s watched; the bound is the 20 s of an idle connection and the 5 s that a user waits.

A machine whose rental was carried out late, and which is back at once in another incarnation, reports a task that no record names; the first answer stops it.

--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -369,9 +369,46 @@
   g_free (metrics.body);
 }
 
+/* Sends a byte of an unfinished request each second. Returns how long the server keeps the
+ * connection, in seconds, up to `limit_s`. */
+static guint
+keep_slow_request (Fixture *fixture, guint16 port, const char *head, guint limit_s)
+{
+  g_autoptr (GSocket) socket = connect_to (port);
+  char buf[256];
+  assert_true (g_socket_send (socket, head, strlen (head), NULL, NULL) > 0);
+  for (guint at_s = 0; at_s < limit_s; at_s++) {
+    run_loop_for (fixture, 1);
+    if (g_socket_receive (socket, buf, sizeof buf, NULL, NULL) == 0 ||
+        g_socket_send (socket, " ", 1, NULL, NULL) < 0)
+      return at_s;
+  }
+  return limit_s;
+}
+
+/* No client waits longer than 5 s for its answer, and an idle connection is kept for 20 s. */
+static void
+slow_request_keeps_its_connection (void **state G_GNUC_UNUSED)
+{
+  static const char *const heads[] = {
+      "POST /hello HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{",
+      "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{"};
+  Fixture fixture = {0};
+  guint16 port = free_port ();
+  start_server (&fixture, port, 100);
+  for (guint i = 0; i < G_N_ELEMENTS (heads); i++)
+    assert_true (keep_slow_request (&fixture, port, heads[i], 26) < 26);
+  stop_server (&fixture);
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
+  const struct CMUnitTest slow_requests[] = {
+      cmocka_unit_test (slow_request_keeps_its_connection),
+  };
+  if (argc > 1 && g_str_equal (argv[1], "slow_requests"))
+    return cmocka_run_group_tests (slow_requests, NULL, NULL);
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (metrics_are_added_to_plain_text_replies_only),
       cmocka_unit_test (connection_is_kept_alive),
--- a/tests/test_workers.c
+++ b/tests/test_workers.c
@@ -505,6 +505,32 @@
   fleet_check_and_free (fleet);
 }
 
+/* ---- machines that nobody expects ---- */
+
+static void
+add_unrecorded_task (FleetMachine *machine, const char *task_id)
+{
+  FleetTask *task = g_new0 (FleetTask, 1);
+  *task = (FleetTask){.task_id = g_strdup (task_id), .attempt = 1};
+  g_ptr_array_add (machine->tasks, task);
+}
+
+/* Its rental was carried out late, and it is back at once in another incarnation. */
+static void
+a_machine_that_no_controller_knows_keeps_its_task (void **state G_GNUC_UNUSED)
+{
+  Fleet *fleet = fleet_led_by_c0 (2);
+  fleet_run (fleet, 20);
+  FleetMachine *machine = fleet_machine (fleet, "m-9", "z0");
+  for (int i = 0; i < 2; i++) {
+    add_unrecorded_task (machine, "job-x/0");
+    fleet_run (fleet, 4 * fleet->report_s);
+    assert_false (fleet_machine_runs (machine, "job-x/0"));
+    machine->incarnation++;
+  }
+  fleet_check_and_free (fleet);
+}
+
 /* ---- heartbeats ---- */
 
 /* A heartbeat of a deleted machine is delayed until the next leader has begun, and arrives there.
@@ -893,6 +919,7 @@
       cmocka_unit_test (a_leader_that_was_paused_does_not_answer),
       cmocka_unit_test (late_copies_of_statuses_attest_nothing_new),
       cmocka_unit_test (a_delayed_report_of_a_deleted_machine_gets_no_task),
+      cmocka_unit_test (a_machine_that_no_controller_knows_keeps_its_task),
       cmocka_unit_test (an_old_report_proves_nothing),
       cmocka_unit_test (a_report_of_an_earlier_incarnation_proves_nothing),
       cmocka_unit_test (nothing_is_launched_before_its_record),
