--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -35,6 +35,8 @@
   "cloud":{"rps":8.0,"list_lag_s":3.0}}}
 EOF
 expect 0 'answers workers for up to 17 s' "$1" --policy "$2" --config "$tmp/whole.json" --check-config
+sed 's/^{/{"x":[18446744073709551615,1e999,"\\u0000"],/; s/"rps":8.0/"x":-1e999,"x":0,&/' "$tmp/whole.json" >"$tmp/later.json"
+expect 0 'answers workers for up to 17 s' "$1" --policy "$2" --config "$tmp/later.json" --check-config
 expect 1 'setting area: expected' "$1" --policy "$2" --config "$tmp/short.json" --check-config
 expect 2 'expected text or json, not xml' "$1" --log-format xml
 expect 2 'LOG_LEVEL' env LOG_LEVEL=loud "$1" --policy "$2" --config "$tmp/short.json"
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -325,7 +325,7 @@
 too_large_answer_counts_as_no_answer (void **state G_GNUC_UNUSED)
 {
   guint16 port = free_port ();
-  gsize size = 1024 * 1024;
+  gsize size = (gsize)1024 * 1024;
   g_autoptr (SoupServer) server = soup_server_new (NULL, NULL);
   soup_server_add_handler (server, NULL, on_large_request, &size, NULL);
   assert_true (soup_server_listen_local (server, port, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
--- a/tests/test_unknown_members.c
+++ b/tests/test_unknown_members.c
@@ -2,6 +2,7 @@
  * and malformed ones. src/protocol/wire_names.h explains the fields. */
 #include "bookkeeping/record.h"
 #include "coordination/command.h"
+#include "coordination/metrics/metrics.h"
 #include "coordination/state.h"
 #include "json_variants.h"
 #include "protocol/cloud.h"
@@ -305,6 +306,46 @@
   cluster_free (cluster);
 }
 
+/* The latest log line about a refusal, and the number of such lines. */
+static char *refusal_line;
+static guint refusal_lines;
+
+static GLogWriterOutput
+note_refusals (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
+{
+  for (gsize i = 0; i < n; i++)
+    if (g_str_equal (fields[i].key, "MESSAGE") && g_str_has_prefix (fields[i].value, "refusal:")) {
+      g_free (refusal_line);
+      refusal_line = g_strdup (fields[i].value);
+      refusal_lines++;
+    }
+  return cluster_log_writer (level, fields, n, data);
+}
+
+static void
+refused_submission_leaves_no_trace_in_the_log (void **state G_GNUC_UNUSED)
+{
+  Cluster *cluster = cluster_new_with_leader (2);
+  HrCore *core = cluster->nodes[1].core;
+  refusal_lines = 0;
+  json_t *job = cluster_job_body ("job-1", 1);
+  json_object_set_new (job, "vcpus", json_integer (-1));
+  g_autofree char *body = hr_json_take_text (job);
+  for (int i = 0; i < 3; i++)
+    submit_text (cluster, body);
+  assert_int_equal (refusal_lines, 1);
+  assert_string_equal (refusal_line, "refusal: kind=field subject=job-1 count=1 "
+                                     "reason=\"field vcpus: expected a number from 0 to 1e9\"");
+  cluster_run (cluster, 10);
+  submit_text (cluster, body);
+  assert_non_null (strstr (refusal_line, "count=3 "));
+  hr_refusal_record (core, HR_REFUSAL_SYNTAX, NULL, "a\xff\n");
+  assert_string_equal (refusal_line, "refusal: kind=syntax subject=- count=1 reason=\"a\\377\\n\"");
+  g_autofree char *metrics = hr_metrics_text (core);
+  assert_non_null (strstr (metrics, "\nhoprock_submissions_refused_field_total 4\n"));
+  cluster_free (cluster);
+}
+
 int
 main (void)
 {
@@ -318,7 +359,8 @@
       cmocka_unit_test (spelling_of_an_answer_changes_it),
       cmocka_unit_test (counts_beyond_63_bits_are_changed_on_the_way_out),
       cmocka_unit_test (report_with_the_largest_token_is_called_malformed),
+      cmocka_unit_test (refused_submission_leaves_no_trace_in_the_log),
   };
-  g_log_set_writer_func (cluster_log_writer, NULL, NULL);
+  g_log_set_writer_func (note_refusals, NULL, NULL);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
