Messages: an escaped NUL in an unknown name does not match a known one

Cause: find_member() compared with strncmp(), which stops at a NUL, and then read the known name at the length of the received one, beyond its end. A body with the member "pieces\u0000" could so be taken for one with `pieces` twice.

Evidence: with two such members sound_submission_is_refused_for_an_unknown_member ends with a global-buffer-overflow in find_member() under the address sanitizer; with the lengths compared first all tests of the file pass under it.

--- a/src/protocol/json_reader.c
+++ b/src/protocol/json_reader.c
@@ -266,7 +266,7 @@
 find_member (const HrJsonMember *members, const char *name, gsize len)
 {
   for (const HrJsonMember *member = members; member->name; member++)
-    if (strncmp (member->name, name, len) == 0 && !member->name[len])
+    if (strlen (member->name) == len && memcmp (member->name, name, len) == 0)
       return member;
   return NULL;
 }
--- a/tests/test_unknown_members.c
+++ b/tests/test_unknown_members.c
@@ -39,6 +39,8 @@
     "\"x\":1e999",
     "\"x\":\"\\u0000\"",
     "\"x\\u0000\":1",
+    "\"pieces\\u0000\":0",
+    "\"due_s\\u0000xxxxxxxxxxxxxxxxxxxxxxxx\":0",
     "\"x\":\"\\ud800\"",
     "\"x\":{\"\\udc00\":1}",
     "\"x\":1,\"x\":2",
