--- a/review/stand2/run_case.sh
+++ b/review/stand2/run_case.sh
@@ -12,7 +12,7 @@
   fi
   # The command of the deploy file is a program with its arguments.
   # shellcheck disable=SC2086
-  timeout -k 5 115 "$program" "$1/record.txt" $command
+  timeout -k 2 118 "$program" "$1/record.txt" $command
   code=$?
   case $code in
     0 | 1) exit "$code" ;;
