--- a/review/stand2/world.c
+++ b/review/stand2/world.c
@@ -23,6 +23,7 @@
 Job *jobs[4096];
 int n_jobs;
 void (*on_task_start) (Machine *machine, Task *task);
+void (*world_on_step) (void);
 
 static FILE *record_file;
 static struct timespec started;
@@ -1218,6 +1219,8 @@
   for (int i = 0; i < n_conns; i++)
     fds[n++] = (struct pollfd){conns[i]->fd, POLLIN | (conns[i]->out.len ? POLLOUT : 0), 0};
   poll (fds, n, 5);
+  if (world_on_step)
+    world_on_step ();
   for (int i = 0; i < conns_polled; i++) {
     short events = fds[first_conn + i].revents;
     if (events & POLLOUT && conns[i]->out.len && !conns[i]->dead)
--- a/review/stand2/world.h
+++ b/review/stand2/world.h
@@ -95,6 +95,8 @@
 extern int n_jobs;
 /* Called when a task is on its machine: it has its image. */
 extern void (*on_task_start) (Machine *machine, Task *task);
+/* Called in each step, some milliseconds apart; NULL: nothing. */
+extern void (*world_on_step) (void);
 
 void world_defaults (void);
 /* argv: the command of the deploy file, to which the settings' path is appended. */
