--- a/review/stand2/world.c
+++ b/review/stand2/world.c
@@ -147,16 +147,18 @@
   return ntohs (address.sin_port);
 }
 
+/* The socket stays bound, without listening, so that no other program gets the port. */
 static int
 free_port (void)
 {
   struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
   socklen_t len = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) ||
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
+  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) ||
+      setsockopt (fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) ||
+      bind (fd, (struct sockaddr *)&address, sizeof address) ||
       getsockname (fd, (struct sockaddr *)&address, &len))
     cannot_run ("no free port: %s", strerror (errno));
-  close (fd);
   return ntohs (address.sin_port);
 }
 
