A new listing derives cancellations from the records alone

Cause: a controller that lists the state store again kept the edges between its open jobs. Reading the record of the cancelled first step passed the cancellation along these edges, through steps that were not read yet, and used them up. A later step whose key comes before that of the step that it awaits was then read as queued, the awaited step was still unknown, and the edge that would have cancelled the later step afterwards was gone.

Change: all edges are discarded when a listing begins; each record that is read adds its own. So a final state never passes through a job whose record is still to be read, and the result no longer depends on the order of the keys.

--- a/src/coordination/jobs/dependencies.c
+++ b/src/coordination/jobs/dependencies.c
@@ -50,6 +50,23 @@
   job->dependencies.n_awaited = n;
 }
 
+static void
+forget_edges (HrJob *job)
+{
+  g_clear_pointer (&job->dependencies.awaited, g_free);
+  job->dependencies.n_awaited = 0;
+  g_clear_pointer (&job->dependencies.dependents, g_ptr_array_unref);
+}
+
+void
+hr_dependencies_listing_begins (HrCore *core)
+{
+  const GPtrArray *jobs = core->store.tables.jobs;
+  for (guint i = 0; i < jobs->len; i++)
+    forget_edges (jobs->pdata[i]);
+  g_array_set_size (core->dependencies.to_tombstone, 0);
+}
+
 /* ---- derived cancellations ---- */
 
 /* Returns the job whose cancellation by its user the dependents of this cancelled job inherit. */
--- a/src/coordination/jobs/dependencies.h
+++ b/src/coordination/jobs/dependencies.h
@@ -5,10 +5,22 @@
  *
  * Edges are kept in both directions: each job has the jobs that it awaits and its dependents. A
  * record may be read before the records of the jobs that it names; their table entries are unknown
- * until then, and an unknown job counts as not done. */
+ * until then, and an unknown job counts as not done.
+ *
+ * The edges connect only jobs whose records were read since the latest listing began. A final state
+ * therefore never passes through a job whose record is yet to be read and would replace that
+ * state, and the result does not depend on the order in which the records come. */
 #pragma once
 #include "coordination/state.h"
 
+/**
+ * hr_dependencies_listing_begins:
+ *
+ * Discards all edges, and the list of records to compact. Each record that is read from now on
+ * adds its own again.
+ */
+void hr_dependencies_listing_begins (HrCore *core);
+
 /**
  * hr_dependencies_job_read:
  * @job: a known job, with its state as read or written
--- a/src/coordination/store_events.c
+++ b/src/coordination/store_events.c
@@ -31,7 +31,7 @@
 listing_begins (HrCore *core)
 {
   hr_leadership_listing_begins (core);
-  g_array_set_size (core->dependencies.to_tombstone, 0);
+  hr_dependencies_listing_begins (core);
 }
 
 static void
--- a/tests/sim/single_node.c
+++ b/tests/sim/single_node.c
@@ -80,14 +80,34 @@
   return NULL;
 }
 
+static gint
+compare_keys (gconstpointer first, gconstpointer second)
+{
+  const FakeStoreChange *const *changes[] = {first, second};
+  return strcmp ((*changes[0])->path, (*changes[1])->path);
+}
+
+/* Returns (transfer container) the store's changes in the order in which an answer gives them. */
+static GPtrArray *
+changes_in_order (const FakeStore *store, gboolean rows)
+{
+  GPtrArray *changes = g_ptr_array_new ();
+  for (guint i = 0; i < store->log->len; i++)
+    g_ptr_array_add (changes, &g_array_index (store->log, FakeStoreChange, i));
+  if (rows && store->by_key)
+    g_ptr_array_sort (changes, compare_keys);
+  return changes;
+}
+
 /* Returns the store's answer to a read: the changes after a revision or, if `rows` is set, a
  * listing with the latest change of each record. */
 static char *
 changes_text (const FakeStore *store, guint64 after, gboolean rows)
 {
   json_t *list = json_array ();
-  for (guint i = 0; i < store->log->len; i++) {
-    const FakeStoreChange *change = &g_array_index (store->log, FakeStoreChange, i);
+  g_autoptr (GPtrArray) changes = changes_in_order (store, rows);
+  for (guint i = 0; i < changes->len; i++) {
+    const FakeStoreChange *change = changes->pdata[i];
     if (change->stamp <= after || (rows && stamp_of (store, change->path) != change->stamp))
       continue;
     json_t *object = json_pack ("{sssosI}", rows ? "path" : "set", change->path, "value",
@@ -192,6 +212,9 @@
   else if (strcmp (effect->call.path, "/commit") == 0) {
     int status = commit (store, effect->body, &text);
     push_result (n, effect->id, status, text);
+  } else if (g_str_has_suffix (effect->call.path, "hold_ms=0") && store->history_lost) {
+    store->history_lost = FALSE;
+    push_result (n, effect->id, 410, g_strdup ("{}"));
   } else if (g_str_has_suffix (effect->call.path, "hold_ms=0")) {
     const char *after = strstr (effect->call.path, "after=") + strlen ("after=");
     push_result (n, effect->id, 200,
--- a/tests/sim/single_node.h
+++ b/tests/sim/single_node.h
@@ -14,6 +14,8 @@
   GHashTable *stamp;           /* path -> guint64: revision of the latest change */
   guint64 epoch;               /* revision of the latest change of any record */
   gboolean down, newest_first; /* newest_first: a full listing gives the newest record first */
+  gboolean by_key;             /* a full listing gives the records in the order of their keys */
+  gboolean history_lost;       /* the next read of changes gets 410: they have to be listed again */
 } FakeStore;
 
 FakeStore *fake_store_new (void);
