Tombstones and deletions no longer wait for other writes

Cause: tombstones, deletions of pages and the scan for oversized records need an unused share of the write-rate allowance. They compared the tokens as the latest write had left them, and only the next write would have added those of the time since.

Change: hr_token_bucket_has_share() takes the present time, as hr_token_bucket_take() does, and the three places use it.

--- a/src/bookkeeping/garbage_collection.c
+++ b/src/bookkeeping/garbage_collection.c
@@ -68,11 +68,11 @@
 static gboolean
 may_delete (const HrStore *store)
 {
-  const HrTokenBucket *allowance = &store->transactions.allowance;
   return hr_store_is_leader (store) && !store->garbage.deletion_in_flight &&
          store->now >= store->garbage.next_deletion_at && !store->writer.dirty_pages->len &&
          hr_replica_is_current (store) &&
-         allowance->tokens >= allowance->burst * MIN_ALLOWANCE_SHARE;
+         hr_token_bucket_has_share (&store->transactions.allowance, store->now,
+                                    MIN_ALLOWANCE_SHARE);
 }
 
 /* The leader's writes are conditional on the leader record. */
--- a/src/bookkeeping/record_split.c
+++ b/src/bookkeeping/record_split.c
@@ -58,9 +58,9 @@
 static gboolean
 may_scan (const HrStore *store)
 {
-  const HrTokenBucket *allowance = &store->transactions.allowance;
   return store->format.supported && store->format.agreed && hr_store_is_leader (store) &&
-         allowance->tokens >= SCAN_RESERVED_SHARE * allowance->burst;
+         hr_token_bucket_has_share (&store->transactions.allowance, store->now,
+                                    SCAN_RESERVED_SHARE);
 }
 
 void
--- a/src/bookkeeping/token_bucket.h
+++ b/src/bookkeeping/token_bucket.h
@@ -3,6 +3,8 @@
 #pragma once
 #include <glib.h>
 
+/* The members are private to the functions below, apart from their initialization: `tokens` alone
+ * is out of date as soon as time has passed. */
 typedef struct {
   double tokens;      /* at the time refilled_at */
   double rate;        /* tokens per second */
@@ -10,6 +12,26 @@
   double refilled_at; /* monotonic time, s */
 } HrTokenBucket;
 
+/**
+ * hr_token_bucket_available:
+ * @bucket: a bucket
+ * @now: monotonic time, in seconds
+ *
+ * Returns: the number of tokens in the bucket now, with those that were added since it was last
+ * used
+ */
+double hr_token_bucket_available (const HrTokenBucket *bucket, double now);
+
+/**
+ * hr_token_bucket_has_share:
+ * @bucket: a bucket
+ * @now: monotonic time, in seconds
+ * @share: share of the maximum number of tokens, 0 to 1
+ *
+ * Returns: whether the bucket now holds at least this share
+ */
+gboolean hr_token_bucket_has_share (const HrTokenBucket *bucket, double now, double share);
+
 /**
  * hr_token_bucket_take:
  * @bucket: a bucket
--- a/src/coordination/jobs/dependencies.c
+++ b/src/coordination/jobs/dependencies.c
@@ -173,10 +173,10 @@
 static gboolean
 may_write_tombstones (const HrCore *core)
 {
-  const HrTokenBucket *allowance = &core->store.transactions.allowance;
   return core->leadership.is_leader && !core->store.writer.dirty_pages->len &&
          hr_replica_is_current (&core->store) &&
-         allowance->tokens >= allowance->burst * UNUSED_ALLOWANCE_SHARE;
+         hr_token_bucket_has_share (&core->store.transactions.allowance, core->now,
+                                    UNUSED_ALLOWANCE_SHARE);
 }
 
 void
--- a/tests/sim/single_node.c
+++ b/tests/sim/single_node.c
@@ -137,6 +137,7 @@
   store->epoch += status == 200;
   json_array_foreach (json_object_get (object, "writes"), i, entry)
   {
+    store->n_deleted += status == 200 && hr_json_str (entry, "delete");
     if (status != 200 || !hr_json_str (entry, "set"))
       continue;
     g_autofree char *value = json_dumps (json_object_get (entry, "value"), JSON_COMPACT);
--- a/tests/sim/single_node.h
+++ b/tests/sim/single_node.h
@@ -12,6 +12,7 @@
 typedef struct {
   GArray *log;                 /* FakeStoreChange */
   GHashTable *stamp;           /* path -> guint64: revision of the latest change */
+  guint n_deleted;             /* number of deletions so far; the deleted records stay */
   guint64 epoch;               /* revision of the latest change of any record */
   gboolean down, newest_first; /* newest_first: a full listing gives the newest record first */
   gboolean by_key;             /* a full listing gives the records in the order of their keys */
