Decide on a submission without a table of its tasks

A controller near its limit ended while it decided on one more, before anything was accepted.

Cause: hr_record_initial() made the job's whole table of tasks to write a first record that holds none of them (they are in pages, which are written once a task is placed), and an HrJob for each id that the job awaits. A submission takes it twice: to measure the awaited ids, and to write.

Evidence: test_memory with the former function: "the first record of 100000 tasks takes 8.8 MiB"; with the new one it passes (bound: 1 MiB).

Change: the first record is made from the specification and the ids; the parts that it shares with later main records are in one function. Records are byte for byte as before: test_record, test_fixtures and test_awaits pass.

--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -33,6 +33,15 @@
   return tasks;
 }
 
+static json_t *
+pack_unplaced_tasks (guint32 n)
+{
+  json_t *tasks = json_array ();
+  for (guint32 i = 0; i < n; i++)
+    json_array_append_new (tasks, json_integer (HR_RECORD_TASK_UNPLACED));
+  return tasks;
+}
+
 /* Adds the members that only a newer version knows, as they were read. */
 static void
 pack_unknown_members (json_t *object, const HrJob *job)
@@ -41,51 +50,67 @@
     json_object_update_missing (object, job->record.unknown_members);
 }
 
+/* Returns NULL if the job awaits none. */
 static json_t *
 pack_awaits (const HrJob *job)
 {
+  if (!job->dependencies.n_awaited)
+    return NULL;
   json_t *array = json_array ();
   for (guint i = 0; i < job->dependencies.n_awaited; i++)
     json_array_append_new (array, json_string (job->dependencies.awaited[i]->id));
   return array;
 }
 
-char *
-hr_record_main (const HrJob *job, const HrNames *names, const HrIntern *machines, HrJobState state,
-                const char *tag, gboolean pending)
+/* Returns NULL if there are none. */
+static json_t *
+pack_ids (const char *const *ids)
+{
+  if (!ids || !ids[0])
+    return NULL;
+  json_t *array = json_array ();
+  for (guint i = 0; ids[i]; i++)
+    json_array_append_new (array, json_string (ids[i]));
+  return array;
+}
+
+/* Returns the main record with these tasks and ids of awaited jobs (both transfer full, nullable).
+ */
+static char *
+pack_main (const HrJob *job, const HrNames *names, HrJobState state, const char *tag, json_t *tasks,
+           json_t *awaits)
 {
   json_t *object = json_pack ("{sssisfsiso}", HR_RECORD_TAG, tag, HR_RECORD_STATE, (int)state,
                               HR_RECORD_SUBMITTED_AT, job->submitted_at, HR_RECORD_TASKS_PER_PAGE,
                               (int)job->record.tasks_per_page, HR_RECORD_SPEC,
                               hr_jobspec_pack (&job->spec, names));
-  if (!job->record.tasks_per_page)
-    json_object_set_new (object, HR_RECORD_TASKS,
-                         pack_tasks (job, 0, job->n_tasks, machines, pending));
+  if (tasks)
+    json_object_set_new (object, HR_RECORD_TASKS, tasks);
   else if (job->record.sized_page_keys)
     json_object_set_new (object, HR_RECORD_SIZED_PAGE_KEYS, json_integer (1));
-  if (job->dependencies.n_awaited)
-    json_object_set_new (object, HR_RECORD_AWAITS, pack_awaits (job));
+  if (awaits)
+    json_object_set_new (object, HR_RECORD_AWAITS, awaits);
   pack_unknown_members (object, job);
   return hr_json_take_text (object);
 }
 
+char *
+hr_record_main (const HrJob *job, const HrNames *names, const HrIntern *machines, HrJobState state,
+                const char *tag, gboolean pending)
+{
+  json_t *tasks =
+      job->record.tasks_per_page ? NULL : pack_tasks (job, 0, job->n_tasks, machines, pending);
+  return pack_main (job, names, state, tag, tasks, pack_awaits (job));
+}
+
 char *
 hr_record_initial (const HrJobSpec *spec, const char *const *awaits, const HrNames *names,
                    double submitted_at, guint tasks_per_page, const char *tag)
 {
-  guint n = awaits ? g_strv_length ((GStrv)awaits) : 0;
-  g_autofree HrJob *jobs = g_new0 (HrJob, n + 1);
-  g_autofree HrJob **awaited = g_new0 (HrJob *, n + 1);
-  for (guint i = 0; i < n; i++) {
-    jobs[i].id = awaits[i];
-    awaited[i] = &jobs[i];
-  }
   HrJob job = {
-      .submitted_at = submitted_at, .dependencies.awaited = awaited, .dependencies.n_awaited = n};
-  hr_job_set_spec (&job, spec, tasks_per_page);
-  char *text = hr_record_main (&job, names, NULL, HR_JOB_QUEUED, tag, FALSE);
-  hr_job_compact (&job);
-  return text;
+      .spec = *spec, .submitted_at = submitted_at, .record.tasks_per_page = tasks_per_page};
+  json_t *tasks = tasks_per_page ? NULL : pack_unplaced_tasks (spec->tasks);
+  return pack_main (&job, names, HR_JOB_QUEUED, tag, tasks, pack_ids (awaits));
 }
 
 char *
