Hold 16 bytes for a task that waits or is done, not 72

Cause: every controller keeps a table with each task of each unfinished job. An entry held where the task is placed, its attempt and its times, though only as many tasks can be placed as the fleet has room for.

Change: HrTask has 16 bytes. What belongs to a placement and its attempt is in HrTaskRun, which a task gets when it is placed, here or in a record, and which is released when the end of an array's task is recorded. Tasks without one share a constant run, so that reading needs no case of its own; the compiler refuses changes that do not go through hr_task_edit_run(). The tasks of a gang keep theirs, since its next attempt is numbered above all earlier ones.

--- a/src/bookkeeping/job.c
+++ b/src/bookkeeping/job.c
@@ -4,6 +4,34 @@
 /* Bytes of a main record that are set aside for the job's specification. */
 #define SPEC_BYTES 1024
 
+/* A larger task would use up controllers by the tasks that they only have to know. */
+G_STATIC_ASSERT (sizeof (HrTask) <= 16);
+
+const HrTaskRun hr_task_no_run = {.recorded.machine = HR_NONE, .placement.machine = HR_NONE};
+
+HrTaskRun *
+hr_task_edit_run (HrTask *task)
+{
+  if (!hr_task_has_run (task))
+    task->run = g_memdup2 (&hr_task_no_run, sizeof hr_task_no_run);
+  return (HrTaskRun *)task->run;
+}
+
+void
+hr_task_release_run (HrTask *task)
+{
+  if (hr_task_has_run (task))
+    g_free ((HrTaskRun *)task->run);
+  task->run = &hr_task_no_run;
+}
+
+void
+hr_job_task_end_recorded (const HrJob *job, HrTask *task)
+{
+  if (job->spec.shape == HR_BATCH)
+    hr_task_release_run (task);
+}
+
 void
 hr_job_free (HrJob *job)
 {
@@ -18,6 +46,9 @@
 void
 hr_job_compact (HrJob *job)
 {
+  /* The table was made from the specification; a tombstone may have changed job->n_tasks since. */
+  for (guint32 i = 0; job->tasks && i < job->spec.tasks; i++)
+    hr_task_release_run (&job->tasks[i]);
   g_clear_pointer (&job->tasks, g_free);
   for (guint i = 0; i < job->record.n_pages; i++)
     g_free (job->record.pages[i].write_tag);
@@ -45,7 +76,7 @@
   job->record.pages = g_new0 (HrRecordPage, job->record.n_pages);
   job->tasks = g_new0 (HrTask, spec->tasks);
   for (guint i = 0; i < spec->tasks; i++) {
-    job->tasks[i].recorded.machine = job->tasks[i].placement.machine = HR_NONE;
+    job->tasks[i].run = &hr_task_no_run;
     job->tasks[i].reported_state = HR_NOT_REPORTED;
   }
   job->run.failed_machine = HR_NONE;
--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -33,24 +33,35 @@
   guint32 machine, attempt;
 } HrPlacement;
 
+/* Where a task was placed, and its latest attempt. */
 typedef struct {
-  HrPlacement recorded;   /* as in the record */
-  HrPlacement placement;  /* decided; differs from `recorded` until its write is confirmed */
-  guint32 listed_on;      /* machine whose list (HrMachinePlan) holds the task, if is_listed */
-  guint8 state;           /* HrTaskState */
-  guint8 done_recorded;   /* the record holds its end */
-  guint8 write_in_flight; /* the write in flight holds its change */
-  guint8 reported_state;  /* HrReportedState from its machine, or HR_NOT_REPORTED */
-  guint8 stop_wanted;
-  guint8 is_listed;         /* a machine's list (HrMachinePlan) holds the task */
-  guint8 from_earlier_term; /* placed by an earlier leader; no heartbeat has reported it since */
+  HrPlacement recorded;  /* as in the record */
+  HrPlacement placement; /* decided; differs from `recorded` until its write is confirmed */
   float stop_grace_s;
   float expected_fetch_s; /* expected fetch time of its image, estimated at placement */
   double stop_sent_at;    /* when the attempt's first stop order was sent; monotonic, s; 0: never */
   double bound_since;     /* monotonic, s */
   double running_since;   /* first reported running; monotonic, s; 0: not yet */
+} HrTaskRun;
+
+/* A task. Every controller holds all tasks of all unfinished jobs, most of which wait or are done:
+ * only those that were placed have a run of their own. */
+typedef struct {
+  const HrTaskRun *run;       /* hr_task_no_run if it has none; changed by hr_task_edit_run() */
+  guint32 listed_on;          /* machine whose list (HrMachinePlan) holds the task, if is_listed */
+  guint8 state;               /* HrTaskState */
+  guint8 reported_state;      /* HrReportedState from its machine, or HR_NOT_REPORTED */
+  guint8 done_recorded : 1;   /* the record holds its end */
+  guint8 write_in_flight : 1; /* the write in flight holds its change */
+  guint8 stop_wanted : 1;
+  guint8 is_listed : 1; /* a machine's list (HrMachinePlan) holds the task */
+  guint8
+      from_earlier_term : 1; /* placed by an earlier leader; no heartbeat has reported it since */
 } HrTask;
 
+/* The run of all tasks that have none of their own: no machine, no attempt. */
+extern const HrTaskRun hr_task_no_run;
+
 /* A page of a record. If the main record holds the tasks, it is the job's only page. */
 typedef struct {
   guint64 revision;
@@ -175,6 +186,34 @@
   HrJobQuota quota;
 };
 
+/**
+ * hr_task_edit_run:
+ * @task: a task
+ *
+ * Returns: (transfer none): the task's own run, to be changed; a new one if it had none
+ */
+HrTaskRun *hr_task_edit_run (HrTask *task);
+
+/**
+ * hr_task_has_run:
+ * @task: a task
+ *
+ * Returns: whether the task has a run of its own: it was placed, and its run was not released
+ */
+static inline gboolean
+hr_task_has_run (const HrTask *task)
+{
+  return task->run != &hr_task_no_run;
+}
+
+/**
+ * hr_task_release_run:
+ * @task: a task whose run is no longer needed
+ *
+ * Frees the task's own run, if it has one.
+ */
+void hr_task_release_run (HrTask *task);
+
 /* Estimated size of a placed task in a record, in bytes: a long machine name, an incarnation and an
  * attempt. */
 #define HR_PLACED_TASK_BYTES 48
@@ -207,6 +246,16 @@
  */
 void hr_job_compact (HrJob *job);
 
+/**
+ * hr_job_task_end_recorded:
+ * @job: a job whose tasks are in memory
+ * @task: one of its tasks, whose end is recorded
+ *
+ * Releases the run of a task that is done. The tasks of a gang keep theirs: its next attempt is
+ * numbered above the attempts of all of them.
+ */
+void hr_job_task_end_recorded (const HrJob *job, HrTask *task);
+
 /**
  * hr_job_has_unfinished_dependencies:
  * @job: a job
--- a/src/bookkeeping/record.c
+++ b/src/bookkeeping/record.c
@@ -10,10 +10,10 @@
 static json_t *
 pack_task (const HrTask *task, const HrIntern *machines, gboolean pending)
 {
-  const HrPlacement *placement = &task->recorded;
+  const HrPlacement *placement = &task->run->recorded;
   gboolean done = task->done_recorded;
   if (pending && task->write_in_flight) {
-    placement = &task->placement;
+    placement = &task->run->placement;
     done = done || task->state == HR_TASK_DONE;
   }
   if (done)
--- a/src/bookkeeping/record_read.c
+++ b/src/bookkeeping/record_read.c
@@ -151,9 +151,10 @@
   json_int_t incarnation, attempt; /* the incarnation: 64 bits without a sign */
   if (json_unpack (entry, "[sII]", &machine_name, &incarnation, &attempt) != 0)
     return FALSE;
-  task->recorded.machine = hr_intern (machines, machine_name);
-  task->recorded.incarnation = (guint64)incarnation;
-  task->recorded.attempt = attempt;
+  HrPlacement *recorded = &hr_task_edit_run (task)->recorded;
+  recorded->machine = hr_intern (machines, machine_name);
+  recorded->incarnation = (guint64)incarnation;
+  recorded->attempt = attempt;
   return TRUE;
 }
 
@@ -165,8 +166,10 @@
   set_recorded_done (job, task, done);
   if (json_is_array (entry))
     return read_placement (task, entry, machines);
-  if (is_number && !done)
-    task->recorded.machine = HR_NONE;
+  if (done)
+    hr_job_task_end_recorded (job, task);
+  else if (is_number && hr_task_has_run (task))
+    hr_task_edit_run (task)->recorded.machine = HR_NONE;
   return is_number;
 }
 
--- a/src/bookkeeping/record_writer.c
+++ b/src/bookkeeping/record_writer.c
@@ -96,11 +96,13 @@
     return;
   task->write_in_flight = 0;
   if (task->state == HR_TASK_ASSIGNING) {
-    task->recorded = task->placement;
+    HrTaskRun *run = hr_task_edit_run (task);
+    run->recorded = run->placement;
     store->events->assignment_recorded (store->core, job, task_index);
   } else if (task->state == HR_TASK_DONE && !task->done_recorded) {
     task->done_recorded = 1;
     job->n_recorded_done++;
+    hr_job_task_end_recorded (job, task);
   }
 }
 
--- a/src/bookkeeping/replica_changes.c
+++ b/src/bookkeeping/replica_changes.c
@@ -21,7 +21,7 @@
 {
   guint32 end = MIN (first + n, job->n_tasks);
   for (guint32 i = first; i < end; i++) {
-    guint32 machine = job->tasks[i].recorded.machine;
+    guint32 machine = job->tasks[i].run->recorded.machine;
     if (machine == HR_NONE || job->tasks[i].done_recorded)
       continue;
     const char *name = hr_intern_name (&store->tables.machine_ids, machine);
--- a/src/coordination/agents/order_verdicts.c
+++ b/src/coordination/agents/order_verdicts.c
@@ -64,12 +64,12 @@
 {
   if (!task->stop_wanted)
     return HR_STOP_NOT_WANTED;
-  if (is_direct && core->now - task->stop_sent_at <= STOP_RESEND_AFTER_S)
+  if (is_direct && core->now - task->run->stop_sent_at <= STOP_RESEND_AFTER_S)
     return HR_STOP_SENT_ALREADY;
-  double sent_at = task->stop_sent_at ? task->stop_sent_at : core->now;
-  if (core->now - sent_at > task->stop_grace_s + CHECKPOINT_OVERDUE_S)
+  double sent_at = task->run->stop_sent_at ? task->run->stop_sent_at : core->now;
+  if (core->now - sent_at > task->run->stop_grace_s + CHECKPOINT_OVERDUE_S)
     return HR_STOP_WITHOUT_GRACE;
-  if (task->reported_state == HR_REPORTED_SAVING && task->stop_grace_s > 0)
+  if (task->reported_state == HR_REPORTED_SAVING && task->run->stop_grace_s > 0)
     return HR_STOP_CHECKPOINT_IN_PROGRESS;
   return HR_STOP_NOW;
 }
--- a/src/coordination/agents/orders.c
+++ b/src/coordination/agents/orders.c
@@ -20,12 +20,12 @@
 {
   const HrJob *job = core->store.tables.jobs->pdata[ref.job];
   const HrTask *task = &job->tasks[ref.task];
-  hr_order_launch (orders, job->id, ref.task, task->placement.attempt);
+  hr_order_launch (orders, job->id, ref.task, task->run->placement.attempt);
   if (is_direct)
-    hr_termination_track_direct_launch (machine, ref.job, ref.task, task->placement.attempt,
+    hr_termination_track_direct_launch (machine, ref.job, ref.task, task->run->placement.attempt,
                                         core->leadership.fencing_token);
   core->metrics.counters.starts++;
-  log_order ("start", job->id, ref.task, task->placement.attempt, machine, is_direct, NULL);
+  log_order ("start", job->id, ref.task, task->run->placement.attempt, machine, is_direct, NULL);
 }
 
 /* Applies the verdict on stopping a recorded task. */
@@ -37,14 +37,14 @@
   HrTask *task = &job->tasks[ref.task];
   if (verdict == HR_STOP_NOT_WANTED || verdict == HR_STOP_SENT_ALREADY)
     return;
-  if (!task->stop_sent_at)
-    task->stop_sent_at = core->now;
+  if (!task->run->stop_sent_at)
+    hr_task_edit_run (task)->stop_sent_at = core->now;
   if (verdict == HR_STOP_CHECKPOINT_IN_PROGRESS)
     return;
-  hr_order_stop (orders, job->id, ref.task, task->placement.attempt,
-                 verdict == HR_STOP_WITHOUT_GRACE ? 0 : task->stop_grace_s);
+  hr_order_stop (orders, job->id, ref.task, task->run->placement.attempt,
+                 verdict == HR_STOP_WITHOUT_GRACE ? 0 : task->run->stop_grace_s);
   core->metrics.counters.stops++;
-  log_order ("stop", job->id, ref.task, task->placement.attempt, machine, is_direct,
+  log_order ("stop", job->id, ref.task, task->run->placement.attempt, machine, is_direct,
              hr_stop_reason_name (hr_stop_reason (job)));
 }
 
@@ -57,7 +57,8 @@
     HrTaskRef ref = g_array_index (machine->tasks, HrTaskRef, i);
     const HrJob *job = core->store.tables.jobs->pdata[ref.job];
     const HrTask *task = &job->tasks[ref.task];
-    if (task->state != HR_TASK_BOUND || task->placement.incarnation != machine->agent.incarnation)
+    if (task->state != HR_TASK_BOUND ||
+        task->run->placement.incarnation != machine->agent.incarnation)
       continue;
     if (hr_launch_verdict (core, allowed_here, job, task) == HR_LAUNCH_NOW) {
       append_launch (core, machine, orders, ref, is_direct);
--- a/src/coordination/agents/preemption_notice.c
+++ b/src/coordination/agents/preemption_notice.c
@@ -22,7 +22,8 @@
   if (job->spec.shape == HR_GANG)
     return HR_NOTICE_END_GANG;
   double estimate = hr_estimate_run_time (core, job, machine);
-  double left = task->running_since ? estimate - (core->now - task->running_since) : estimate;
+  double left =
+      task->run->running_since ? estimate - (core->now - task->run->running_since) : estimate;
   if (left < notice_s * SAFE_SHARE_OF_NOTICE)
     return HR_NOTICE_NO_ACTION;
   if (job->spec.checkpoint_s > 0 && notice_s > job->spec.save_s + STOP_DELIVERY_S &&
--- a/src/coordination/agents/renewal_checks.c
+++ b/src/coordination/agents/renewal_checks.c
@@ -87,7 +87,7 @@
 is_recorded_and_final (const HrMachine *machine, const HrJob *job, const HrTask *task)
 {
   return is_final (job) && task->state == HR_TASK_BOUND &&
-         task->placement.incarnation == machine->agent.incarnation;
+         task->run->placement.incarnation == machine->agent.incarnation;
 }
 
 GArray *
@@ -105,7 +105,7 @@
     const HrJob *job = core->store.tables.jobs->pdata[ref.job];
     const HrTask *task = &job->tasks[ref.task];
     if (is_recorded_and_final (machine, job, task))
-      hr_order_stop (stops, job->id, ref.task, task->placement.attempt, 0);
+      hr_order_stop (stops, job->id, ref.task, task->run->placement.attempt, 0);
   }
   return stops;
 }
--- a/src/coordination/agents/reported_tasks.c
+++ b/src/coordination/agents/reported_tasks.c
@@ -15,9 +15,9 @@
   if (!job || !job->tasks || reported->task >= job->n_tasks)
     return NULL;
   HrTask *task = &job->tasks[reported->task];
-  gboolean is_here = task->placement.machine == machine->index &&
-                     task->placement.incarnation == machine->agent.incarnation &&
-                     task->placement.attempt == reported->attempt;
+  gboolean is_here = task->run->placement.machine == machine->index &&
+                     task->run->placement.incarnation == machine->agent.incarnation &&
+                     task->run->placement.attempt == reported->attempt;
   return is_here ? task : NULL;
 }
 
@@ -71,8 +71,8 @@
   if (task->reported_state != reported->state)
     core->scheduling.plan_is_stale = TRUE;
   task->reported_state = reported->state;
-  if (reported->state == HR_REPORTED_RUNNING && !task->running_since) {
-    task->running_since = core->now;
+  if (reported->state == HR_REPORTED_RUNNING && !task->run->running_since) {
+    hr_task_edit_run (task)->running_since = core->now;
     g_debug ("task %s/%u runs on machine %s", job->id, reported->task, machine->name);
   }
   if (implies_image_present (reported))
--- a/src/coordination/agents/termination_proof.c
+++ b/src/coordination/agents/termination_proof.c
@@ -48,8 +48,8 @@
 static gboolean
 is_recorded_here (const HrMachine *machine, const HrTask *task)
 {
-  return task->state == HR_TASK_BOUND && task->placement.machine == machine->index &&
-         task->placement.incarnation == machine->agent.incarnation;
+  return task->state == HR_TASK_BOUND && task->run->placement.machine == machine->index &&
+         task->run->placement.incarnation == machine->agent.incarnation;
 }
 
 /* A direct launch whose answer was lost may reach the worker at any time, even after its job was
@@ -70,7 +70,7 @@
     const HrJob *job = core->store.tables.jobs->pdata[ref.job];
     const HrTask *task = &job->tasks[ref.task];
     if (job->state != HR_JOB_CANCELLED || task->state != HR_TASK_BOUND ||
-        task->placement.incarnation != machine->agent.incarnation ||
+        task->run->placement.incarnation != machine->agent.incarnation ||
         task->reported_state != HR_NOT_REPORTED)
       continue;
     if (no_newer_token ||
@@ -158,8 +158,8 @@
     HrTaskRef ref = g_array_index (tasks, HrTaskRef, i);
     HrJob *job = core->store.tables.jobs->pdata[ref.job];
     HrTask *task = job->tasks ? &job->tasks[ref.task] : NULL;
-    if (task && task->state == HR_TASK_BOUND && task->placement.machine == machine->index &&
-        task->placement.incarnation <= last_incarnation)
+    if (task && task->state == HR_TASK_BOUND && task->run->placement.machine == machine->index &&
+        task->run->placement.incarnation <= last_incarnation)
       hr_task_terminated (core, job, ref.task, HR_EXIT_NONE, hr_termination_proof_text (proof));
   }
 }
--- a/src/coordination/jobs/class_stats.c
+++ b/src/coordination/jobs/class_stats.c
@@ -87,8 +87,8 @@
 hr_class_note_run_time (HrCore *core, const HrJob *job, const HrTask *task)
 {
   HrClassStats *stats = hr_class_stats (core, job->spec.job_class);
-  double run_time_s = core->now - task->running_since;
-  if (!task->running_since || job->spec.estimate_s <= 0 || job->spec.shape == HR_SERVICE)
+  double run_time_s = core->now - task->run->running_since;
+  if (!task->run->running_since || job->spec.estimate_s <= 0 || job->spec.shape == HR_SERVICE)
     return;
   double ratio = CLAMP (run_time_s / job->spec.estimate_s, core->policy.correction_least,
                         core->policy.correction_most);
--- a/src/coordination/jobs/failover.c
+++ b/src/coordination/jobs/failover.c
@@ -93,15 +93,15 @@
 take_over_bound (HrCore *core, HrJob *job, guint32 task_index)
 {
   HrTask *task = &job->tasks[task_index];
-  const char *name = hr_intern_name (&core->store.tables.machine_ids, task->recorded.machine);
+  const char *name = hr_intern_name (&core->store.tables.machine_ids, task->run->recorded.machine);
   HrMachine *machine = hr_machine_get (&core->store.tables, name);
-  task->placement.machine = task->recorded.machine;
-  task->placement.incarnation = task->recorded.incarnation;
+  HrTaskRun *run = hr_task_edit_run (task);
+  run->placement = run->recorded;
   task->state = HR_TASK_BOUND;
   task->from_earlier_term = 1;
   job->run.n_live++;
   hr_machine_allocate (machine, &job->spec, (HrTaskRef){job->index, task_index});
-  assume_up (core, machine, task->recorded.incarnation);
+  assume_up (core, machine, task->run->recorded.incarnation);
 }
 
 /* If the job's task records are unreadable, the attempt numbers already used are unknown. As no
@@ -112,7 +112,20 @@
   if (!job->record.tasks_unreadable)
     return;
   guint32 least = core->leadership.term_token * ATTEMPTS_PER_TERM;
-  task->placement.attempt = MAX (task->placement.attempt, least);
+  HrTaskRun *run = hr_task_edit_run (task);
+  run->placement.attempt = MAX (run->placement.attempt, least);
+}
+
+/* Resets the task's latest attempt to the recorded one. */
+static void
+reset_task_run (const HrCore *core, HrTask *task)
+{
+  if (!hr_task_has_run (task))
+    return;
+  HrTaskRun *run = hr_task_edit_run (task);
+  run->placement.attempt = run->recorded.attempt;
+  run->running_since = run->stop_sent_at = 0;
+  run->bound_since = core->now;
 }
 
 static void
@@ -122,13 +135,11 @@
   task->write_in_flight = task->stop_wanted = task->is_listed = 0;
   task->reported_state = HR_NOT_REPORTED;
   task->state = HR_TASK_IDLE;
-  task->placement.attempt = task->recorded.attempt;
-  task->running_since = task->stop_sent_at = 0;
-  task->bound_since = core->now;
+  reset_task_run (core, task);
   if (task->done_recorded) {
     task->state = HR_TASK_DONE;
     job->n_done++;
-  } else if (task->recorded.machine == HR_NONE)
+  } else if (task->run->recorded.machine == HR_NONE)
     skip_unreadable_attempts (core, job, task);
   else
     take_over_bound (core, job, task_index);
@@ -165,7 +176,7 @@
     if (task->state == HR_TASK_DONE)
       continue;
     if (is_bound != (first->state == HR_TASK_BOUND) ||
-        (is_bound && task->recorded.attempt != first->recorded.attempt))
+        (is_bound && task->run->recorded.attempt != first->run->recorded.attempt))
       return TRUE;
   }
   return FALSE;
--- a/src/coordination/jobs/gang_scheduling.c
+++ b/src/coordination/jobs/gang_scheduling.c
@@ -8,7 +8,7 @@
 {
   for (guint32 i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].state != HR_TASK_BOUND ||
-        job->tasks[i].placement.attempt != job->tasks[0].placement.attempt)
+        job->tasks[i].run->placement.attempt != job->tasks[0].run->placement.attempt)
       return FALSE;
   return TRUE;
 }
@@ -22,7 +22,7 @@
   for (guint32 i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].reported_state == HR_NOT_REPORTED ||
         job->tasks[i].reported_state == HR_REPORTED_FETCHING)
-      longest_s = MAX (longest_s, job->tasks[i].expected_fetch_s);
+      longest_s = MAX (longest_s, job->tasks[i].run->expected_fetch_s);
   return longest_s;
 }
 
@@ -30,7 +30,7 @@
 hr_gang_delays_launch (const HrCore *core, const HrJob *job, const HrTask *task)
 {
   return core->now < job->run.gang_ready_at + longest_expected_fetch (job) -
-                         task->expected_fetch_s - core->settings->gang_wait_s / 2;
+                         task->run->expected_fetch_s - core->settings->gang_wait_s / 2;
 }
 
 /* Checks whether the attempt may have begun: a task was reported running, is being stopped, or was
@@ -40,7 +40,7 @@
 {
   for (guint32 i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].state == HR_TASK_BOUND &&
-        (job->tasks[i].running_since || job->tasks[i].from_earlier_term ||
+        (job->tasks[i].run->running_since || job->tasks[i].from_earlier_term ||
          job->tasks[i].stop_wanted))
       return TRUE;
   return FALSE;
@@ -82,7 +82,7 @@
 {
   for (guint32 i = 0; i < job->n_tasks; i++) {
     HrTask *task = &job->tasks[i];
-    if (task->placement.attempt != attempt && !all_attempts)
+    if (task->run->placement.attempt != attempt && !all_attempts)
       continue;
     if (task->state == HR_TASK_ASSIGNING && !task->write_in_flight)
       hr_task_unassign (core, job, i);
--- a/src/coordination/jobs/job_status.c
+++ b/src/coordination/jobs/job_status.c
@@ -62,7 +62,7 @@
   if (task->done_recorded)
     return FALSE;
   if (!core->leadership.is_leader)
-    return task->recorded.machine != HR_NONE;
+    return task->run->recorded.machine != HR_NONE;
   return task->state == HR_TASK_BOUND && task->reported_state == HR_REPORTED_RUNNING;
 }
 
--- a/src/coordination/jobs/task_lifecycle.c
+++ b/src/coordination/jobs/task_lifecycle.c
@@ -10,7 +10,7 @@
 static HrMachine *
 machine_of (HrCore *core, const HrTask *task)
 {
-  return core->store.tables.machines->pdata[task->placement.machine];
+  return core->store.tables.machines->pdata[task->run->placement.machine];
 }
 
 /* Lets the machine's orders be sent in the next step, without waiting for its heartbeat. */
@@ -54,15 +54,14 @@
 {
   HrTask *task = &job->tasks[task_index];
   HrTaskRef ref = {job->index, task_index};
-  task->placement.machine = machine->index;
-  task->placement.incarnation = machine->agent.incarnation;
-  task->placement.attempt = attempt;
+  HrTaskRun *run = hr_task_edit_run (task);
+  run->placement = (HrPlacement){machine->agent.incarnation, machine->index, attempt};
+  run->stop_sent_at = run->running_since = 0;
+  run->bound_since = core->now;
+  run->expected_fetch_s = hr_estimate_fetch_time (core, job, machine);
   task->state = HR_TASK_ASSIGNING;
   task->reported_state = HR_NOT_REPORTED;
   task->stop_wanted = task->from_earlier_term = 0;
-  task->stop_sent_at = task->running_since = 0;
-  task->bound_since = core->now;
-  task->expected_fetch_s = hr_estimate_fetch_time (core, job, machine);
   job->run.n_live++;
   hr_machine_allocate (machine, &job->spec, ref);
   hr_record_writer_mark (&core->store, job, task_index);
@@ -87,7 +86,8 @@
 static RecordedVerdict
 decide_after_recording (const HrJob *job, const HrTask *task, const HrMachine *machine)
 {
-  if (machine->state != HR_MACHINE_UP || machine->agent.incarnation != task->placement.incarnation)
+  if (machine->state != HR_MACHINE_UP ||
+      machine->agent.incarnation != task->run->placement.incarnation)
     return RECORDED_MACHINE_LOST;
   if (job->spec.shape == HR_GANG && job->n_done)
     return RECORDED_GANG_DONE_SINCE;
@@ -139,7 +139,7 @@
   HrMachine *machine = machine_of (core, task);
   HrGangLoss loss = hr_gang_decide_loss (job, cause);
   g_debug ("task %s/%u: attempt %u is released from machine %s: %s", job->id, task_index,
-           task->placement.attempt, machine->name, proof);
+           task->run->placement.attempt, machine->name, proof);
   task->state = HR_TASK_IDLE;
   hr_task_failures_note_exit (core, job, machine, cause);
   if (job->spec.shape == HR_SERVICE)
@@ -166,7 +166,7 @@
   release_capacity (core, job, task_index);
   hr_record_writer_mark (&core->store, job, task_index);
   if (job->spec.shape == HR_GANG)
-    hr_gang_done (core, job, task->placement.attempt, FALSE);
+    hr_gang_done (core, job, task->run->placement.attempt, FALSE);
 }
 
 /* ---- stops ---- */
@@ -176,7 +176,7 @@
 static gboolean
 stop_takes_effect (const HrTask *task, double grace_s)
 {
-  return task->state == HR_TASK_BOUND && !(task->stop_wanted && task->stop_grace_s <= grace_s);
+  return task->state == HR_TASK_BOUND && !(task->stop_wanted && task->run->stop_grace_s <= grace_s);
 }
 
 void
@@ -186,8 +186,9 @@
   if (!stop_takes_effect (task, grace_s))
     return;
   task->stop_wanted = 1;
-  task->stop_grace_s = grace_s;
-  task->stop_sent_at = 0;
+  HrTaskRun *run = hr_task_edit_run (task);
+  run->stop_grace_s = grace_s;
+  run->stop_sent_at = 0;
   mark_urgent (core, machine_of (core, task));
 }
 
@@ -225,7 +226,8 @@
 {
   guint32 attempt = 0;
   for (guint32 i = 0; i < job->n_tasks; i++)
-    attempt = MAX (attempt, MAX (job->tasks[i].placement.attempt, job->tasks[i].recorded.attempt));
+    attempt = MAX (attempt,
+                   MAX (job->tasks[i].run->placement.attempt, job->tasks[i].run->recorded.attempt));
   return attempt + 1;
 }
 
--- a/src/coordination/scaling/next_steps.c
+++ b/src/coordination/scaling/next_steps.c
@@ -24,7 +24,7 @@
     const HrTask *task = &job->tasks[i];
     if (!hr_task_is_placed (task))
       continue;
-    const HrMachine *machine = hr_machine_by_index (core, task->placement.machine);
+    const HrMachine *machine = hr_machine_by_index (core, task->run->placement.machine);
     end = MAX (end, hr_estimate_running_end (core, job, task, machine));
   }
   return end;
--- a/src/coordination/scheduling/estimates.c
+++ b/src/coordination/scheduling/estimates.c
@@ -28,7 +28,7 @@
             const HrJob *job, const HrTask *task)
 {
   /* A booting machine has not begun to fetch. */
-  double since = machine->state == HR_MACHINE_UP ? core->now - task->bound_since : 0;
+  double since = machine->state == HR_MACHINE_UP ? core->now - task->run->bound_since : 0;
   return MAX (MIN_FETCH_LEFT_S, job->spec.image_gb / type->fetch_rate - since);
 }
 
@@ -84,11 +84,11 @@
     return INFINITY;
   const HrMachineType *type = hr_machine_type_of (core, machine);
   double run = corrected_estimate (core, job);
-  if (!task->running_since && type && !hr_machine_has_image (machine, job->spec.image))
+  if (!task->run->running_since && type && !hr_machine_has_image (machine, job->spec.image))
     run += job->spec.image_gb / type->fetch_rate;
-  double end = (task->running_since ? task->running_since : task->bound_since) + run;
+  double end = (task->run->running_since ? task->run->running_since : task->run->bound_since) + run;
   /* The end is never in the past, and the longer the task has exceeded its estimate, the more
    * remaining time is assumed. */
-  double left = MAX (MIN_RUN_LEFT_S, OVERRUN_SHARE * (core->now - task->bound_since));
+  double left = MAX (MIN_RUN_LEFT_S, OVERRUN_SHARE * (core->now - task->run->bound_since));
   return MAX (end, core->now + left);
 }
--- a/src/coordination/scheduling/placement.c
+++ b/src/coordination/scheduling/placement.c
@@ -52,7 +52,7 @@
     const HrTask *task = &job->tasks[i];
     if (!hr_task_is_placed (task))
       continue;
-    guint32 zone = hr_machine_by_index (core, task->placement.machine)->zone;
+    guint32 zone = hr_machine_by_index (core, task->run->placement.machine)->zone;
     if (zone == HR_NONE)
       return FALSE; /* the machine is known from a record only, so the zone constraint is unknown */
     gboolean same_zone = zone == machine->zone;
--- a/src/coordination/scheduling/preemption.c
+++ b/src/coordination/scheduling/preemption.c
@@ -39,7 +39,7 @@
 double
 hr_preemption_loss (HrCore *core, const HrJob *victim, const HrTask *task)
 {
-  double ran = task->running_since ? core->now - task->running_since : 0;
+  double ran = task->run->running_since ? core->now - task->run->running_since : 0;
   if (victim->spec.checkpoint_s > 0)
     ran = MIN (ran, victim->spec.save_s + SAVE_LOSS_S);
   return ran + RESTART_LOSS_S + (victim->spec.shape == HR_GANG ? GANG_LOSS_S : 0);
--- a/src/coordination/scheduling/quota_reservation.c
+++ b/src/coordination/scheduling/quota_reservation.c
@@ -24,13 +24,13 @@
 static double
 release_at (HrCore *core, const HrJob *job, const HrTask *task)
 {
-  const HrMachine *machine = hr_machine_by_index (core, task->placement.machine);
+  const HrMachine *machine = hr_machine_by_index (core, task->run->placement.machine);
   gboolean is_stopping =
       task->state == HR_TASK_BOUND && (task->stop_wanted || job->state != HR_JOB_QUEUED);
   if (!is_stopping)
     return hr_estimate_running_end (core, job, task, machine);
   if (hr_machine_is_reachable (core, machine))
-    return core->now + (task->stop_grace_s + HR_PREEMPTION_S);
+    return core->now + (task->run->stop_grace_s + HR_PREEMPTION_S);
   return core->now + hr_lease_duration_s (core);
 }
 
--- a/src/coordination/scheduling/starts.c
+++ b/src/coordination/scheduling/starts.c
@@ -30,7 +30,7 @@
 hr_start_task (HrCore *core, HrJob *job, guint32 task_index, HrMachine *machine)
 {
   const HrTask *task = &job->tasks[task_index];
-  guint32 last_attempt = MAX (task->placement.attempt, task->recorded.attempt);
+  guint32 last_attempt = MAX (task->run->placement.attempt, task->run->recorded.attempt);
   start_attempt (core, job, task_index, machine, last_attempt + 1);
 }
 
@@ -69,7 +69,7 @@
   guint32 attempt = 0;
   for (guint32 k = 0; k < job->n_tasks; k++)
     if (job->tasks[k].state != HR_TASK_IDLE)
-      attempt = job->tasks[k].placement.attempt;
+      attempt = job->tasks[k].run->placement.attempt;
   return attempt;
 }
 
@@ -85,7 +85,7 @@
     HrMachine *machine = core->scaling.fleet->pdata[i];
     /* The machine where the task was lost is excluded: the new start has the same attempt number
      * and would be mistaken for the attempt that was refused there. */
-    if (machine->index == task->placement.machine ||
+    if (machine->index == task->run->placement.machine ||
         hr_start_check_machine (core, job, machine) != HR_START_OK)
       continue;
     if (!best ||
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -11,6 +11,9 @@
 
 #define KIB_PER_MIB 1024
 #define LARGEST_TASKS 100000
+#define LARGEST_JOBS 10
+/* A third of a controller of 72 MB. */
+#define MAX_TASKS_MIB 24
 
 /* Returns the most memory that this process has held so far, in MiB. */
 static double
@@ -51,11 +54,61 @@
   hr_names_clear (&names);
 }
 
+/* Tasks that wait are held by every controller, whether or not they can run soon. */
+static void
+waiting_tasks_need_little_memory (void **state G_GNUC_UNUSED)
+{
+  HrNames names;
+  hr_names_init (&names);
+  HrJobSpec spec = largest_array (&names);
+  HrJob *jobs[LARGEST_JOBS];
+  double before = peak_memory_mib ();
+  for (guint i = 0; i < LARGEST_JOBS; i++) {
+    jobs[i] = g_new0 (HrJob, 1);
+    hr_job_set_spec (jobs[i], &spec, 500);
+  }
+  double grown = peak_memory_mib () - before;
+  if (grown >= MAX_TASKS_MIB)
+    fail_msg ("%d jobs of %d tasks take %.1f MiB", LARGEST_JOBS, LARGEST_TASKS, grown);
+  for (guint i = 0; i < LARGEST_JOBS; i++)
+    hr_job_free (jobs[i]);
+  hr_names_clear (&names);
+}
+
+/* Tasks that are done need no more memory than tasks that wait, on any controller. */
+static void
+done_tasks_need_little_memory (void **state G_GNUC_UNUSED)
+{
+  HrNames names;
+  HrIntern machines;
+  hr_names_init (&names);
+  hr_intern_init (&machines);
+  HrJobSpec spec = largest_array (&names);
+  HrJob *job = g_new0 (HrJob, 1);
+  hr_job_set_spec (job, &spec, 1);
+  json_t *placed = json_pack ("[[sii]]", "m-000001", 1, 1);
+  json_t *done = json_pack ("[i]", 1);
+  for (guint i = 0; i < LARGEST_TASKS; i++) {
+    assert_true (hr_record_read_tasks (job, i, placed, &machines, NULL));
+    assert_true (hr_task_has_run (&job->tasks[i]));
+    assert_true (hr_record_read_tasks (job, i, done, &machines, NULL));
+    assert_false (hr_task_has_run (&job->tasks[i]));
+  }
+  assert_int_equal (job->n_recorded_done, LARGEST_TASKS);
+  json_decref (placed);
+  json_decref (done);
+  hr_job_free (job);
+  hr_intern_clear (&machines);
+  hr_names_clear (&names);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (first_record_needs_no_tasks_in_memory),
+      cmocka_unit_test (waiting_tasks_need_little_memory),
+      cmocka_unit_test (done_tasks_need_little_memory),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_readiness.c
+++ b/tests/test_readiness.c
@@ -494,7 +494,7 @@
   job->spec.estimate_s = estimate_s;
   for (guint i = 0; i < job->n_tasks; i++) {
     hr_task_assign (n->core, job, i, machine, 1);
-    job->tasks[i].running_since = n->now;
+    hr_task_edit_run (&job->tasks[i])->running_since = n->now;
   }
   single_node_run (n, 1);
   assert_int_equal (single_node_submit (n, "job-2", "[\"job-1\"]", second_job_members), 201);
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -77,9 +77,10 @@
       task->done_recorded = choice == 1;
       if (choice == 2) {
         g_autofree char *machine_name = g_strdup_printf ("m-%06u", g_rand_int_range (rand, 0, 50));
-        task->recorded.machine = hr_intern (&machines, machine_name);
-        task->recorded.incarnation = g_rand_int_range (rand, 1, 9);
-        task->recorded.attempt = g_rand_int_range (rand, 1, 9);
+        HrPlacement *recorded = &hr_task_edit_run (task)->recorded;
+        recorded->machine = hr_intern (&machines, machine_name);
+        recorded->incarnation = g_rand_int_range (rand, 1, 9);
+        recorded->attempt = g_rand_int_range (rand, 1, 9);
       }
     }
     g_autofree char *main_record =
@@ -106,9 +107,10 @@
     }
     for (guint i = 0; i < spec.tasks; i++) {
       assert_int_equal (copy->tasks[i].done_recorded, job->tasks[i].done_recorded);
-      assert_int_equal (copy->tasks[i].recorded.machine, job->tasks[i].recorded.machine);
-      assert_int_equal (copy->tasks[i].recorded.attempt, job->tasks[i].recorded.attempt);
-      assert_int_equal (copy->tasks[i].recorded.incarnation, job->tasks[i].recorded.incarnation);
+      assert_int_equal (copy->tasks[i].run->recorded.machine, job->tasks[i].run->recorded.machine);
+      assert_int_equal (copy->tasks[i].run->recorded.attempt, job->tasks[i].run->recorded.attempt);
+      assert_int_equal (copy->tasks[i].run->recorded.incarnation,
+                        job->tasks[i].run->recorded.incarnation);
     }
     hr_job_free (job);
     hr_job_free (copy);
