Refuse submissions that the memory does not allow, at once

Cause: nothing compared what users submit with the memory. However small a task is, enough of them end every controller, since each holds all unfinished jobs.

Evidence: test_memory without the check: "30 arrays of 10000 tasks are accepted with 6 MB"; 30 submissions in one batch are all accepted, 12 fit the budget.

Change: a third of facts.machine_limits.mem_mb is for unfinished jobs: their tasks, the jobs themselves and their edges. A submission beyond it gets 429 with Retry-After: 10 in the step of its arrival; known jobs, questions and cancellations are not affected. Submissions in flight reserve their memory, and each controller multiplies what it is accepting by the number of controllers, which decide at the same time. Without mem_mb nothing is refused. Refusals are logged and counted (submissions_refused_memory); /metrics has both sides of the comparison. Edges of jobs whose record is a tombstone are dropped, since they are not counted.

Measured: test_memory passes.

--- a/src/bookkeeping/job.c
+++ b/src/bookkeeping/job.c
@@ -3,6 +3,8 @@
 #define BYTES_PER_KIB 1024
 /* Bytes of a main record that are set aside for the job's specification. */
 #define SPEC_BYTES 1024
+/* Memory for the edge to an awaited job, in both directions. */
+#define BYTES_PER_AWAITED (3 * sizeof (HrJob *))
 
 /* A larger task would use up controllers by the tasks that they only have to know. */
 G_STATIC_ASSERT (sizeof (HrTask) <= 16);
@@ -82,6 +84,12 @@
   job->run.failed_machine = HR_NONE;
 }
 
+gsize
+hr_job_bytes (const HrJobSpec *spec, guint n_awaited)
+{
+  return sizeof (HrJob) + (gsize)spec->tasks * sizeof (HrTask) + n_awaited * BYTES_PER_AWAITED;
+}
+
 gboolean
 hr_job_has_unfinished_dependencies (const HrJob *job)
 {
--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -178,6 +178,7 @@
   guint32 n_recorded_done; /* number of tasks whose end is recorded */
   guint32 n_done;          /* number of tasks that are done, recorded or not */
   HrTask *tasks;           /* NULL once compacted */
+  gsize counted_bytes;     /* its part of HrTables.unfinished_bytes */
   HrJobRecord record;
   HrJobCancellation cancellation;
   HrJobDependencies dependencies;
@@ -256,6 +257,16 @@
  */
 void hr_job_task_end_recorded (const HrJob *job, HrTask *task);
 
+/**
+ * hr_job_bytes:
+ * @spec: a job's specification
+ * @n_awaited: number of jobs that it awaits
+ *
+ * Returns: the memory that each controller needs for the job until it is final, in bytes; without
+ * the runs of placed tasks, which are as many as the fleet has room for
+ */
+gsize hr_job_bytes (const HrJobSpec *spec, guint n_awaited);
+
 /**
  * hr_job_has_unfinished_dependencies:
  * @job: a job
--- a/src/bookkeeping/record_writer.c
+++ b/src/bookkeeping/record_writer.c
@@ -116,7 +116,7 @@
   }
   job->record.is_compacted = TRUE;
   hr_garbage_add_job (store, job);
-  hr_job_compact (job);
+  hr_job_unload (&store->tables, job);
   store->events->job_final (store->core, job);
 }
 
--- a/src/bookkeeping/replica_changes.c
+++ b/src/bookkeeping/replica_changes.c
@@ -49,7 +49,7 @@
   hr_garbage_add_job (store, job);
   /* While tasks may still run, the leader needs them in memory to stop them. */
   if (!hr_store_is_leader (store) || !job->run.n_live)
-    hr_job_compact (job);
+    hr_job_unload (&store->tables, job);
   store->events->job_final (store->core, job);
 }
 
@@ -59,7 +59,8 @@
 {
   gboolean supports_formats = store->format.supported != 0;
   if (is_new || !job->tasks) {
-    hr_job_set_spec (job, &record->spec, record->tasks_per_page);
+    hr_job_load (&store->tables, job, &record->spec, record->tasks_per_page,
+                 record->awaits ? g_strv_length (record->awaits) : 0);
     job->submitted_at = record->submitted_at;
     job->record.sized_page_keys = record->sized_page_keys && supports_formats;
   } else if (supports_formats && record->sized_page_keys &&
--- a/src/bookkeeping/replica_listing.c
+++ b/src/bookkeeping/replica_listing.c
@@ -87,11 +87,11 @@
 /* Resets a job that is not final, to be read again: a leader's tables may hold decisions that were
  * not recorded. A final state stays, since it may have been reported to a user. */
 static void
-reset_open_job (HrJob *job)
+reset_open_job (HrTables *tables, HrJob *job)
 {
   if (!job->is_known || !job->tasks || job->record.is_compacted)
     return;
-  hr_job_compact (job);
+  hr_job_unload (tables, job);
   job->record.revision = 0;
   job->run.n_live = job->n_recorded_done = job->n_done = 0;
   job->is_known = job->state != HR_JOB_QUEUED;
@@ -102,7 +102,7 @@
 hr_replica_listing_begin (HrStore *store)
 {
   for (guint i = 0; i < store->tables.jobs->len; i++)
-    reset_open_job (store->tables.jobs->pdata[i]);
+    reset_open_job (&store->tables, store->tables.jobs->pdata[i]);
   g_array_set_size (store->tables.open_jobs, 0);
   hr_record_split_reset (store);
   store->format.revision = 0;
--- a/src/bookkeeping/tables.c
+++ b/src/bookkeeping/tables.c
@@ -35,6 +35,24 @@
   return tables->jobs->pdata[i];
 }
 
+void
+hr_job_load (HrTables *tables, HrJob *job, const HrJobSpec *spec, guint tasks_per_page,
+             guint n_awaited)
+{
+  hr_job_unload (tables, job);
+  hr_job_set_spec (job, spec, tasks_per_page);
+  job->counted_bytes = hr_job_bytes (spec, n_awaited);
+  tables->unfinished_bytes += job->counted_bytes;
+}
+
+void
+hr_job_unload (HrTables *tables, HrJob *job)
+{
+  hr_job_compact (job);
+  tables->unfinished_bytes -= job->counted_bytes;
+  job->counted_bytes = 0;
+}
+
 HrMachine *
 hr_machine_find (HrTables *tables, const char *name)
 {
--- a/src/bookkeeping/tables.h
+++ b/src/bookkeeping/tables.h
@@ -14,6 +14,7 @@
   HrIntern job_ids, machine_ids; /* map ids and names to indices */
   GPtrArray *jobs, *machines;    /* HrJob, HrMachine by index */
   GArray *open_jobs;             /* guint32: indices of jobs that are not final, or not compacted */
+  gsize unfinished_bytes;        /* memory of the jobs whose tasks are loaded (hr_job_load()) */
 } HrTables;
 
 /**
@@ -34,6 +35,29 @@
  */
 HrJob *hr_job_get (HrTables *tables, const char *id);
 
+/**
+ * hr_job_load:
+ * @tables: the tables
+ * @job: one of their jobs
+ * @spec: its specification
+ * @tasks_per_page: layout of its record; 0: the main record holds the tasks
+ * @n_awaited: number of jobs that it awaits
+ *
+ * Sets the specification and makes the job's tasks and pages, as hr_job_set_spec(), and counts the
+ * memory of the job.
+ */
+void hr_job_load (HrTables *tables, HrJob *job, const HrJobSpec *spec, guint tasks_per_page,
+                  guint n_awaited);
+
+/**
+ * hr_job_unload:
+ * @tables: the tables
+ * @job: one of their jobs
+ *
+ * Frees the job's tasks and pages, as hr_job_compact(), and no longer counts its memory.
+ */
+void hr_job_unload (HrTables *tables, HrJob *job);
+
 /**
  * hr_job_unreadable:
  * @tables: the tables
--- a/src/coordination/jobs/dependencies.c
+++ b/src/coordination/jobs/dependencies.c
@@ -150,6 +150,8 @@
         g_ptr_array_add (to_visit, dependents->pdata[i]);
   }
   hr_priority_inheritance_jobs_cancelled (core, cancelled);
+  if (job->record.is_compacted)
+    forget_edges (job); /* nothing follows from them any more */
 }
 
 void
--- a/src/coordination/jobs/submissions.c
+++ b/src/coordination/jobs/submissions.c
@@ -8,6 +8,7 @@
 #include "coordination/jobs/admission.h"
 #include "coordination/jobs/open_jobs.h"
 #include "coordination/jobs/dependencies.h"
+#include "coordination/jobs/memory_budget.h"
 #include "protocol/messages.h"
 #include "protocol/store_api.h"
 #include <string.h>
@@ -60,6 +61,19 @@
   return hr_verdict_refuse (HR_VERDICT_REFUSE_IF_NEW, 422, reason);
 }
 
+static guint
+n_awaited (const HrUserRequest *request)
+{
+  return request->awaits ? g_strv_length (request->awaits) : 0;
+}
+
+/* Returns the memory that the job will need on each controller, in bytes. */
+static gsize
+job_bytes (const HrUserRequest *request)
+{
+  return hr_job_bytes (&request->spec, n_awaited (request));
+}
+
 /* Decides on a job that this node does not know: whether it can ever run, and whether its record
  * can be written. */
 static HrVerdict
@@ -74,6 +88,8 @@
   if (!awaits_fit_record (core, request))
     return hr_verdict_refuse (HR_VERDICT_REFUSE_IF_NEW, 400,
                               "field awaits: more jobs than the job's record can hold");
+  if (!hr_memory_budget_allows (core, job_bytes (request)))
+    return hr_verdict (HR_VERDICT_REFUSE_FOR_MEMORY);
   if (core->store.replica.is_unavailable || core->store.replica.state != HR_REPLICA_FOLLOWING)
     return hr_verdict_refuse (HR_VERDICT_REFUSE_TEMPORARILY, 503,
                               "the state service does not answer; submit again");
@@ -153,7 +169,8 @@
   job->submitted_at = request->received_at;
   g_free (job->record.tag);
   job->record.tag = g_strdup (request->write_tag);
-  hr_job_set_spec (job, &request->spec, request->tasks_per_page);
+  hr_job_load (&core->store.tables, job, &request->spec, request->tasks_per_page,
+               n_awaited (request));
   if (!job->record.tasks_per_page)
     job->record.pages[0].revision = revision;
   hr_dependencies_job_read (core, job, (const char *const *)request->awaits);
@@ -252,8 +269,10 @@
   g_auto (HrVerdict) verdict =
       invalid ? hr_verdict_refuse (HR_VERDICT_REFUSE_IF_NEW, 400, invalid->message)
               : decide_submission (core, request);
-  if (verdict.kind == HR_VERDICT_WRITE || verdict.kind == HR_VERDICT_READ_AWAITED)
+  if (verdict.kind == HR_VERDICT_WRITE || verdict.kind == HR_VERDICT_READ_AWAITED) {
     request->tasks_per_page =
         hr_record_layout_choose (&core->store, &request->spec, awaits_bytes (request));
+    hr_memory_reserve (core, &request->reservation, job_bytes (request));
+  }
   hr_user_request_apply_verdict (core, request, &verdict);
 }
--- a/src/coordination/jobs/user_requests.c
+++ b/src/coordination/jobs/user_requests.c
@@ -20,10 +20,11 @@
 /* Age of a request, in seconds, from which no further write is sent for it. Users wait 5 s for the
  * reply. */
 #define LAST_WRITE_AGE_S 2.5
-/* Retry-After of a refusal, in seconds: normally, and while the state store does not answer this
- * node. */
+/* Retry-After of a refusal, in seconds: normally, while the state store does not answer this node,
+ * and while unfinished jobs use up the memory for them. */
 #define RETRY_AFTER_S 1
 #define RETRY_AFTER_OUTAGE_S 2
+#define RETRY_AFTER_MEMORY_S 10
 
 HrUserRequest *
 hr_user_request_new (guint64 reply_id, HrRequestKind kind, const char *job_id, double received_at)
@@ -43,6 +44,7 @@
   g_strfreev (request->awaits);
   g_free (request->refusal_reason);
   g_free (request->write_tag);
+  hr_memory_reservation_release (&request->reservation);
   g_free (request);
 }
 
@@ -155,6 +157,15 @@
   hr_job_status_reply (core, request->reply_id, job, status);
 }
 
+static void
+refuse_for_memory (HrCore *core, const HrUserRequest *request)
+{
+  static const char reason[] =
+      "the controllers hold as many unfinished tasks as their memory allows; submit again later";
+  hr_refusal_record (core, HR_REFUSAL_MEMORY, request->job_id, reason);
+  hr_core_refuse (core, request->reply_id, 429, RETRY_AFTER_MEMORY_S, reason);
+}
+
 void
 hr_user_request_apply_verdict (HrCore *core, HrUserRequest *owned, const HrVerdict *verdict)
 {
@@ -189,6 +200,9 @@
                     core->store.replica.is_unavailable ? RETRY_AFTER_OUTAGE_S : RETRY_AFTER_S,
                     verdict->reason);
     break;
+  case HR_VERDICT_REFUSE_FOR_MEMORY:
+    refuse_for_memory (core, request);
+    break;
   case HR_VERDICT_REFUSE_IF_NEW:
     refuse_if_new (core, g_steal_pointer (&request), verdict);
     break;
--- a/src/coordination/jobs/user_requests.h
+++ b/src/coordination/jobs/user_requests.h
@@ -11,6 +11,7 @@
  * Used by request_routing.c, submissions.c and cancellations.c. A function that takes a request as
  * (transfer full) owns it from then on; the request is freed when the reply is sent. */
 #pragma once
+#include "coordination/jobs/memory_budget.h"
 #include "coordination/state.h"
 
 typedef enum { HR_REQUEST_POLL, HR_REQUEST_SUBMIT, HR_REQUEST_CANCEL } HrRequestKind;
@@ -32,6 +33,8 @@
  * @write_tag: writer's tag of the request's write; %NULL: none sent yet
  * @record_bytes: for a cancellation: size of the record that it writes
  * @failed_writes: number of writes that were not confirmed
+ * @reservation: for a submission that is to be written: the memory reserved for its job; released
+ * when the request is freed
  */
 typedef struct {
   guint64 reply_id;
@@ -46,6 +49,7 @@
   char *write_tag;
   gsize record_bytes;
   guint failed_writes;
+  HrMemoryReservation reservation;
 } HrUserRequest;
 
 /**
@@ -59,6 +63,7 @@
  * @HR_VERDICT_WRITE: write the submission or the cancellation
  * @HR_VERDICT_REFUSE: refuse permanently
  * @HR_VERDICT_REFUSE_TEMPORARILY: refuse, with a time after which the user may retry
+ * @HR_VERDICT_REFUSE_FOR_MEMORY: refuse a submission for which there is no memory at present
  * @HR_VERDICT_REFUSE_IF_NEW: refuse, unless a read shows that the job was accepted before
  *
  * The next step of a request.
@@ -71,6 +76,7 @@
   HR_VERDICT_WRITE,
   HR_VERDICT_REFUSE,
   HR_VERDICT_REFUSE_TEMPORARILY,
+  HR_VERDICT_REFUSE_FOR_MEMORY,
   HR_VERDICT_REFUSE_IF_NEW
 } HrVerdictKind;
 
--- a/src/coordination/metrics/counters.h
+++ b/src/coordination/metrics/counters.h
@@ -32,6 +32,8 @@
      "submissions answered with 400: larger than 64 KiB")                                          \
   X (submissions_refused_infeasible, submissions_refused_infeasible,                               \
      "submissions answered with 422: the job can never run")                                       \
+  X (submissions_refused_memory, submissions_refused_memory,                                       \
+     "submissions answered with 429: no memory for more unfinished jobs")                          \
   X (answers_unreadable, answers_unreadable,                                                       \
      "answers of the state service, the cloud or workers that are not JSON")                       \
   X (starts, starts, "start orders sent")                                                          \
--- a/src/coordination/metrics/metrics.c
+++ b/src/coordination/metrics/metrics.c
@@ -1,5 +1,6 @@
 #include "coordination/metrics/metrics.h"
 #include "bookkeeping/replica.h"
+#include "coordination/jobs/memory_budget.h"
 #include "coordination/leadership/leadership.h"
 #include "coordination/state.h"
 
@@ -55,6 +56,11 @@
     }
   }
   append_gauge (text, "jobs_known", "jobs whose records it has read", core->store.tables.jobs->len);
+  append_gauge (text, "jobs_unfinished_bytes", "memory of the jobs that are not final",
+                core->store.tables.unfinished_bytes);
+  append_gauge (text, "jobs_unfinished_limit_bytes",
+                "beyond this, submissions get 429; 0: the settings name no memory",
+                hr_memory_budget_bytes (core));
   append_gauge (text, "jobs_queued", "jobs that are not final and wait for none", n_queued);
   append_gauge (text, "tasks_bound", "tasks recorded on machines, as the leader knows", n_bound);
   append_gauge (text, "tasks_withdrawn", "of these, tasks of withdrawn jobs that are to go",
--- a/src/coordination/metrics/refusals.h
+++ b/src/coordination/metrics/refusals.h
@@ -1,6 +1,7 @@
-/* Records what this controller refuses for good and what it cannot read: submissions with status
- * 400 or 422, malformed reports, and unreadable answers to its own calls. Each is counted by kind,
- * and the log names the first of each kind and how many came since the last line of that kind. */
+/* Records what this controller refuses and what it cannot read: submissions with status 400 or 422,
+ * or 429 for want of memory, malformed reports, and unreadable answers to its own calls. Each is
+ * counted by kind, and the log names the first of each kind and how many came since the last line
+ * of that kind. */
 #pragma once
 #include "coordination/core.h"
 
@@ -10,6 +11,7 @@
  * @HR_REFUSAL_FIELD: a submission with a field that is missing or invalid
  * @HR_REFUSAL_SIZE: a submission that is too large
  * @HR_REFUSAL_INFEASIBLE: a submission of a job that can never run
+ * @HR_REFUSAL_MEMORY: a submission of a job for which there is no memory at present
  * @HR_REFUSAL_REPORT: a worker's report that is not JSON, or has an invalid field
  * @HR_REFUSAL_ANSWER: an answer of the state service, the cloud or a worker that is not JSON
  */
@@ -18,6 +20,7 @@
   HR_REFUSAL_FIELD,
   HR_REFUSAL_SIZE,
   HR_REFUSAL_INFEASIBLE,
+  HR_REFUSAL_MEMORY,
   HR_REFUSAL_REPORT,
   HR_REFUSAL_ANSWER,
   HR_REFUSAL_KINDS
--- a/src/coordination/state.h
+++ b/src/coordination/state.h
@@ -30,6 +30,11 @@
   GArray *to_tombstone;
 } HrDependencies;
 
+/* Memory for jobs that are being accepted (jobs/memory_budget.c). */
+typedef struct {
+  gsize reserved_bytes;
+} HrMemoryBudget;
+
 struct HrCore {
   /* Set by core.c. */
   const HrSettings *settings; /* not owned */
@@ -53,6 +58,7 @@
   HrCancellationLog cancellations;
   HrAgents agents;
   HrDependencies dependencies;
+  HrMemoryBudget memory;
   HrScheduling scheduling;
   HrScaling scaling;
   HrMetrics metrics;
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -46,7 +46,8 @@
     {.name = NULL}};
 static const HrJsonMember cloud_members[] = {
     {.name = "rps"}, {.name = "list_lag_s"}, {.name = NULL}};
-static const HrJsonMember machine_limit_members[] = {{.name = "fd_limit"}, {.name = NULL}};
+static const HrJsonMember machine_limit_members[] = {
+    {.name = "fd_limit"}, {.name = "mem_mb"}, {.name = NULL}};
 static const HrJsonMember fact_members[] = {
     {.name = "teams", .kind = HR_JSON_LIST, .members = team_members},
     {.name = "objectives", .kind = HR_JSON_LIST, .members = objective_members},
@@ -201,6 +202,15 @@
   return TRUE;
 }
 
+static gboolean
+read_memory (HrSettings *settings, const json_t *machine_limits, GError **error)
+{
+  hr_json_num (machine_limits, "mem_mb", &settings->memory_mb);
+  if (settings->memory_mb < 0)
+    return set_setting_error (error, "facts.machine_limits.mem_mb", "a non-negative number");
+  return TRUE;
+}
+
 static gboolean
 read_teams (HrSettings *settings, const json_t *teams, HrNames *names, GError **error)
 {
@@ -265,8 +275,10 @@
   if (ops < MIN_TRANSACTION_OPS)
     return set_setting_error (error, "facts.state.txn_ops", "at least 3 changes per transaction");
   settings->txn_ops = MIN (ops, MAX_TRANSACTION_OPS);
+  const json_t *machine_limits = json_object_get (facts, "machine_limits");
   if (!read_planned_limits (settings, json_object_get (state, "next"), error) ||
-      !read_sockets (settings, json_object_get (facts, "machine_limits"), error))
+      !read_sockets (settings, machine_limits, error) ||
+      !read_memory (settings, machine_limits, error))
     return FALSE;
   if (settings->cancel_s <= settings->lease_s + CANCEL_MARGIN_S)
     return set_setting_error (error, "facts.workers.cancel_s", "more than lease_s + 2 seconds");
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -57,6 +57,7 @@
    * moment. */
   HrStateLimits planned_limits;
   guint sockets;                /* maximum for this process; 1024 if the file sets none */
+  double memory_mb;             /* maximum for this process, MB; 0 if the file sets none */
   double cloud_rps, list_lag_s; /* list_lag_s: maximum age of the cloud's list of instances */
 } HrSettings;
 
--- a/tests/sim/single_node.c
+++ b/tests/sim/single_node.c
@@ -238,6 +238,7 @@
     else if (effect->kind == HR_EFFECT_REPLY) {
       g_hash_table_insert (n->answers, g_memdup2 (&effect->id, sizeof effect->id),
                            GINT_TO_POINTER (effect->reply.status));
+      n->retry_after_s = effect->reply.retry_after_s;
       json_decref (n->body);
       n->body = effect->body ? json_loads (effect->body, 0, NULL) : NULL;
     }
@@ -270,19 +271,31 @@
   return GPOINTER_TO_INT (status);
 }
 
+static char *
+submission (const char *id, const char *shape, guint tasks, guint estimate, const char *awaits,
+            const char *more)
+{
+  return g_strdup_printf ("{\"name_id\":\"%s\",\"jobclass\":\"k\",\"crew\":\"crew\","
+                          "\"shape\":\"%s\",\"pieces\":%u,\"vcpus\":1,\"accelerators\":0,"
+                          "\"memory_gb\":1,\"bundle\":\"i\",\"size_gb\":1,\"hulls\":null,"
+                          "\"quarry\":null,\"together\":false,\"apart\":false,"
+                          "\"loaners\":false,\"guess_s\":%u,\"cairn_s\":0,\"stash_s\":0%s%s%s}",
+                          id, shape, tasks, estimate, awaits ? ",\"awaits\":" : "",
+                          awaits ? awaits : "", more);
+}
+
 static int
 submit (SingleNode *n, const char *id, const char *shape, guint estimate, const char *awaits,
         const char *more)
 {
-  return single_node_request (
-      n, HR_POST, "/v1/jobs",
-      g_strdup_printf ("{\"name_id\":\"%s\",\"jobclass\":\"k\",\"crew\":\"crew\","
-                       "\"shape\":\"%s\",\"pieces\":2,\"vcpus\":1,\"accelerators\":0,"
-                       "\"memory_gb\":1,\"bundle\":\"i\",\"size_gb\":1,\"hulls\":null,"
-                       "\"quarry\":null,\"together\":false,\"apart\":false,"
-                       "\"loaners\":false,\"guess_s\":%u,\"cairn_s\":0,\"stash_s\":0%s%s%s}",
-                       id, shape, estimate, awaits ? ",\"awaits\":" : "", awaits ? awaits : "",
-                       more));
+  return single_node_request (n, HR_POST, "/v1/jobs",
+                              submission (id, shape, 2, estimate, awaits, more));
+}
+
+char *
+single_node_submission (const char *id, const char *shape, guint tasks)
+{
+  return submission (id, shape, tasks, 20, NULL, ",\"due_s\":null,\"rank\":\"low\"");
 }
 
 int
--- a/tests/sim/single_node.h
+++ b/tests/sim/single_node.h
@@ -36,6 +36,7 @@
   guint64 next;        /* id of the latest request */
   GHashTable *answers; /* request id -> status */
   json_t *body;        /* of the last answer */
+  int retry_after_s;   /* of the last answer; 0: none */
 } SingleNode;
 
 /* state_more: additional members of the settings' `state`, with a leading comma. */
@@ -46,6 +47,8 @@
 int single_node_request (SingleNode *n, HrMethod method, const char *path, char *body);
 /* Returns a node that has become the leader. */
 SingleNode *single_node_leading (FakeStore *store);
+/* Returns the body of a submission of small tasks of 20 s. */
+char *single_node_submission (const char *id, const char *shape, guint tasks);
 /* Submits an array of two small tasks of 20 s. awaits: the JSON array for that field, or NULL;
  * more: the fields `due_s` and `rank` with a leading comma, or NULL for the defaults. */
 int single_node_submit (SingleNode *n, const char *id, const char *awaits, const char *more);
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -1,11 +1,16 @@
 /* Guards against controllers that end for memory because of what users send: arrays of the largest
  * size that a submission may have, on controllers of 72 MB. */
 #include "bookkeeping/record.h"
+#include "bookkeeping/tables.h"
+#include "coordination/command.h"
+#include "coordination/jobs/memory_budget.h"
+#include "protocol/json_util.h"
 #include "sim/single_node.h"
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/resource.h>
 #include <cmocka.h>
 
@@ -102,6 +107,124 @@
   hr_names_clear (&names);
 }
 
+/* ---- the budget ---- */
+
+/* A budget of 2 MB, a third of it, holds 12 arrays of 10,000 tasks. */
+#define MEMORY_MB 6
+#define ARRAY_TASKS 10000
+#define SUBMISSIONS 30
+
+static SingleNode *
+small_node (FakeStore *store)
+{
+  SingleNode *n = single_node_leading (store);
+  n->settings->memory_mb = MEMORY_MB;
+  return n;
+}
+
+static char *
+array_id (guint i)
+{
+  return g_strdup_printf ("job-%06u", i);
+}
+
+static int
+submit_array (SingleNode *n, guint i)
+{
+  g_autofree char *id = array_id (i);
+  return single_node_request (n, HR_POST, "/v1/jobs",
+                              single_node_submission (id, "batch", ARRAY_TASKS));
+}
+
+/* Submits until a submission is refused. Returns the number of those that were accepted. */
+static guint
+submit_until_refused (SingleNode *n)
+{
+  for (guint i = 0; i < SUBMISSIONS; i++) {
+    int status = submit_array (n, i);
+    if (status == 429)
+      return i;
+    assert_int_equal (status, 201);
+  }
+  fail_msg ("%d arrays of %d tasks are accepted with %d MB", SUBMISSIONS, ARRAY_TASKS, MEMORY_MB);
+  return 0;
+}
+
+/* A submission for which there is no memory is refused at once, with the time of the next try, and
+ * changes nothing; it is accepted once another job has ended. */
+static void
+submissions_beyond_the_budget_are_refused (void **state G_GNUC_UNUSED)
+{
+  FakeStore *store = fake_store_new ();
+  SingleNode *n = small_node (store);
+  guint accepted = submit_until_refused (n);
+  assert_int_equal (accepted, 12);
+  g_autofree char *first = array_id (0), *refused = array_id (accepted);
+  double sent_at = n->now;
+  assert_int_equal (submit_array (n, accepted), 429);
+  assert_true (n->now - sent_at < 0.15); /* in the step of its arrival */
+  assert_true (n->retry_after_s >= 1 && n->retry_after_s <= 30);
+  assert_non_null (strstr (hr_json_str (n->body, "error"), "memory"));
+  assert_null (fake_store_job_record (store, refused));
+  assert_string_equal (single_node_poll (n, refused), "unknown");
+  /* The jobs that were accepted are not affected, and can be cancelled. */
+  assert_int_equal (submit_array (n, 0), 200);
+  assert_string_equal (single_node_poll (n, first), "queued");
+  assert_int_equal (single_node_cancel (n, first), 200);
+  single_node_run (n, 5);
+  assert_int_equal (submit_array (n, accepted), 201);
+  assert_int_equal (submit_array (n, accepted + 1), 429);
+  single_node_free (n);
+  fake_store_free (store);
+}
+
+/* Submissions that arrive at the same time count before they are in the store. */
+static void
+submissions_at_once_share_the_budget (void **state G_GNUC_UNUSED)
+{
+  FakeStore *store = fake_store_new ();
+  SingleNode *n = small_node (store);
+  for (guint i = 0; i < SUBMISSIONS; i++) {
+    g_autofree char *id = array_id (i);
+    char *body = single_node_submission (id, "batch", ARRAY_TASKS);
+    HrCommand *command = hr_command_new (HR_COMMAND_REQUEST);
+    command->id = ++n->next;
+    command->request.method = HR_POST;
+    command->request.path = g_strdup ("/v1/jobs");
+    command->body = g_bytes_new_take (body, strlen (body));
+    g_ptr_array_add (n->inbox, command);
+  }
+  single_node_run (n, 5);
+  guint accepted = 0;
+  for (guint64 id = n->next - SUBMISSIONS + 1; id <= n->next; id++)
+    accepted += GPOINTER_TO_INT (g_hash_table_lookup (n->answers, &id)) == 201;
+  assert_int_equal (accepted, 12);
+  assert_true (n->core->store.tables.unfinished_bytes <= MEMORY_MB * 1e6 / 3);
+  assert_int_equal (n->core->memory.reserved_bytes, 0);
+  single_node_free (n);
+  fake_store_free (store);
+}
+
+/* Other controllers may accept as much at the same moment. */
+static void
+budget_leaves_room_for_other_controllers (void **state G_GNUC_UNUSED)
+{
+  FakeStore *store = fake_store_new ();
+  SingleNode *n = small_node (store);
+  gsize budget = hr_memory_budget_bytes (n->core);
+  assert_true (hr_memory_budget_allows (n->core, budget));
+  for (guint i = 0; i < 2; i++) {
+    HrMember member = {g_strdup ("other"), g_strdup ("z0"), g_strdup ("10.0.0.2:81")};
+    g_array_append_val (n->settings->members, member);
+  }
+  assert_false (hr_memory_budget_allows (n->core, budget));
+  assert_true (hr_memory_budget_allows (n->core, budget / 3));
+  n->settings->memory_mb = 0; /* the settings name no memory */
+  assert_true (hr_memory_budget_allows (n->core, G_MAXUINT32));
+  single_node_free (n);
+  fake_store_free (store);
+}
+
 int
 main (void)
 {
@@ -109,6 +232,9 @@
       cmocka_unit_test (first_record_needs_no_tasks_in_memory),
       cmocka_unit_test (waiting_tasks_need_little_memory),
       cmocka_unit_test (done_tasks_need_little_memory),
+      cmocka_unit_test (submissions_beyond_the_budget_are_refused),
+      cmocka_unit_test (submissions_at_once_share_the_budget),
+      cmocka_unit_test (budget_leaves_room_for_other_controllers),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
