Free the tasks of a job whose tombstone came while they were live

Cause: a leader that reads a tombstone while it has tasks of the job on machines keeps the tables, to stop the tasks. When the last of them is gone the record needs no write, and only the confirmation of a written tombstone freed the tables.

Evidence: finished_jobs_do_not_count of test_memory failed without the change (job->tasks is not NULL) and passes with it.

Change: the record writer frees them when it finds nothing to write for such a job without live tasks.

--- a/src/bookkeeping/record_writer.c
+++ b/src/bookkeeping/record_writer.c
@@ -259,8 +259,11 @@
     return; /* the cancelled record must be read before it is written again */
   TaskChanges changes = take_task_changes (job, page);
   PageContent content = choose_content (job, page, &changes);
-  if (content == CONTENT_NONE)
+  if (content == CONTENT_NONE) {
+    if (job->record.is_compacted && !job->run.n_live)
+      hr_job_unload (&store->tables, job); /* the tombstone was read while tasks were live */
     return;
+  }
   g_auto (HrRecordWriteContent) write = {.tag = store->events->new_tag (store->core),
                                          .is_tombstone = content == CONTENT_TOMBSTONE,
                                          .kind = choose_kind (job, &changes)};
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -4,6 +4,7 @@
 #include "bookkeeping/tables.h"
 #include "coordination/command.h"
 #include "coordination/jobs/memory_budget.h"
+#include "coordination/jobs/task_lifecycle.h"
 #include "protocol/json_util.h"
 #include "sim/single_node.h"
 #include <setjmp.h>
@@ -225,6 +226,33 @@
   fake_store_free (store);
 }
 
+/* Finished jobs no longer count, however they end and whoever records it; nothing is left over. */
+static void
+finished_jobs_do_not_count (void **state G_GNUC_UNUSED)
+{
+  FakeStore *store = fake_store_new ();
+  SingleNode *n = small_node (store);
+  assert_int_equal (submit_array (n, 1), 201);
+  assert_int_equal (submit_array (n, 2), 201);
+  assert_int_equal (single_node_submit (n, "job-d", "[\"job-000001\",\"job-000002\"]", NULL), 201);
+  HrJob *job = hr_job_find (&n->core->store.tables, "job-000001");
+  single_node_add_machine (n);
+  single_node_run (n, 1);
+  assert_true (job->run.n_live > 0);
+  fake_store_finish_job (store,
+                         "job-000001"); /* by another controller, while tasks are live here */
+  assert_int_equal (single_node_cancel (n, "job-000002"), 200);
+  single_node_run (n, 1);
+  assert_non_null (job->tasks);
+  for (guint32 i = 0; i < ARRAY_TASKS; i++)
+    hr_task_terminated (n->core, job, i, HR_EXIT_HALTED, "the test says so");
+  single_node_run (n, 5);
+  assert_null (job->tasks);
+  assert_int_equal (n->core->store.tables.unfinished_bytes, 0);
+  single_node_free (n);
+  fake_store_free (store);
+}
+
 int
 main (void)
 {
@@ -235,6 +263,7 @@
       cmocka_unit_test (submissions_beyond_the_budget_are_refused),
       cmocka_unit_test (submissions_at_once_share_the_budget),
       cmocka_unit_test (budget_leaves_room_for_other_controllers),
+      cmocka_unit_test (finished_jobs_do_not_count),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
