Refuse submissions at once that would not be recorded in time

What callers saw: of 150 submissions at once, at 15 changes a second, many got no answer within the 5 s that users wait. They submit again, and the queue fills with writes for which nobody waits.

Evidence: submissions_beyond_the_allowance_are_refused_at_once of test_allowance on the sources before: "submission 15 got no answer within 5 s".

Change: hr_transactions_user_wait_s() estimates the wait of a new write, with the rate and the tokens divided by the number of controllers. A new job whose write would wait over 4 s gets 429 in the step of its arrival, with the excess as Retry-After, and uses no change. Known jobs, questions and cancellations are not refused. One verdict carries both kinds of overload.

Measured: the test passes; a burst of 30 over three controllers is still accepted whole (a_burst_beyond_the_allowance_is_retried).

--- a/src/bookkeeping/transactions.c
+++ b/src/bookkeeping/transactions.c
@@ -6,6 +6,8 @@
 #include "protocol/store_api.h"
 
 #define MAX_TRANSACTIONS_IN_FLIGHT 8
+/* Lower bound of the state store's latency in estimates. */
+#define MIN_LATENCY_S 0.001
 /* Pauses after a response 429: the state store's write allowance, which all controllers share, is
  * used up. They are random, so that the controllers do not retry all at once. */
 #define MIN_BUSY_PAUSE_S 0.05
@@ -168,6 +170,20 @@
   }
 }
 
+double
+hr_transactions_user_wait_s (const HrStore *store)
+{
+  const HrTokenBucket *allowance = &store->transactions.allowance;
+  guint n_controllers = store->settings->members->len + 1;
+  guint n_queued = g_queue_get_length ((GQueue *)&store->transactions.queues[HR_TRANSACTION_USER]);
+  double n_waiting =
+      n_queued + 1 - hr_token_bucket_available (allowance, store->now) / n_controllers;
+  double rate =
+      MIN (allowance->rate / n_controllers,
+           MAX_TRANSACTIONS_IN_FLIGHT / MAX (store->replica.read_latency_s, MIN_LATENCY_S));
+  return MAX (0, n_waiting / rate);
+}
+
 void
 hr_transactions_send (HrStore *store)
 {
--- a/src/bookkeeping/transactions.h
+++ b/src/bookkeeping/transactions.h
@@ -92,6 +92,17 @@
  */
 void hr_transactions_send (HrStore *store);
 
+/**
+ * hr_transactions_user_wait_s:
+ * @store: the store
+ *
+ * Estimates how long a user's write would wait if it were queued now, while every other controller
+ * has as many users' writes to send.
+ *
+ * Returns: the time until it is sent, in seconds
+ */
+double hr_transactions_user_wait_s (const HrStore *store);
+
 /**
  * hr_pending_transaction_free:
  * @pending: (transfer full): a transaction that will receive no response
--- a/src/coordination/jobs/submissions.c
+++ b/src/coordination/jobs/submissions.c
@@ -11,10 +11,17 @@
 #include "coordination/jobs/memory_budget.h"
 #include "protocol/messages.h"
 #include "protocol/store_api.h"
+#include <math.h>
 #include <string.h>
 
 /* Prefix of the key of a job's main record in the state store. */
 #define JOB_KEY_PREFIX "h/j/"
+/* A submission is refused if its write would wait longer, in seconds: users wait 5 s for the reply.
+ */
+#define MAX_WRITE_WAIT_S 4.0
+/* Retry-After of a submission that the memory does not allow, in seconds: jobs take longer to
+ * finish than most other troubles that a retry waits for. */
+#define MEMORY_RETRY_AFTER_S 10
 
 /* ---- the job's first record ---- */
 
@@ -88,11 +95,17 @@
   if (!awaits_fit_record (core, request))
     return hr_verdict_refuse (HR_VERDICT_REFUSE_IF_NEW, 400,
                               "field awaits: more jobs than the job's record can hold");
-  if (!hr_memory_budget_allows (core, job_bytes (request)))
-    return hr_verdict (HR_VERDICT_REFUSE_FOR_MEMORY);
   if (core->store.replica.is_unavailable || core->store.replica.state != HR_REPLICA_FOLLOWING)
     return hr_verdict_refuse (HR_VERDICT_REFUSE_TEMPORARILY, 503,
                               "the state service does not answer; submit again");
+  if (!hr_memory_budget_allows (core, job_bytes (request)))
+    return hr_verdict_refuse_overloaded (HR_REFUSAL_MEMORY, MEMORY_RETRY_AFTER_S,
+                                         "the controllers hold as many unfinished tasks as their "
+                                         "memory allows; submit again later");
+  if (hr_transactions_user_wait_s (&core->store) > MAX_WRITE_WAIT_S)
+    return hr_verdict_refuse_overloaded (
+        HR_REFUSAL_BACKLOG, ceil (hr_transactions_user_wait_s (&core->store) - MAX_WRITE_WAIT_S),
+        "more submissions wait to be recorded than the state service takes in time; submit again");
   /* Known jobs are never forgotten, but an unknown job may just have been accepted by another
    * controller. */
   if (hr_dependencies_find_unknown (core, request->awaits))
--- a/src/coordination/jobs/user_requests.c
+++ b/src/coordination/jobs/user_requests.c
@@ -6,6 +6,8 @@
 #include "coordination/jobs/job_status.h"
 #include "coordination/jobs/submissions.h"
 
+/* HTTP status of a submission that cannot be taken at present. */
+#define STATUS_OVERLOADED 429
 /* Maximum number of writes for one request. */
 #define MAX_WRITES 6
 /* Timeouts of a user's write, in seconds. Most responses arrive within milliseconds, and a lost one
@@ -20,11 +22,10 @@
 /* Age of a request, in seconds, from which no further write is sent for it. Users wait 5 s for the
  * reply. */
 #define LAST_WRITE_AGE_S 2.5
-/* Retry-After of a refusal, in seconds: normally, while the state store does not answer this node,
- * and while unfinished jobs use up the memory for them. */
+/* Retry-After of a refusal, in seconds: normally, and while the state store does not answer this
+ * node. */
 #define RETRY_AFTER_S 1
 #define RETRY_AFTER_OUTAGE_S 2
-#define RETRY_AFTER_MEMORY_S 10
 
 HrUserRequest *
 hr_user_request_new (guint64 reply_id, HrRequestKind kind, const char *job_id, double received_at)
@@ -66,6 +67,16 @@
   return (HrVerdict){.kind = kind, .status = status, .reason = g_strdup (reason)};
 }
 
+HrVerdict
+hr_verdict_refuse_overloaded (HrRefusalKind overload, int retry_after_s, const char *reason)
+{
+  return (HrVerdict){.kind = HR_VERDICT_REFUSE_OVERLOADED,
+                     .status = STATUS_OVERLOADED,
+                     .reason = g_strdup (reason),
+                     .overload = overload,
+                     .retry_after_s = retry_after_s};
+}
+
 void
 hr_verdict_clear (HrVerdict *verdict)
 {
@@ -157,15 +168,6 @@
   hr_job_status_reply (core, request->reply_id, job, status);
 }
 
-static void
-refuse_for_memory (HrCore *core, const HrUserRequest *request)
-{
-  static const char reason[] =
-      "the controllers hold as many unfinished tasks as their memory allows; submit again later";
-  hr_refusal_record (core, HR_REFUSAL_MEMORY, request->job_id, reason);
-  hr_core_refuse (core, request->reply_id, 429, RETRY_AFTER_MEMORY_S, reason);
-}
-
 void
 hr_user_request_apply_verdict (HrCore *core, HrUserRequest *owned, const HrVerdict *verdict)
 {
@@ -200,8 +202,10 @@
                     core->store.replica.is_unavailable ? RETRY_AFTER_OUTAGE_S : RETRY_AFTER_S,
                     verdict->reason);
     break;
-  case HR_VERDICT_REFUSE_FOR_MEMORY:
-    refuse_for_memory (core, request);
+  case HR_VERDICT_REFUSE_OVERLOADED:
+    hr_refusal_record (core, verdict->overload, request->job_id, verdict->reason);
+    hr_core_refuse (core, request->reply_id, verdict->status, verdict->retry_after_s,
+                    verdict->reason);
     break;
   case HR_VERDICT_REFUSE_IF_NEW:
     refuse_if_new (core, g_steal_pointer (&request), verdict);
--- a/src/coordination/jobs/user_requests.h
+++ b/src/coordination/jobs/user_requests.h
@@ -63,7 +63,7 @@
  * @HR_VERDICT_WRITE: write the submission or the cancellation
  * @HR_VERDICT_REFUSE: refuse permanently
  * @HR_VERDICT_REFUSE_TEMPORARILY: refuse, with a time after which the user may retry
- * @HR_VERDICT_REFUSE_FOR_MEMORY: refuse a submission for which there is no memory at present
+ * @HR_VERDICT_REFUSE_OVERLOADED: refuse a submission that cannot be taken at present
  * @HR_VERDICT_REFUSE_IF_NEW: refuse, unless a read shows that the job was accepted before
  *
  * The next step of a request.
@@ -76,7 +76,7 @@
   HR_VERDICT_WRITE,
   HR_VERDICT_REFUSE,
   HR_VERDICT_REFUSE_TEMPORARILY,
-  HR_VERDICT_REFUSE_FOR_MEMORY,
+  HR_VERDICT_REFUSE_OVERLOADED,
   HR_VERDICT_REFUSE_IF_NEW
 } HrVerdictKind;
 
@@ -85,11 +85,15 @@
  * @kind: the next step
  * @status: HTTP status of an answer or refusal; otherwise 0
  * @reason: text of a refusal, owned; otherwise %NULL
+ * @overload: for %HR_VERDICT_REFUSE_OVERLOADED: what there is too much of
+ * @retry_after_s: for %HR_VERDICT_REFUSE_OVERLOADED: seconds after which the user may retry
  */
 typedef struct {
   HrVerdictKind kind;
   int status;
   char *reason;
+  HrRefusalKind overload;
+  int retry_after_s;
 } HrVerdict;
 
 /* Reason returned to users for a job that was never accepted. */
@@ -134,6 +138,17 @@
  * Returns: a verdict to refuse.
  */
 HrVerdict hr_verdict_refuse (HrVerdictKind kind, int status, const char *reason);
+
+/**
+ * hr_verdict_refuse_overloaded:
+ * @overload: what there is too much of
+ * @retry_after_s: seconds after which the user may retry
+ * @reason: text for the user; copied
+ *
+ * Returns: a verdict to refuse a submission that cannot be taken at present, with status 429.
+ */
+HrVerdict hr_verdict_refuse_overloaded (HrRefusalKind overload, int retry_after_s,
+                                        const char *reason);
 void hr_verdict_clear (HrVerdict *verdict);
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (HrVerdict, hr_verdict_clear)
 
--- a/src/coordination/metrics/counters.h
+++ b/src/coordination/metrics/counters.h
@@ -34,6 +34,8 @@
      "submissions answered with 422: the job can never run")                                       \
   X (submissions_refused_memory, submissions_refused_memory,                                       \
      "submissions answered with 429: no memory for more unfinished jobs")                          \
+  X (submissions_refused_backlog, submissions_refused_backlog,                                     \
+     "submissions answered with 429: their records would be written too late")                     \
   X (answers_unreadable, answers_unreadable,                                                       \
      "answers of the state service, the cloud or workers that are not JSON")                       \
   X (starts, starts, "start orders sent")                                                          \
--- a/src/coordination/metrics/refusals.c
+++ b/src/coordination/metrics/refusals.c
@@ -16,6 +16,7 @@
     [HR_REFUSAL_SIZE] = {"size", COUNTER (submissions_refused_size)},
     [HR_REFUSAL_INFEASIBLE] = {"infeasible", COUNTER (submissions_refused_infeasible)},
     [HR_REFUSAL_MEMORY] = {"memory", COUNTER (submissions_refused_memory)},
+    [HR_REFUSAL_BACKLOG] = {"backlog", COUNTER (submissions_refused_backlog)},
     [HR_REFUSAL_REPORT] = {"report", COUNTER (reports_malformed)},
     [HR_REFUSAL_ANSWER] = {"answer", COUNTER (answers_unreadable)},
 };
--- a/src/coordination/metrics/refusals.h
+++ b/src/coordination/metrics/refusals.h
@@ -1,5 +1,5 @@
 /* Records what this controller refuses and what it cannot read: submissions with status 400 or 422,
- * or 429 for want of memory, malformed reports, and unreadable answers to its own calls. Each is
+ * or 429 for overload, malformed reports, and unreadable answers to its own calls. Each is
  * counted by kind, and the log names the first of each kind and how many came since the last line
  * of that kind. */
 #pragma once
@@ -12,6 +12,7 @@
  * @HR_REFUSAL_SIZE: a submission that is too large
  * @HR_REFUSAL_INFEASIBLE: a submission of a job that can never run
  * @HR_REFUSAL_MEMORY: a submission of a job for which there is no memory at present
+ * @HR_REFUSAL_BACKLOG: a submission that the state store would not record in time
  * @HR_REFUSAL_REPORT: a worker's report that is not JSON, or has an invalid field
  * @HR_REFUSAL_ANSWER: an answer of the state service, the cloud or a worker that is not JSON
  */
@@ -21,6 +22,7 @@
   HR_REFUSAL_SIZE,
   HR_REFUSAL_INFEASIBLE,
   HR_REFUSAL_MEMORY,
+  HR_REFUSAL_BACKLOG,
   HR_REFUSAL_REPORT,
   HR_REFUSAL_ANSWER,
   HR_REFUSAL_KINDS
--- a/tests/test_allowance.c
+++ b/tests/test_allowance.c
@@ -67,6 +67,44 @@
   cluster_free (cluster);
 }
 
+#define USER_WAIT_S 5.0 /* users wait that long for an answer, and then submit again */
+
+/* Ten seconds' worth of submissions arrive at once at one controller. Those that the state store
+ * cannot take while their users wait are refused in the step of their arrival, with the time of the
+ * next try, and use up none of the write allowance; all others are accepted in time. */
+static void
+submissions_beyond_the_allowance_are_refused_at_once (void **state G_GNUC_UNUSED)
+{
+  Cluster *cluster = cluster_new (1);
+  guint64 requests[150];
+  guint n_accepted = 0;
+  cluster_limit_writes (cluster, SCARCE_WRITE_RPS);
+  cluster_run (cluster, 6);
+  double sent_at = cluster->now;
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++) {
+    g_autofree char *id = g_strdup_printf ("job-%u", i);
+    requests[i] = cluster_submit (cluster, 0, id, 1);
+  }
+  cluster_run (cluster, USER_WAIT_S);
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++) {
+    const ClusterReply *reply = cluster_reply (cluster, 0, requests[i]);
+    if (!reply)
+      fail_msg ("submission %u got no answer within %.0f s", i, USER_WAIT_S);
+    n_accepted += reply->status == 201;
+    if (reply->status == 201)
+      continue;
+    assert_int_equal (reply->status, 429);
+    assert_true (reply->at - sent_at < 0.1);
+    assert_in_range (reply->retry_after, 1, 30);
+  }
+  assert_in_range (n_accepted, 2 * SCARCE_WRITE_RPS, USER_WAIT_S * SCARCE_WRITE_RPS);
+  /* Cancellations and questions are not refused meanwhile. */
+  guint64 cancellation = cluster_cancel (cluster, 0, "job-0");
+  cluster_run (cluster, 1);
+  assert_string_equal (cluster_job_state (cluster, 0, cancellation), "withdrawn");
+  cluster_free (cluster);
+}
+
 /* ---- a stream of jobs ---- */
 
 typedef struct {
@@ -331,6 +369,7 @@
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (user_writes_precede_launches),
       cmocka_unit_test (a_burst_beyond_the_allowance_is_retried),
+      cmocka_unit_test (submissions_beyond_the_allowance_are_refused_at_once),
       cmocka_unit_test (a_stream_of_small_jobs_fits_the_allowance),
       cmocka_unit_test (a_slow_service_then_a_refused_leader_then_an_outage),
   };
