Limit the memory for the bodies of users' requests

Each connection may hold a body of 64 KiB while it is received and decided, and a controller of 72 MB has about 1,400 connections: 90 MB that nothing admits.

Change: a sixteenth of mem_mb is for the bodies of users' requests that have no reply yet. A request whose announced body (64 KiB for one in chunks) does not fit gets 503 with Retry-After when its headers are received, and its connection is closed. Workers and requests without a body are served on. Refusals are logged like those for want of sockets.

Evidence: bodies_of_user_requests_are_limited of test_transport fails without the check (no 503 is received) and passes with it.

--- a/src/hoprockd.c
+++ b/src/hoprockd.c
@@ -24,6 +24,9 @@
 /* File descriptors that are used neither by users, by workers nor by calls: listeners and those of
  * the main loop. */
 #define OTHER_SOCKETS 24
+#define BYTES_PER_MB 1e6
+/* Share of the process's memory for the bodies of users' requests. */
+#define USER_BODIES_SHARE (1.0 / 16)
 /* For each other controller one connection in each direction, and the same number of connections
  * that are being replaced. */
 #define SOCKETS_PER_MEMBER 4
@@ -103,6 +106,18 @@
   return MAX (settings->sockets / 2, settings->sockets - MIN (reserved, settings->sockets));
 }
 
+/* Returns the limits of the HTTP server. What the core keeps for a request with a large body is a
+ * few times the size of the body. */
+static HrHttpServerLimits
+server_limits (const HrSettings *settings)
+{
+  HrHttpServerLimits limits = {.connections = max_server_connections (settings)};
+  if (settings->memory_mb > 0)
+    limits.user_body_bytes =
+        MAX (settings->memory_mb * BYTES_PER_MB * USER_BODIES_SHARE, HR_MAX_BODY);
+  return limits;
+}
+
 static int
 check_policy (const char *file)
 {
@@ -223,8 +238,8 @@
                                       enqueue_command, &daemon);
   daemon.peers = hr_peers_new (settings, enqueue_command, &daemon, &error);
   if (daemon.peers)
-    daemon.server = hr_http_server_new (settings->front, max_server_connections (settings),
-                                        enqueue_command, &daemon, &error);
+    daemon.server = hr_http_server_new (settings->front, server_limits (settings), enqueue_command,
+                                        &daemon, &error);
   if (!daemon.server) {
     fprintf (stderr, "hoprockd: cannot start: %s\n", error->message);
     return EXIT_WRONG_SETTINGS;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -25,14 +25,27 @@
 /* Memory for the headers of one connection; bodies are stored separately. */
 #define CONNECTION_MEMORY_BYTES (8 * 1024)
 
+/* What users' requests are refused for. */
+typedef enum { OVERLOAD_CONNECTIONS, OVERLOAD_MEMORY, OVERLOAD_KINDS } Overload;
+
+static const char *const overload_bodies[OVERLOAD_KINDS] = {
+    [OVERLOAD_CONNECTIONS] = "{\"error\":\"this node has hardly a free socket; ask again\"}",
+    [OVERLOAD_MEMORY] = "{\"error\":\"this node has no memory for more requests; ask again\"}",
+};
+
+typedef struct {
+  guint n_refused;  /* requests refused since the last warning */
+  gint64 logged_at; /* monotonic time of the last warning, in microseconds */
+} RefusalLog;
+
 struct HrHttpServer {
   struct MHD_Daemon *daemon;
   GSource *source;
   GHashTable *pending; /* request id -> Request, for requests without a reply */
   guint64 last_id;
-  guint max_connections;
-  guint n_refused;           /* requests refused for overload since the last warning */
-  gint64 overload_logged_at; /* monotonic time of the last warning, in microseconds */
+  HrHttpServerLimits limits;
+  gsize user_body_bytes; /* reserved for the bodies of users' requests without a reply */
+  RefusalLog refusal_logs[OVERLOAD_KINDS];
   HrCommandSink sink;
   gpointer data;
 };
@@ -40,7 +53,8 @@
 typedef struct {
   HrHttpServer *server;
   struct MHD_Connection *conn;
-  guint64 id; /* 0: not passed to the sink yet */
+  guint64 id;           /* 0: not passed to the sink yet */
+  gsize reserved_bytes; /* of the memory for users' bodies */
   GByteArray *body;
   gboolean too_large;
   struct MHD_Response *response;
@@ -50,6 +64,7 @@
 static void
 request_free (Request *request)
 {
+  request->server->user_body_bytes -= request->reserved_bytes;
   if (request->body)
     g_byte_array_unref (request->body);
   if (request->response)
@@ -86,44 +101,95 @@
   g_byte_array_append (request->body, (const guint8 *)data, size);
 }
 
+/* Returns the memory that the body may need, in bytes. */
+static gsize
+announced_body_bytes (struct MHD_Connection *conn)
+{
+  const char *length = MHD_lookup_connection_value (conn, MHD_HEADER_KIND, "Content-Length");
+  if (length)
+    return MIN (g_ascii_strtoull (length, NULL, 10), HR_MAX_BODY);
+  gboolean is_chunked =
+      MHD_lookup_connection_value (conn, MHD_HEADER_KIND, "Transfer-Encoding") != NULL;
+  return is_chunked ? HR_MAX_BODY : 0;
+}
+
+/* Checks whether a user's request has to be refused, and sets what for. */
 static gboolean
-is_overloaded (HrHttpServer *server)
+is_overloaded (HrHttpServer *server, gsize body_bytes, Overload *overload)
 {
   const union MHD_DaemonInfo *info =
       MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-  return info && info->num_connections > server->max_connections * OVERLOAD_SHARE;
+  if (info && info->num_connections > server->limits.connections * OVERLOAD_SHARE) {
+    *overload = OVERLOAD_CONNECTIONS;
+    return TRUE;
+  }
+  *overload = OVERLOAD_MEMORY;
+  return body_bytes && server->limits.user_body_bytes &&
+         server->user_body_bytes + body_bytes > server->limits.user_body_bytes;
+}
+
+static void
+log_refusals (const HrHttpServer *server, Overload overload, guint n_refused)
+{
+  if (overload == OVERLOAD_CONNECTIONS)
+    g_warning ("nearly all of %u connections are in use: refused %u user requests",
+               server->limits.connections, n_refused);
+  else
+    g_warning ("bodies of requests use the %zu bytes for them: refused %u user requests",
+               server->limits.user_body_bytes, n_refused);
 }
 
 /* Counts a refused request. Logs the number of those since the last warning, at most once per
  * OVERLOAD_LOG_INTERVAL_S. */
 static void
-record_refusal (HrHttpServer *server)
+record_refusal (HrHttpServer *server, Overload overload)
 {
+  RefusalLog *log = &server->refusal_logs[overload];
   gint64 now = g_get_monotonic_time ();
-  server->n_refused++;
-  if (now - server->overload_logged_at <= (gint64)OVERLOAD_LOG_INTERVAL_S * G_USEC_PER_SEC)
+  log->n_refused++;
+  if (now - log->logged_at <= (gint64)OVERLOAD_LOG_INTERVAL_S * G_USEC_PER_SEC)
     return;
-  g_warning ("nearly all of %u connections are in use: refused %u user requests",
-             server->max_connections, server->n_refused);
-  server->overload_logged_at = now;
-  server->n_refused = 0;
+  log_refusals (server, overload, log->n_refused);
+  log->logged_at = now;
+  log->n_refused = 0;
 }
 
 static enum MHD_Result
-refuse_overloaded (HrHttpServer *server, struct MHD_Connection *conn)
+refuse_overloaded (HrHttpServer *server, struct MHD_Connection *conn, Overload overload)
 {
-  static const char body[] = "{\"error\":\"this node has hardly a free socket; ask again\"}";
+  const char *body = overload_bodies[overload];
   struct MHD_Response *response =
-      MHD_create_response_from_buffer (sizeof body - 1, (void *)body, MHD_RESPMEM_PERSISTENT);
+      MHD_create_response_from_buffer (strlen (body), (void *)body, MHD_RESPMEM_PERSISTENT);
   MHD_add_response_header (response, "Content-Type", "application/json");
   MHD_add_response_header (response, "Retry-After", OVERLOAD_RETRY_AFTER_S);
   MHD_add_response_header (response, "Connection", "close");
   enum MHD_Result ok = MHD_queue_response (conn, 503, response);
   MHD_destroy_response (response);
-  record_refusal (server);
+  record_refusal (server, overload);
   return ok;
 }
 
+/* Handles the headers of a request. Memory for a user's body is reserved until the reply is sent:
+ * what the core keeps for the request is of the same order. */
+static enum MHD_Result
+begin_request (HrHttpServer *server, struct MHD_Connection *conn, const char *url, void **state)
+{
+  gsize reserved_bytes = 0;
+  if (g_str_has_prefix (url, HR_JOBS_PATH)) {
+    Overload overload;
+    reserved_bytes = announced_body_bytes (conn);
+    if (is_overloaded (server, reserved_bytes, &overload))
+      return refuse_overloaded (server, conn, overload);
+  }
+  Request *request = g_new0 (Request, 1);
+  request->server = server;
+  request->conn = conn;
+  request->reserved_bytes = reserved_bytes;
+  server->user_body_bytes += reserved_bytes;
+  *state = request;
+  return MHD_YES;
+}
+
 /* Passes a complete request to the sink and suspends its connection until hr_http_server_reply().
  */
 static void
@@ -151,15 +217,8 @@
 {
   HrHttpServer *server = data;
   Request *request = *state;
-  if (!request) { /* first call of a request: only the headers have been received */
-    if (g_str_has_prefix (url, HR_JOBS_PATH) && is_overloaded (server))
-      return refuse_overloaded (server, conn);
-    request = g_new0 (Request, 1);
-    request->server = server;
-    request->conn = conn;
-    *state = request;
-    return MHD_YES;
-  }
+  if (!request) /* first call of a request: only the headers have been received */
+    return begin_request (server, conn, url, state);
   if (*upload_size) {
     append_body (request, upload, *upload_size);
     *upload_size = 0;
@@ -238,7 +297,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, server,
       MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned int)server->max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (unsigned int)server->limits.connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
 }
 
@@ -254,8 +313,8 @@
 }
 
 HrHttpServer *
-hr_http_server_new (const char *address, guint connections, HrCommandSink sink, gpointer data,
-                    GError **error)
+hr_http_server_new (const char *address, HrHttpServerLimits limits, HrCommandSink sink,
+                    gpointer data, GError **error)
 {
   struct sockaddr_in listen_address;
   if (!parse_address (address, &listen_address, error))
@@ -263,7 +322,7 @@
   HrHttpServer *server = g_new0 (HrHttpServer, 1);
   server->sink = sink;
   server->data = data;
-  server->max_connections = connections;
+  server->limits = limits;
   server->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
   server->daemon = start_daemon (server, &listen_address);
   if (!server->daemon) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,6 +1,7 @@
 /* The HTTP server for users and workers. Each complete request becomes an %HR_COMMAND_REQUEST; the
- * reply refers to the request by the command's id. When connections run short, the server refuses
- * requests, those of users first. All functions and callbacks run on the default main context. */
+ * reply refers to the request by the command's id. When connections or the memory for bodies run
+ * short, the server refuses requests, those of users first. All functions and callbacks run on the
+ * default main context. */
 #pragma once
 #include "coordination/command.h"
 
@@ -16,18 +17,29 @@
  */
 typedef void (*HrCommandSink) (HrCommand *command, gpointer data);
 
+/**
+ * HrHttpServerLimits:
+ * @connections: maximum number of connections; the last few are reserved for workers
+ * @user_body_bytes: maximum size of the bodies of all users' requests that have no reply yet, in
+ * bytes; 0: no limit
+ */
+typedef struct {
+  guint connections;
+  gsize user_body_bytes;
+} HrHttpServerLimits;
+
 /**
  * hr_http_server_new:
  * @address: IPv4 address and port to listen on, "IP:PORT"
- * @connections: maximum number of connections; the last few are reserved for workers
+ * @limits: what its clients may use
  * @sink: receives the requests
  * @data: argument for @sink
  * @error: a #GIOErrorEnum when the server cannot listen on @address
  *
  * Returns: (transfer full) (nullable): the server; %NULL with @error set
  */
-HrHttpServer *hr_http_server_new (const char *address, guint connections, HrCommandSink sink,
-                                  gpointer data, GError **error);
+HrHttpServer *hr_http_server_new (const char *address, HrHttpServerLimits limits,
+                                  HrCommandSink sink, gpointer data, GError **error);
 
 /**
  * hr_http_server_reply:
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -70,15 +70,21 @@
 }
 
 static void
-start_server (Fixture *fixture, guint16 port, guint sockets)
+start_limited_server (Fixture *fixture, guint16 port, HrHttpServerLimits limits)
 {
   g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", port);
   g_autoptr (GError) error = NULL;
   fixture->queue = g_ptr_array_new_with_free_func ((GDestroyNotify)hr_command_free);
-  fixture->server = hr_http_server_new (address, sockets, on_command, fixture, &error);
+  fixture->server = hr_http_server_new (address, limits, on_command, fixture, &error);
   assert_non_null (fixture->server);
 }
 
+static void
+start_server (Fixture *fixture, guint16 port, guint sockets)
+{
+  start_limited_server (fixture, port, (HrHttpServerLimits){.connections = sockets});
+}
+
 static GSocket *
 connect_to (guint16 port)
 {
@@ -258,6 +264,60 @@
   stop_server (&fixture);
 }
 
+#define BODIES 4 /* for which the limit has room */
+
+/* Guards against memory that is used up by the bodies of many large requests at once: beyond the
+ * limit users get 503 with Retry-After as soon as the headers are received, and workers are served
+ * on. A request counts until it has its reply. */
+static void
+bodies_of_user_requests_are_limited (void **state G_GNUC_UNUSED)
+{
+  static const char worker_request[] =
+      "POST /hello HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+  static const char poll[] = "GET /v1/jobs/job-000001 HTTP/1.1\r\nHost: x\r\n\r\n";
+  Fixture fixture = {.hold_replies = TRUE};
+  guint16 port = free_port ();
+  HrHttpServerLimits limits = {.connections = 100, .user_body_bytes = BODIES * HR_MAX_BODY};
+  start_limited_server (&fixture, port, limits);
+  g_autofree char *headers = g_strdup_printf (
+      "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", HR_MAX_BODY);
+  g_autofree char *body = g_strnfill (HR_MAX_BODY, 'x');
+  g_autoptr (GPtrArray) sockets = g_ptr_array_new_with_free_func (g_object_unref);
+  for (guint i = 0; i < BODIES; i++) { /* announced, but not sent yet */
+    g_ptr_array_add (sockets, connect_to (port));
+    assert_true (g_socket_send (sockets->pdata[i], headers, strlen (headers), NULL, NULL) > 0);
+  }
+  run_loop_for (&fixture, 0.1);
+  g_autoptr (GSocket) late = connect_to (port);
+  g_autofree char *refused = exchange (&fixture, late, headers, strlen (headers));
+  assert_non_null (strstr (refused, " 503 "));
+  assert_non_null (strstr (refused, "Retry-After: "));
+  assert_non_null (strstr (refused, "memory"));
+  g_autoptr (GSocket) chunked = connect_to (port);
+  const char *chunks = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  g_autofree char *refused_chunks = exchange (&fixture, chunked, chunks, strlen (chunks));
+  assert_non_null (strstr (refused_chunks, " 503 "));
+  fixture.hold_replies = FALSE;
+  g_autoptr (GSocket) other = connect_to (port);
+  g_autofree char *poll_answer = exchange (&fixture, other, poll, strlen (poll));
+  assert_non_null (strstr (poll_answer, "200 OK")); /* it has no body */
+  g_autofree char *worker_answer =
+      exchange (&fixture, other, worker_request, strlen (worker_request));
+  assert_non_null (strstr (worker_answer, "200 OK"));
+  /* The first is answered, another one has ended: there is room for two. */
+  g_autofree char *accepted = exchange (&fixture, sockets->pdata[0], body, HR_MAX_BODY);
+  assert_non_null (strstr (accepted, "200 OK"));
+  g_ptr_array_remove_index (sockets, 1);
+  run_loop_for (&fixture, 0.1);
+  g_autofree char *whole = g_strconcat (headers, body, NULL);
+  for (guint i = 0; i < 2; i++) {
+    g_autoptr (GSocket) next = connect_to (port);
+    g_autofree char *answer = exchange (&fixture, next, whole, strlen (whole));
+    assert_non_null (strstr (answer, "200 OK"));
+  }
+  stop_server (&fixture);
+}
+
 static void
 send_call (HrHttpClient *client, double timeout)
 {
@@ -417,6 +477,7 @@
       cmocka_unit_test (client_may_disconnect_before_the_reply),
       cmocka_unit_test (calls_end_at_their_deadline),
       cmocka_unit_test (too_large_answer_counts_as_no_answer),
+      cmocka_unit_test (bodies_of_user_requests_are_limited),
       cmocka_unit_test (workers_take_precedence_over_users),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
