Forget the names of submissions that are refused

The names of classes, teams, images and zones are kept for the life of the process. They were added when a submission was parsed, before it was decided, so whoever sent submissions that were refused (an unknown team, an invalid field, a repeated job) made every controller that received them grow, up to 800 bytes each.

Change: unless the job is to be written, the names that its submission added are removed again, before anything can refer to them. One path is left: a job that awaits an unknown one is refused only after a read, when other names may have come since.

--- a/src/coordination/jobs/submissions.c
+++ b/src/coordination/jobs/submissions.c
@@ -267,25 +267,47 @@
   return request;
 }
 
+/* Decides on a request whose body is valid, unless `invalid` says why it is not. */
+static HrVerdict
+decide_received (HrCore *core, HrUserRequest *request, const GError *invalid)
+{
+  if (invalid)
+    return hr_verdict_refuse (HR_VERDICT_REFUSE_IF_NEW, 400, invalid->message);
+  return decide_submission (core, request);
+}
+
+static gboolean
+may_be_written (const HrVerdict *verdict)
+{
+  return verdict->kind == HR_VERDICT_WRITE || verdict->kind == HR_VERDICT_READ_AWAITED;
+}
+
+static void
+refuse_malformed (HrCore *core, const HrCommand *command, const GError *invalid)
+{
+  gboolean is_syntax = g_error_matches (invalid, HR_PROTOCOL_ERROR, HR_PROTOCOL_ERROR_SYNTAX);
+  hr_refusal_record (core, is_syntax ? HR_REFUSAL_SYNTAX : HR_REFUSAL_FIELD, NULL,
+                     invalid->message);
+  hr_core_refuse (core, command->id, 400, 0, invalid->message);
+}
+
 void
 hr_submission_received (HrCore *core, HrCommand *command)
 {
   g_autoptr (GError) invalid = NULL;
+  HrNamesMark names_before = hr_names_mark (core->names);
   HrUserRequest *request = parse_submission (core, command, &invalid);
   if (!request) {
-    gboolean is_syntax = g_error_matches (invalid, HR_PROTOCOL_ERROR, HR_PROTOCOL_ERROR_SYNTAX);
-    hr_refusal_record (core, is_syntax ? HR_REFUSAL_SYNTAX : HR_REFUSAL_FIELD, NULL,
-                       invalid->message);
-    hr_core_refuse (core, command->id, 400, 0, invalid->message);
+    hr_names_reset (core->names, names_before);
+    refuse_malformed (core, command, invalid);
     return;
   }
-  g_auto (HrVerdict) verdict =
-      invalid ? hr_verdict_refuse (HR_VERDICT_REFUSE_IF_NEW, 400, invalid->message)
-              : decide_submission (core, request);
-  if (verdict.kind == HR_VERDICT_WRITE || verdict.kind == HR_VERDICT_READ_AWAITED) {
+  g_auto (HrVerdict) verdict = decide_received (core, request, invalid);
+  if (may_be_written (&verdict)) {
     request->tasks_per_page =
         hr_record_layout_choose (&core->store, &request->spec, awaits_bytes (request));
     hr_memory_reserve (core, &request->reservation, job_bytes (request));
-  }
+  } else
+    hr_names_reset (core->names, names_before); /* only a job that is written needs its names */
   hr_user_request_apply_verdict (core, request, &verdict);
 }
--- a/src/protocol/intern.c
+++ b/src/protocol/intern.c
@@ -26,6 +26,14 @@
   return intern->names->len - 1;
 }
 
+void
+hr_intern_truncate (HrIntern *intern, guint n)
+{
+  for (guint i = n; i < intern->names->len; i++)
+    g_hash_table_remove (intern->by_name, intern->names->pdata[i]);
+  g_ptr_array_set_size (intern->names, n);
+}
+
 guint32
 hr_intern_find (const HrIntern *intern, const char *name)
 {
--- a/src/protocol/intern.h
+++ b/src/protocol/intern.h
@@ -1,6 +1,6 @@
 /* String interning: maps names of jobs, machines, teams and so on to dense indices, so that the
- * rest of the program compares and stores numbers. Names are never removed; an index stays valid
- * for the life of the table. */
+ * rest of the program compares and stores numbers. An index stays valid for the life of the table,
+ * unless hr_intern_truncate() removes it before anything refers to it. */
 #pragma once
 #include <glib.h>
 
@@ -35,6 +35,14 @@
  */
 guint32 hr_intern (HrIntern *intern, const char *name);
 
+/**
+ * hr_intern_truncate:
+ * @n: number of names to keep; at most their present number
+ *
+ * Removes the names that were added last. Nothing may refer to their indices any more.
+ */
+void hr_intern_truncate (HrIntern *intern, guint n);
+
 /**
  * hr_intern_find:
  *
--- a/src/protocol/jobspec.c
+++ b/src/protocol/jobspec.c
@@ -49,6 +49,23 @@
   hr_intern_init (&names->zones);
 }
 
+HrNamesMark
+hr_names_mark (const HrNames *names)
+{
+  return (HrNamesMark){names->classes.names->len, names->teams.names->len, names->images.names->len,
+                       names->types.names->len, names->zones.names->len};
+}
+
+void
+hr_names_reset (HrNames *names, HrNamesMark mark)
+{
+  hr_intern_truncate (&names->classes, mark.classes);
+  hr_intern_truncate (&names->teams, mark.teams);
+  hr_intern_truncate (&names->images, mark.images);
+  hr_intern_truncate (&names->types, mark.types);
+  hr_intern_truncate (&names->zones, mark.zones);
+}
+
 void
 hr_names_clear (HrNames *names)
 {
--- a/src/protocol/jobspec.h
+++ b/src/protocol/jobspec.h
@@ -44,6 +44,26 @@
  */
 void hr_names_init (HrNames *names);
 
+/* How many names each table holds. */
+typedef struct {
+  guint classes, teams, images, types, zones;
+} HrNamesMark;
+
+/**
+ * hr_names_mark:
+ *
+ * Returns: the present size of the tables, for hr_names_reset()
+ */
+HrNamesMark hr_names_mark (const HrNames *names);
+
+/**
+ * hr_names_reset:
+ * @mark: an earlier size of the tables
+ *
+ * Removes all names that were added since. Nothing may refer to them any more.
+ */
+void hr_names_reset (HrNames *names, HrNamesMark mark);
+
 /**
  * hr_names_clear:
  *
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -253,6 +253,57 @@
   fake_store_free (store);
 }
 
+/* ---- names ---- */
+
+static guint
+n_names (const SingleNode *n)
+{
+  return n->names.classes.names->len + n->names.teams.names->len + n->names.images.names->len +
+         n->names.types.names->len + n->names.zones.names->len;
+}
+
+/* Submits a job with names that were not used before. */
+static int
+submit_with_new_names (SingleNode *n, const char *id, const char *team, guint round, guint tasks)
+{
+  g_autofree char *plain = single_node_submission (id, "batch", tasks);
+  json_t *body = json_loads (plain, 0, NULL);
+  g_autofree char *name = g_strdup_printf ("name-%u", round);
+  json_object_set_new (body, "jobclass", json_string (name));
+  json_object_set_new (body, "bundle", json_string (name));
+  json_object_set_new (body, "crew", json_string (team ? team : name));
+  if (!team)
+    json_object_set_new (body, "quarry", json_string (name));
+  return single_node_request (n, HR_POST, "/v1/jobs", hr_json_take_text (body));
+}
+
+/* Class, team, image and zone are kept for the life of the process, but only those of jobs that are
+ * accepted: other submissions may name whatever they like, as often as they like. */
+static void
+names_of_refused_submissions_are_not_kept (void **state G_GNUC_UNUSED)
+{
+  FakeStore *store = fake_store_new ();
+  SingleNode *n = small_node (store);
+  assert_int_equal (submit_with_new_names (n, "job-a", "crew", 1, 2), 201);
+  guint before = n_names (n);
+  for (guint round = 2; round < 40; round++) {
+    assert_int_equal (submit_with_new_names (n, "job-b", NULL, round, 2), 422);
+    assert_int_equal (submit_with_new_names (n, "job-b", "crew", round, 0), 400);
+    assert_int_equal (submit_with_new_names (n, "job-b", "crew", round, LARGEST_TASKS + 1), 400);
+    assert_int_equal (submit_with_new_names (n, "job-a", "crew", round, 2), 200);
+  }
+  n->settings->memory_mb = 0.001;
+  assert_int_equal (submit_with_new_names (n, "job-b", "crew", 40, 2), 429);
+  assert_int_equal (n_names (n), before);
+  n->settings->memory_mb = 0;
+  assert_int_equal (submit_with_new_names (n, "job-b", "crew", 41, 2), 201);
+  assert_int_equal (n_names (n), before + 2); /* a class and an image */
+  const HrJob *job = hr_job_find (&n->core->store.tables, "job-b");
+  assert_string_equal (hr_intern_name (&n->names.images, job->spec.image), "name-41");
+  single_node_free (n);
+  fake_store_free (store);
+}
+
 int
 main (void)
 {
@@ -264,6 +315,7 @@
       cmocka_unit_test (submissions_at_once_share_the_budget),
       cmocka_unit_test (budget_leaves_room_for_other_controllers),
       cmocka_unit_test (finished_jobs_do_not_count),
+      cmocka_unit_test (names_of_refused_submissions_are_not_kept),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
