--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -276,6 +276,21 @@
  */
 gboolean hr_job_has_unfinished_dependencies (const HrJob *job);
 
+/**
+ * hr_job_is_final:
+ * @job: a job
+ *
+ * Checks whether the job is done or cancelled by its record, or through a job that it awaits. A
+ * cancellation that only a peer has stated does not count.
+ *
+ * Returns: whether the job's state can be told to users and never changes again
+ */
+static inline gboolean
+hr_job_is_final (const HrJob *job)
+{
+  return job->is_known && job->state != HR_JOB_QUEUED && !job->cancellation.reported_by_peer;
+}
+
 /**
  * hr_job_eligible_since:
  * @job: a job
--- a/src/coordination/jobs/dependencies.c
+++ b/src/coordination/jobs/dependencies.c
@@ -16,19 +16,11 @@
 
 /* ---- edges ---- */
 
-/* Checks whether the job is final by its record, or through a job that it awaits. A cancellation
- * that only a peer has stated is not propagated to dependents. */
-static gboolean
-is_final (const HrJob *job)
-{
-  return job->is_known && job->state != HR_JOB_QUEUED && !job->cancellation.reported_by_peer;
-}
-
 /* Final jobs keep no dependents, since their state no longer changes. */
 static void
 add_dependent (HrJob *awaited, HrJob *dependent)
 {
-  if (is_final (awaited))
+  if (hr_job_is_final (awaited))
     return;
   if (!awaited->dependencies.dependents)
     awaited->dependencies.dependents = g_ptr_array_new ();
@@ -82,7 +74,7 @@
 {
   for (guint i = 0; i < job->dependencies.n_awaited; i++) {
     HrJob *awaited = job->dependencies.awaited[i];
-    if (is_final (awaited) && awaited->state == HR_JOB_CANCELLED)
+    if (hr_job_is_final (awaited) && awaited->state == HR_JOB_CANCELLED)
       return cancellation_root (awaited);
   }
   return NULL;
--- a/src/coordination/jobs/user_requests.c
+++ b/src/coordination/jobs/user_requests.c
@@ -89,7 +89,7 @@
 hr_user_request_has_final_answer (HrCore *core, const HrUserRequest *request)
 {
   const HrJob *job = hr_job_find (&core->store.tables, request->job_id);
-  return job && job->state != HR_JOB_QUEUED && !job->cancellation.reported_by_peer;
+  return job && hr_job_is_final (job);
 }
 
 /* Decides on a request for a job that the read did not show. */
--- a/src/coordination/jobs/user_requests.h
+++ b/src/coordination/jobs/user_requests.h
@@ -113,6 +113,18 @@
 void hr_user_request_free (HrUserRequest *request);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (HrUserRequest, hr_user_request_free)
 
+/**
+ * hr_user_request_n_awaited:
+ * @request: a submission
+ *
+ * Returns: the number of jobs that its job awaits
+ */
+static inline guint
+hr_user_request_n_awaited (const HrUserRequest *request)
+{
+  return request->awaits ? g_strv_length (request->awaits) : 0;
+}
+
 /**
  * hr_verdict:
  * @kind: one of the kinds that read or write
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -14,38 +14,17 @@
  * longer, the client has usually disappeared without closing it: during a network partition its FIN
  * does not arrive. Such connections, left open, would use up the sockets. */
 #define IDLE_TIMEOUT_S 20
-/* Load shedding: while more than this share of the connections is in use, users' requests are
- * refused at once. A worker without a connection loses its lease, whereas a user only has to retry
- * a little later. */
-#define OVERLOAD_SHARE 0.94
 /* Retry-After header of refused requests, in seconds. */
 #define OVERLOAD_RETRY_AFTER_S "2"
-/* Minimum time between two warnings about refused requests. */
-#define OVERLOAD_LOG_INTERVAL_S 10
 /* Memory for the headers of one connection; bodies are stored separately. */
 #define CONNECTION_MEMORY_BYTES (8 * 1024)
 
-/* What users' requests are refused for. */
-typedef enum { OVERLOAD_CONNECTIONS, OVERLOAD_MEMORY, OVERLOAD_KINDS } Overload;
-
-static const char *const overload_bodies[OVERLOAD_KINDS] = {
-    [OVERLOAD_CONNECTIONS] = "{\"error\":\"this node has hardly a free socket; ask again\"}",
-    [OVERLOAD_MEMORY] = "{\"error\":\"this node has no memory for more requests; ask again\"}",
-};
-
-typedef struct {
-  guint n_refused;  /* requests refused since the last warning */
-  gint64 logged_at; /* monotonic time of the last warning, in microseconds */
-} RefusalLog;
-
 struct HrHttpServer {
   struct MHD_Daemon *daemon;
   GSource *source;
   GHashTable *pending; /* request id -> Request, for requests without a reply */
   guint64 last_id;
-  HrHttpServerLimits limits;
-  gsize user_body_bytes; /* reserved for the bodies of users' requests without a reply */
-  RefusalLog refusal_logs[OVERLOAD_KINDS];
+  HrLoadShedding load;
   HrCommandSink sink;
   gpointer data;
 };
@@ -64,7 +43,7 @@
 static void
 request_free (Request *request)
 {
-  request->server->user_body_bytes -= request->reserved_bytes;
+  request->server->load.user_body_bytes -= request->reserved_bytes;
   if (request->body)
     g_byte_array_unref (request->body);
   if (request->response)
@@ -113,51 +92,18 @@
   return is_chunked ? HR_MAX_BODY : 0;
 }
 
-/* Checks whether a user's request has to be refused, and sets what for. */
-static gboolean
-is_overloaded (HrHttpServer *server, gsize body_bytes, Overload *overload)
+static guint
+open_connections (HrHttpServer *server)
 {
   const union MHD_DaemonInfo *info =
       MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-  if (info && info->num_connections > server->limits.connections * OVERLOAD_SHARE) {
-    *overload = OVERLOAD_CONNECTIONS;
-    return TRUE;
-  }
-  *overload = OVERLOAD_MEMORY;
-  return body_bytes && server->limits.user_body_bytes &&
-         server->user_body_bytes + body_bytes > server->limits.user_body_bytes;
-}
-
-static void
-log_refusals (const HrHttpServer *server, Overload overload, guint n_refused)
-{
-  if (overload == OVERLOAD_CONNECTIONS)
-    g_warning ("nearly all of %u connections are in use: refused %u user requests",
-               server->limits.connections, n_refused);
-  else
-    g_warning ("bodies of requests use the %zu bytes for them: refused %u user requests",
-               server->limits.user_body_bytes, n_refused);
-}
-
-/* Counts a refused request. Logs the number of those since the last warning, at most once per
- * OVERLOAD_LOG_INTERVAL_S. */
-static void
-record_refusal (HrHttpServer *server, Overload overload)
-{
-  RefusalLog *log = &server->refusal_logs[overload];
-  gint64 now = g_get_monotonic_time ();
-  log->n_refused++;
-  if (now - log->logged_at <= (gint64)OVERLOAD_LOG_INTERVAL_S * G_USEC_PER_SEC)
-    return;
-  log_refusals (server, overload, log->n_refused);
-  log->logged_at = now;
-  log->n_refused = 0;
+  return info ? info->num_connections : 0;
 }
 
 static enum MHD_Result
-refuse_overloaded (HrHttpServer *server, struct MHD_Connection *conn, Overload overload)
+refuse_overloaded (HrHttpServer *server, struct MHD_Connection *conn, HrOverload overload)
 {
-  const char *body = overload_bodies[overload];
+  const char *body = hr_overload_reply (overload);
   struct MHD_Response *response =
       MHD_create_response_from_buffer (strlen (body), (void *)body, MHD_RESPMEM_PERSISTENT);
   MHD_add_response_header (response, "Content-Type", "application/json");
@@ -165,7 +111,7 @@
   MHD_add_response_header (response, "Connection", "close");
   enum MHD_Result ok = MHD_queue_response (conn, 503, response);
   MHD_destroy_response (response);
-  record_refusal (server, overload);
+  hr_load_shedding_refused (&server->load, overload);
   return ok;
 }
 
@@ -176,16 +122,17 @@
 {
   gsize reserved_bytes = 0;
   if (g_str_has_prefix (url, HR_JOBS_PATH)) {
-    Overload overload;
     reserved_bytes = announced_body_bytes (conn);
-    if (is_overloaded (server, reserved_bytes, &overload))
+    HrOverload overload =
+        hr_load_shedding_check (&server->load, open_connections (server), reserved_bytes);
+    if (overload != HR_OVERLOAD_NONE)
       return refuse_overloaded (server, conn, overload);
   }
   Request *request = g_new0 (Request, 1);
   request->server = server;
   request->conn = conn;
   request->reserved_bytes = reserved_bytes;
-  server->user_body_bytes += reserved_bytes;
+  server->load.user_body_bytes += reserved_bytes;
   *state = request;
   return MHD_YES;
 }
@@ -297,7 +244,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, server,
       MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned int)server->limits.connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (unsigned int)server->load.limits.connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
 }
 
@@ -322,7 +269,7 @@
   HrHttpServer *server = g_new0 (HrHttpServer, 1);
   server->sink = sink;
   server->data = data;
-  server->limits = limits;
+  server->load.limits = limits;
   server->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
   server->daemon = start_daemon (server, &listen_address);
   if (!server->daemon) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -4,6 +4,7 @@
  * default main context. */
 #pragma once
 #include "coordination/command.h"
+#include "transport/load_shedding.h"
 
 typedef struct HrHttpServer HrHttpServer;
 
@@ -17,17 +18,6 @@
  */
 typedef void (*HrCommandSink) (HrCommand *command, gpointer data);
 
-/**
- * HrHttpServerLimits:
- * @connections: maximum number of connections; the last few are reserved for workers
- * @user_body_bytes: maximum size of the bodies of all users' requests that have no reply yet, in
- * bytes; 0: no limit
- */
-typedef struct {
-  guint connections;
-  gsize user_body_bytes;
-} HrHttpServerLimits;
-
 /**
  * hr_http_server_new:
  * @address: IPv4 address and port to listen on, "IP:PORT"
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -264,7 +264,7 @@
   stop_server (&fixture);
 }
 
-#define BODIES 4 /* for which the limit has room */
+#define BODIES ((gsize)4) /* for which the limit has room */
 
 /* Guards against memory that is used up by the bodies of many large requests at once: beyond the
  * limit users get 503 with Retry-After as soon as the headers are received, and workers are served
