--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -55,8 +55,8 @@
   guint8 write_in_flight : 1; /* the write in flight holds its change */
   guint8 stop_wanted : 1;
   guint8 is_listed : 1; /* a machine's list (HrMachinePlan) holds the task */
-  guint8
-      from_earlier_term : 1; /* placed by an earlier leader; no heartbeat has reported it since */
+  /* Placed by an earlier leader; no heartbeat has reported it since. */
+  guint8 from_earlier_term : 1;
 } HrTask;
 
 /* The run of all tasks that have none of their own: no machine, no attempt. */
--- a/src/bookkeeping/token_bucket.h
+++ b/src/bookkeeping/token_bucket.h
@@ -3,10 +3,8 @@
 #pragma once
 #include <glib.h>
 
-/* The members are private to the functions below, apart from their initialization: `tokens` alone
- * is out of date as soon as time has passed. */
 typedef struct {
-  double tokens;      /* at the time refilled_at */
+  double tokens;      /* at the time refilled_at; read it with hr_token_bucket_available() */
   double rate;        /* tokens per second */
   double burst;       /* maximum number of tokens */
   double refilled_at; /* monotonic time, s */
