--- a/tests/sim/single_node.c
+++ b/tests/sim/single_node.c
@@ -122,6 +122,28 @@
       json_pack ("{sosbsI}", rows ? "rows" : "log", list, "more", FALSE, "epoch", store->epoch));
 }
 
+/* Returns the page of the listing that the path of the request asks for. */
+static char *
+listing_text (const FakeStore *store, const char *path)
+{
+  char *whole = changes_text (store, 0, TRUE);
+  const char *cursor = strstr (path, "&after=");
+  if (!store->page_rows)
+    return whole;
+  g_autofree char *after = cursor ? g_strndup (cursor + strlen ("&after="),
+                                               strcspn (cursor + 1, "&") - strlen ("after="))
+                                  : g_strdup ("");
+  json_t *object = json_loads (whole, 0, NULL), *rows = json_object_get (object, "rows");
+  g_free (whole);
+  while (json_array_size (rows) &&
+         strcmp (hr_json_str (json_array_get (rows, 0), "path"), after) <= 0)
+    json_array_remove (rows, 0);
+  json_object_set_new (object, "more", json_boolean (json_array_size (rows) > store->page_rows));
+  while (json_array_size (rows) > store->page_rows)
+    json_array_remove (rows, json_array_size (rows) - 1);
+  return hr_json_take_text (object);
+}
+
 static int
 commit (FakeStore *store, const char *body, char **text)
 {
@@ -207,7 +229,7 @@
   else if (store->down)
     push_result (n, effect->id, 503, g_strdup ("{}"));
   else if (g_str_has_prefix (effect->call.path, "/kv?"))
-    push_result (n, effect->id, 200, changes_text (store, 0, TRUE));
+    push_result (n, effect->id, 200, listing_text (store, effect->call.path));
   else if (g_str_has_prefix (effect->call.path, "/leases"))
     push_result (n, effect->id, 200, g_strdup ("{\"claim\":1}"));
   else if (strcmp (effect->call.path, "/commit") == 0) {
--- a/tests/sim/single_node.h
+++ b/tests/sim/single_node.h
@@ -15,6 +15,7 @@
   guint n_deleted;             /* number of deletions so far; the deleted records stay */
   guint64 epoch;               /* revision of the latest change of any record */
   gboolean down, newest_first; /* newest_first: a full listing gives the newest record first */
+  guint page_rows;             /* rows of a page of a listing by key; 0: all rows in one page */
   gboolean by_key;             /* a full listing gives the records in the order of their keys */
   gboolean history_lost;       /* the next read of changes gets 410: they have to be listed again */
 } FakeStore;
--- a/tests/test_listing_order.c
+++ b/tests/test_listing_order.c
@@ -127,30 +127,40 @@
   job->is_cancelled_by_user = TRUE;
 }
 
-/* Lets a few jobs be cancelled or finished at other controllers, and the controller list the store
- * again before it has read any of these changes. */
+/* Lets a job be cancelled or finished at another controller, if one can be. */
 static void
-change_and_list_again (Run *run)
+change_elsewhere (Run *run)
 {
-  run->store->history_lost = TRUE;
-  for (guint n = g_rand_int_range (run->random, 1, 4); n; n--) {
-    guint index = g_rand_int_range (run->random, 0, JOBS);
-    ExpectedJob *job = &run->jobs[index];
-    if (!is_queued (run, index))
-      continue;
-    if (g_rand_boolean (run->random))
-      cancel_elsewhere (run, job);
-    else if (is_ready (run, index)) {
-      fake_store_finish_job (run->store, job->id);
-      job->is_done = TRUE;
-    }
+  guint index = g_rand_int_range (run->random, 0, JOBS);
+  ExpectedJob *job = &run->jobs[index];
+  if (!is_queued (run, index))
+    return;
+  if (g_rand_boolean (run->random))
+    cancel_elsewhere (run, job);
+  else if (is_ready (run, index)) {
+    fake_store_finish_job (run->store, job->id);
+    job->is_done = TRUE;
   }
+}
+
+/* Lets a few jobs change at other controllers, and the controller list the store again before it
+ * has read any of these changes. More jobs change between the pages of the listing, so that its
+ * rows are of different revisions. */
+static void
+change_and_list_again (Run *run)
+{
   const HrReplica *replica = &run->node->core->store.replica;
+  run->store->history_lost = TRUE;
+  run->store->page_rows = g_rand_int_range (run->random, 1, 2 * JOBS);
+  for (guint n = g_rand_int_range (run->random, 1, 4); n; n--)
+    change_elsewhere (run);
   while (run->store->history_lost)
     single_node_run (run->node, 0.1);
-  do
+  do {
+    if (g_rand_int_range (run->random, 0, 4) == 0)
+      change_elsewhere (run);
     single_node_run (run->node, 0.1);
-  while (replica->state != HR_REPLICA_FOLLOWING);
+  } while (replica->state != HR_REPLICA_FOLLOWING);
 }
 
 static void
