--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -162,6 +162,7 @@
   gboolean grant_lent;  /* other jobs may use the part of the grant that the job cannot use now */
   double lent_until, lending_s; /* end and duration of the latest lending */
   double starving_since; /* since when a task has waited despite free capacity; 0: none does */
+  gboolean is_starving;  /* for longer than the starvation guard allows (starvation_guard.c) */
   /* Since when only another job's reservation has delayed it; 0: not delayed. */
   double blocked_by_reservation_since;
 } HrJobQuota;
--- a/src/coordination/scheduling/starvation_guard.c
+++ b/src/coordination/scheduling/starvation_guard.c
@@ -2,6 +2,7 @@
 #include "coordination/scheduling/starvation_guard.h"
 #include "coordination/scheduling/guarantees.h"
 #include "coordination/scheduling/lookups.h"
+#include "coordination/scheduling/quotas.h"
 #include "coordination/scheduling/resources.h"
 #include "coordination/scheduling/start_check.h"
 #include "coordination/scheduling/starts.h"
@@ -11,11 +12,14 @@
 /* Time between two checks of all jobs, s. */
 #define CHECK_INTERVAL_S 1.0
 
+/* Returns whether the job waits for capacity. A gang that lost a task before its start does not:
+ * its other tasks are on machines already (hr_start_lost_gang_tasks()). */
 static gboolean
 is_waiting (HrCore *core, const HrJob *job)
 {
-  return job->spec.shape == HR_BATCH && hr_job_is_waiting (core, job) &&
-         hr_team_allows_start (core, job, 1);
+  gboolean is_replacing = job->spec.shape == HR_GANG && job->run.n_live;
+  return job->spec.shape != HR_SERVICE && !is_replacing && hr_job_is_waiting (core, job) &&
+         hr_team_allows_start (core, job, hr_job_start_unit (job));
 }
 
 /* Returns whether there is free capacity for a task of the job on the machine, reserved or not. */
@@ -44,6 +48,15 @@
   return best;
 }
 
+/* Logs that the job starts to starve beside the machine, and what keeps it from starting there. */
+static void
+log_starving (HrCore *core, const HrJob *job, const HrMachine *machine)
+{
+  gboolean is_reserved = hr_start_check_machine (core, job, machine) == HR_START_RESERVED;
+  g_info ("starving: job=%s tasks=%u listed=%u machine=%s capacity=%s", job->id, job->n_tasks,
+          job->plan.n_listed, machine->name, is_reserved ? "reserved" : "unreserved");
+}
+
 /* Starts as many of the job's tasks as fit into free capacity. */
 static void
 start_on_free_capacity (HrCore *core, HrJob *job, const GPtrArray *machines)
@@ -72,6 +85,24 @@
          !failed->one_zone && !failed->spread;
 }
 
+/* Updates since when the job has waited beside the machine, NULL if there is none. */
+static void
+update_clock (HrCore *core, HrJob *job, const HrMachine *machine)
+{
+  HrJobQuota *quota = &job->quota;
+  if (!machine) {
+    quota->starving_since = 0;
+    quota->is_starving = FALSE;
+    return;
+  }
+  if (!quota->starving_since)
+    quota->starving_since = core->now;
+  gboolean was_starving = quota->is_starving;
+  quota->is_starving = core->now - quota->starving_since >= STARVATION_LIMIT_S;
+  if (quota->is_starving && !was_starving)
+    log_starving (core, job, machine);
+}
+
 void
 hr_starvation_guard_tick (HrCore *core)
 {
@@ -84,19 +115,15 @@
   const HrJobSpec *failed = NULL;
   for (guint i = 0; i < core->store.tables.open_jobs->len; i++) {
     HrJob *job = hr_open_job (core, i);
-    if (!is_waiting (core, job)) {
-      job->quota.starving_since = 0;
-      continue;
-    }
-    if ((failed && is_harder_to_place (&job->spec, failed)) ||
-        !find_free_machine (core, job, machines, TRUE)) {
-      failed = &job->spec;
-      job->quota.starving_since = 0;
-      continue;
+    HrMachine *machine = NULL;
+    if (is_waiting (core, job)) {
+      if (!failed || !is_harder_to_place (&job->spec, failed))
+        machine = find_free_machine (core, job, machines, TRUE);
+      if (!machine)
+        failed = &job->spec;
     }
-    if (!job->quota.starving_since)
-      job->quota.starving_since = core->now;
-    if (core->now - job->quota.starving_since >= STARVATION_LIMIT_S)
+    update_clock (core, job, machine);
+    if (job->quota.is_starving && job->spec.shape == HR_BATCH)
       start_on_free_capacity (core, job, machines);
   }
 }
