Reserve capacity in the plan for gangs that wait beside free capacity

A gang of one task of a whole machine is called queued, with "0 of them stand in a machine's plan", and never starts.

Cause: each service class has headroom for at least one replica for as long as it is known. The pass reserves it first, here on the empty machine, and projects lists without it; so no list takes the gang, and it is never listed. Only arrays have the starvation guard.

Change: the guard only decides which jobs starve: an array or gang of which a task fits into free capacity, reserved or not, or that no list takes although the machines could, for 60 s. The planning pass places these first, reserves their capacity, and reserves headroom beside it. Why it works: lists, start check, headroom requests and scale-in then see one state of the machines, instead of a start that is forced at the end of the pass. A later replica preempts the gang as before, within 12 s (test).

--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -54,7 +54,9 @@
   guint8 done_recorded : 1;   /* the record holds its end */
   guint8 write_in_flight : 1; /* the write in flight holds its change */
   guint8 stop_wanted : 1;
-  guint8 is_listed : 1; /* a machine's list (HrMachinePlan) holds the task */
+  guint8 is_listed : 1;       /* a machine's list (HrMachinePlan) holds the task */
+  guint8 has_reservation : 1; /* capacity is reserved for it there, since its job starves */
+  guint8 goes_first : 1;      /* it is listed ahead of tasks with earlier deadlines */
   /* Placed by an earlier leader; no heartbeat has reported it since. */
   guint8 from_earlier_term : 1;
 } HrTask;
@@ -161,8 +163,10 @@
   double granted_since; /* since when the job has not used its grant; 0: it has none */
   gboolean grant_lent;  /* other jobs may use the part of the grant that the job cannot use now */
   double lent_until, lending_s; /* end and duration of the latest lending */
-  double starving_since; /* since when a task has waited despite free capacity; 0: none does */
-  gboolean is_starving;  /* for longer than the starvation guard allows (starvation_guard.c) */
+  double starving_since;   /* since when a task has waited despite free capacity; 0: none does */
+  gboolean is_starving;    /* for longer than the starvation guard allows (starvation_guard.c) */
+  gboolean is_unplaceable; /* no list takes it beside what is reserved for services */
+  double reservation_began_at; /* since when other jobs leave idle capacity to it; 0: they do not */
   /* Since when only another job's reservation has delayed it; 0: not delayed. */
   double blocked_by_reservation_since;
 } HrJobQuota;
--- a/src/bookkeeping/machine.h
+++ b/src/bookkeeping/machine.h
@@ -69,12 +69,13 @@
 
 /* The scheduler's plan for the machine (coordination/scheduling/). */
 typedef struct {
-  guint32 shard;    /* chosen by the hash of its name */
-  guint n_shards;   /* number of shards when `shard` was chosen */
-  GArray *list;     /* HrTaskRef: tasks planned for the machine, by deadline */
-  double tardiness; /* expected total tardiness of the listed tasks */
-  guint late_count; /* listed tasks that are expected to be late */
-  double ready_at;  /* when the first listed task can start */
+  guint32 shard;        /* chosen by the hash of its name */
+  guint n_shards;       /* number of shards when `shard` was chosen */
+  GArray *list;         /* HrTaskRef: tasks planned for the machine, by deadline */
+  double tardiness;     /* expected total tardiness of the listed tasks */
+  guint late_count;     /* listed tasks that are expected to be late */
+  double ready_at;      /* when the first listed task can start */
+  HrResources reserved; /* for listed tasks of starving jobs, as of the latest planning pass */
   /* While a job is placed: when it could start here, with its image fetched. */
   double candidate_start;
 } HrMachinePlan;
--- a/src/coordination/scheduling/dispatch.c
+++ b/src/coordination/scheduling/dispatch.c
@@ -233,6 +233,7 @@
   for (guint i = 0; i < services->len; i++)
     find_capacity_for_service (core, &fleet, &demand, services->pdata[i]);
   hr_guarantees_preempt (core, &fleet);
+  hr_fleet_capacity_take_reservations (&fleet, core);
   hr_scale_out_headroom (core, &fleet, &demand);
   hr_scale_out_for_lists (core, &fleet, &demand);
   hr_scale_out_for_next_steps (core, &fleet, &demand);
--- a/src/coordination/scheduling/free_capacity.c
+++ b/src/coordination/scheduling/free_capacity.c
@@ -30,6 +30,27 @@
   }
 }
 
+static void
+take_reservations (const HrCore *core, HrFreeCapacity *capacity)
+{
+  const GArray *list = capacity->machine->plan.list;
+  for (guint i = 0; i < list->len; i++) {
+    HrTaskRef ref = g_array_index (list, HrTaskRef, i);
+    const HrJob *job = hr_job_of_task (core, ref);
+    if (!job->tasks[ref.task].has_reservation)
+      continue;
+    hr_resources_subtract (&capacity->free, hr_resources_of_task (&job->spec));
+    capacity->is_reserved = TRUE;
+  }
+}
+
+void
+hr_fleet_capacity_take_reservations (HrFleetCapacity *fleet, HrCore *core)
+{
+  for (guint i = fleet->n_booting; i < fleet->n; i++)
+    take_reservations (core, &fleet->machines[i]);
+}
+
 void
 hr_fleet_capacity_clear (HrFleetCapacity *fleet)
 {
--- a/src/coordination/scheduling/free_capacity.h
+++ b/src/coordination/scheduling/free_capacity.h
@@ -31,6 +31,14 @@
  */
 void hr_fleet_capacity_init (HrFleetCapacity *fleet, HrCore *core);
 
+/**
+ * hr_fleet_capacity_take_reservations:
+ *
+ * Subtracts the capacity that is reserved on machines that are up for listed tasks of starving jobs
+ * (starvation_reservations.h).
+ */
+void hr_fleet_capacity_take_reservations (HrFleetCapacity *fleet, HrCore *core);
+
 /**
  * hr_fleet_capacity_clear:
  *
--- a/src/coordination/scheduling/job_order.c
+++ b/src/coordination/scheduling/job_order.c
@@ -36,6 +36,15 @@
   return hr_compare_by_submission (left, right);
 }
 
+int
+hr_compare_by_priority_and_deadline (gconstpointer left, gconstpointer right)
+{
+  const HrJob *first = *(HrJob *const *)left, *second = *(HrJob *const *)right;
+  if (hr_job_priority (first) != hr_job_priority (second))
+    return hr_job_priority (first) < hr_job_priority (second) ? -1 : 1;
+  return hr_compare_by_deadline (left, right);
+}
+
 int
 hr_compare_listed_by_deadline (gconstpointer left, gconstpointer right, gpointer core)
 {
--- a/src/coordination/scheduling/job_order.h
+++ b/src/coordination/scheduling/job_order.h
@@ -27,6 +27,14 @@
  */
 int hr_compare_by_priority (gconstpointer left, gconstpointer right);
 
+/**
+ * hr_compare_by_priority_and_deadline:
+ *
+ * Compares jobs like hr_compare_by_submission(), but higher priorities first, and earlier deadlines
+ * first within a priority.
+ */
+int hr_compare_by_priority_and_deadline (gconstpointer left, gconstpointer right);
+
 /**
  * hr_compare_listed_by_deadline:
  * @left: (type gpointer): points to HrListedTask
--- a/src/coordination/scheduling/mtedf_gang.c
+++ b/src/coordination/scheduling/mtedf_gang.c
@@ -36,16 +36,6 @@
   return max_trials >= n_lists || (hash ^ hash >> 16) / 4294967296.0 * n_lists < max_trials;
 }
 
-/* Returns whether a task would fit on the machine once all tasks but those of services have ended.
- */
-static gboolean
-fits_alongside_services (const HrCore *core, const HrMachine *machine, const HrJobSpec *spec)
-{
-  HrResources available = hr_resources_of_type (hr_machine_type_of (core, machine));
-  hr_resources_subtract (&available, machine->services);
-  return hr_resources_cover (available, hr_resources_of_task (spec));
-}
-
 /* Sets the slot's start and delay. Returns FALSE if the list cannot take a task or is not in the
  * sample. */
 static gboolean
@@ -59,7 +49,7 @@
       hr_machine_fits_unreserved (machine, &job->spec))
     slot->start = machine->plan.ready_at; /* nothing to project */
   else if (is_sampled (job, machine, max_trials, n_lists) &&
-           fits_alongside_services (core, machine, &job->spec))
+           hr_machine_fits_alongside_services (core, machine, &job->spec))
     slot->start = hr_trial_insert (core, machine, (HrTaskRef){job->index, 0}).start;
   else
     return FALSE;
--- a/src/coordination/scheduling/placement.c
+++ b/src/coordination/scheduling/placement.c
@@ -42,6 +42,15 @@
          hr_resources_cover (hr_resources_of_type (type), hr_resources_of_task (spec));
 }
 
+gboolean
+hr_machine_fits_alongside_services (const HrCore *core, const HrMachine *machine,
+                                    const HrJobSpec *spec)
+{
+  HrResources available = hr_resources_of_type (hr_machine_type_of (core, machine));
+  hr_resources_subtract (&available, machine->services);
+  return hr_resources_cover (available, hr_resources_of_task (spec));
+}
+
 gboolean
 hr_job_allows_zone (const HrCore *core, const HrJob *job, const HrMachine *machine)
 {
--- a/src/coordination/scheduling/placement.h
+++ b/src/coordination/scheduling/placement.h
@@ -29,6 +29,15 @@
  */
 gboolean hr_job_allows_machine (const HrCore *core, const HrJob *job, const HrMachine *machine);
 
+/**
+ * hr_machine_fits_alongside_services:
+ *
+ * Returns: whether a task would fit on the machine, whose type is known, once all tasks but those
+ * of services have ended.
+ */
+gboolean hr_machine_fits_alongside_services (const HrCore *core, const HrMachine *machine,
+                                             const HrJobSpec *spec);
+
 /**
  * hr_job_allows_zone:
  *
--- a/src/coordination/scheduling/planner.c
+++ b/src/coordination/scheduling/planner.c
@@ -10,6 +10,7 @@
 #include "coordination/scheduling/service_reservations.h"
 #include "coordination/scheduling/shards.h"
 #include "coordination/scheduling/start_check.h"
+#include "coordination/scheduling/starvation_reservations.h"
 #include "coordination/scheduling/tabu.h"
 #include "coordination/scheduling/task_lists.h"
 
@@ -17,15 +18,16 @@
 #define MAX_LISTED_TASKS 64
 
 /* Returns whether the task may stay in the machine's list. Gangs are placed again in each pass,
- * because their common start depends on every list that they are in. */
+ * because their common start depends on every list that they are in; so are tasks of starving jobs,
+ * because capacity is reserved for them anew. */
 static gboolean
 may_stay_listed (HrCore *core, const HrMachine *machine, HrTaskRef ref)
 {
   const HrJob *job = hr_job_of_task (core, ref);
   return job->tasks && job->state == HR_JOB_QUEUED && job->tasks[ref.task].state == HR_TASK_IDLE &&
-         !job->run.attempt_ending && hr_job_allows_machine (core, job, machine) &&
-         hr_job_allows_zone (core, job, machine) && job->spec.shape != HR_GANG &&
-         job->plan.n_listed <= hr_quotas_granted (core, job);
+         !job->tasks[ref.task].has_reservation && !job->run.attempt_ending &&
+         hr_job_allows_machine (core, job, machine) && hr_job_allows_zone (core, job, machine) &&
+         job->spec.shape != HR_GANG && job->plan.n_listed <= hr_quotas_granted (core, job);
 }
 
 /* Removes the tasks that may not stay in the machine's list. */
@@ -44,23 +46,28 @@
   }
 }
 
-/* Prunes all lists. Returns the plannable machines, with their lists projected. */
+/* Prunes all lists. Returns the plannable machines. */
 static GPtrArray *
-refresh_lists (HrCore *core)
+prune_lists (HrCore *core)
 {
   GPtrArray *lists = g_ptr_array_new ();
   for (guint i = 0; i < core->scaling.fleet->len; i++) {
     HrMachine *machine = core->scaling.fleet->pdata[i];
     gboolean is_plannable = hr_machine_is_plannable (core, machine);
     prune_list (core, machine, is_plannable);
-    if (is_plannable) {
-      hr_project_list (core, machine, NULL);
+    if (is_plannable)
       g_ptr_array_add (lists, machine);
-    }
   }
   return lists;
 }
 
+static void
+project_lists (HrCore *core, GPtrArray *lists)
+{
+  for (guint i = 0; i < lists->len; i++)
+    hr_project_list (core, lists->pdata[i], NULL);
+}
+
 /* Returns how many tasks of the job may be listed. Tasks that the team's limit does not let start
  * are not listed, because they would be projected as late. */
 static guint
@@ -143,8 +150,11 @@
 {
   guint n_placements;
   hr_shards_assign (core);
-  hr_reserve_for_services (core);
-  g_autoptr (GPtrArray) lists = refresh_lists (core);
+  hr_reserve_for_waiting_replicas (core);
+  g_autoptr (GPtrArray) lists = prune_lists (core);
+  hr_reserve_for_starving_jobs (core, lists);
+  hr_reserve_headroom (core);
+  project_lists (core, lists);
   g_autoptr (GPtrArray) jobs = collect_jobs (core, &n_placements);
   /* Trial placements dominate the cost of a pass: the more tasks there are to place, the fewer
    * trials each of them gets. */
@@ -154,7 +164,7 @@
     HrJob *job = jobs->pdata[i];
     if (job->spec.shape != HR_GANG)
       place_tasks (core, lists, job, max_trials);
-    else if (job->run.n_live == 0)
+    else if (job->run.n_live == 0 && !job->plan.n_listed)
       hr_mtedf_place_gang (core, lists, job, MAX (max_trials, 2 * job->n_tasks));
   }
   hr_tabu_search (core, lists);
--- a/src/coordination/scheduling/quotas.c
+++ b/src/coordination/scheduling/quotas.c
@@ -52,9 +52,7 @@
   gboolean second_incomplete = second->run.gang_incomplete_since > 0;
   if (first_incomplete != second_incomplete)
     return first_incomplete ? -1 : 1;
-  if (hr_job_priority (first) != hr_job_priority (second))
-    return hr_job_priority (first) < hr_job_priority (second) ? -1 : 1;
-  return hr_compare_by_deadline (left, right);
+  return hr_compare_by_priority_and_deadline (left, right);
 }
 
 /* Starts lending the job's grant to other jobs if the job has not used it for too long, and doubles
--- a/src/coordination/scheduling/service_reservations.c
+++ b/src/coordination/scheduling/service_reservations.c
@@ -6,11 +6,20 @@
 #include "coordination/scheduling/quotas.h"
 #include "coordination/scheduling/resources.h"
 
+/* Returns whether the capacity is reserved neither for services nor for starving jobs. */
+static gboolean
+is_available (const HrMachine *machine, HrResources need)
+{
+  HrResources available = hr_machine_unreserved (machine);
+  hr_resources_subtract (&available, machine->plan.reserved);
+  return hr_resources_cover (available, need);
+}
+
 /* Reserves capacity for up to n tasks on a machine. Returns how many did not fit. */
 static guint
 reserve_on_machine (HrMachine *machine, HrResources one, guint n)
 {
-  for (; n && hr_resources_cover (hr_machine_unreserved (machine), one); n--)
+  for (; n && is_available (machine, one); n--)
     hr_resources_add (&machine->reserved, one);
   return n;
 }
@@ -46,11 +55,11 @@
   return n;
 }
 
-/* Clears the machine's reservation and sums up the resources of its service tasks. */
+/* Clears the machine's reservations and sums up the resources of its service tasks. */
 static void
 count_services (HrCore *core, HrMachine *machine)
 {
-  machine->reserved = machine->services = (HrResources){0, 0, 0};
+  machine->reserved = machine->services = machine->plan.reserved = (HrResources){0, 0, 0};
   for (guint k = 0; k < machine->tasks->len; k++) {
     HrTaskRef ref = g_array_index (machine->tasks, HrTaskRef, k);
     const HrJobSpec *spec = &hr_job_of_task (core, ref)->spec;
@@ -76,7 +85,7 @@
  * arrivals may need, because a replica starts there without a fetch; then on machines with running
  * tasks, so that empty machines stay free for tasks that need a whole machine. */
 static void
-reserve_headroom (HrCore *core, guint32 job_class)
+reserve_headroom_of_class (HrCore *core, guint32 job_class)
 {
   const HrClassStats *stats =
       &g_array_index (core->scheduling.class_stats, HrClassStats, job_class);
@@ -97,7 +106,7 @@
 }
 
 void
-hr_reserve_for_services (HrCore *core)
+hr_reserve_for_waiting_replicas (HrCore *core)
 {
   for (guint i = 0; i < core->scaling.fleet->len; i++)
     count_services (core, core->scaling.fleet->pdata[i]);
@@ -106,6 +115,11 @@
     if (job->state == HR_JOB_QUEUED && job->spec.shape == HR_SERVICE && job->tasks)
       reserve_on_booting_machines (core, job);
   }
+}
+
+void
+hr_reserve_headroom (HrCore *core)
+{
   for (guint i = 0; i < core->scheduling.class_stats->len; i++)
-    reserve_headroom (core, i);
+    reserve_headroom_of_class (core, i);
 }
--- a/src/coordination/scheduling/service_reservations.h
+++ b/src/coordination/scheduling/service_reservations.h
@@ -4,11 +4,19 @@
 #include "coordination/state.h"
 
 /**
- * hr_reserve_for_services:
+ * hr_reserve_for_waiting_replicas:
  *
- * Sets for each machine the capacity that services use and the capacity that is reserved for them.
- * Capacity for waiting replicas is reserved on booting machines, and capacity for the next arrivals
- * (headroom) preferably on machines with their images. Tasks in lists are neither projected nor
- * started on reserved capacity. Called at the beginning of a planning pass.
+ * Clears the reservations of the previous pass, sums up for each machine the capacity that services
+ * use, and reserves capacity on booting machines for the replicas that wait. Called at the
+ * beginning of a planning pass.
  */
-void hr_reserve_for_services (HrCore *core);
+void hr_reserve_for_waiting_replicas (HrCore *core);
+
+/**
+ * hr_reserve_headroom:
+ *
+ * Reserves capacity for the next replicas of each service class, preferably on machines with their
+ * images. Tasks in lists are neither projected nor started on it. What starving jobs wait for
+ * (starvation_reservations.h) is not reserved, so their reservations have to be made before.
+ */
+void hr_reserve_headroom (HrCore *core);
--- a/src/coordination/scheduling/start_check.c
+++ b/src/coordination/scheduling/start_check.c
@@ -2,6 +2,7 @@
 #include "coordination/scheduling/start_check.h"
 #include "coordination/scheduling/guarantees.h"
 #include "coordination/scheduling/placement.h"
+#include "coordination/scheduling/reserved_capacity.h"
 #include "coordination/scheduling/resources.h"
 
 gboolean
@@ -28,7 +29,8 @@
   if (!hr_machine_is_reachable (core, machine) || !hr_job_allows_machine (core, job, machine) ||
       !hr_job_allows_zone (core, job, machine))
     return HR_START_UNSUITABLE;
-  if (job->spec.shape != HR_SERVICE && !hr_resources_cover (hr_machine_unreserved (machine), need))
-    return HR_START_RESERVED;
-  return HR_START_OK;
+  HrResources available =
+      job->spec.shape == HR_SERVICE ? hr_machine_unused (machine) : hr_machine_unreserved (machine);
+  hr_resources_subtract (&available, hr_reserved_ahead (core, job, machine));
+  return hr_resources_cover (available, need) ? HR_START_OK : HR_START_RESERVED;
 }
--- a/src/coordination/scheduling/start_check.h
+++ b/src/coordination/scheduling/start_check.h
@@ -14,7 +14,7 @@
   /* Verdicts on the machine. */
   HR_START_NO_CAPACITY, /* the task does not fit, or the worker reported that the machine is full */
   HR_START_UNSUITABLE,  /* the machine is not reachable, or the job may not be placed there */
-  HR_START_RESERVED,    /* the task would fit, but the free capacity is reserved for services */
+  HR_START_RESERVED,    /* the task would fit, but the capacity is reserved for other jobs */
 } HrStartVerdict;
 
 /**
--- a/src/coordination/scheduling/starvation_guard.c
+++ b/src/coordination/scheduling/starvation_guard.c
@@ -1,14 +1,13 @@
-/* Limits how long batch tasks wait despite free capacity. */
+/* Limits how long jobs wait despite free capacity. */
 #include "coordination/scheduling/starvation_guard.h"
 #include "coordination/scheduling/guarantees.h"
 #include "coordination/scheduling/lookups.h"
+#include "coordination/scheduling/placement.h"
 #include "coordination/scheduling/quotas.h"
 #include "coordination/scheduling/resources.h"
 #include "coordination/scheduling/start_check.h"
 #include "coordination/scheduling/starts.h"
 
-/* How long a task waits despite free capacity before it gets that capacity, s. */
-#define STARVATION_LIMIT_S 60.0
 /* Time between two checks of all jobs, s. */
 #define CHECK_INTERVAL_S 1.0
 
@@ -30,49 +29,72 @@
   return verdict == HR_START_OK || verdict == HR_START_RESERVED;
 }
 
-/* Returns the best machine with free capacity for a task of the job (hr_batch_machine_better());
- * NULL: there is none. first_fit: return the first one that is found instead of the best one. */
-static HrMachine *
-find_free_machine (HrCore *core, HrJob *job, const GPtrArray *machines, gboolean first_fit)
+/* Returns a machine with free capacity for a task of the job; NULL: there is none. */
+static const HrMachine *
+find_free_machine (HrCore *core, HrJob *job, const GPtrArray *machines)
 {
-  HrMachine *best = NULL;
+  const HrMachine *found = NULL;
   guint32 shard = job->plan.shard;
   job->plan.shard = HR_NONE; /* free capacity in any shard counts */
-  for (guint i = 0; i < machines->len && !(best && first_fit); i++) {
-    HrMachine *machine = machines->pdata[i];
-    if (fits_now (core, job, machine) &&
-        (!best || hr_batch_machine_better (core, job, machine, best)))
-      best = machine;
+  for (guint i = 0; i < machines->len && !found; i++)
+    if (fits_now (core, job, machines->pdata[i]))
+      found = machines->pdata[i];
+  job->plan.shard = shard;
+  return found;
+}
+
+/* Returns the number of machines in the zone (HR_NONE: in any) that could each take a task of the
+ * job if all tasks but those of services had ended. */
+static guint
+count_places (HrCore *core, HrJob *job, guint32 zone)
+{
+  guint n = 0;
+  guint32 shard = job->plan.shard;
+  job->plan.shard = HR_NONE;
+  for (guint i = 0; i < core->scaling.fleet->len; i++) {
+    const HrMachine *machine = core->scaling.fleet->pdata[i];
+    n += (zone == HR_NONE || machine->zone == zone) && hr_job_allows_machine (core, job, machine) &&
+         hr_machine_fits_alongside_services (core, machine, &job->spec);
   }
   job->plan.shard = shard;
-  return best;
+  return n;
 }
 
-/* Logs that the job starts to starve beside the machine, and what keeps it from starting there. */
-static void
-log_starving (HrCore *core, const HrJob *job, const HrMachine *machine)
+/* Returns whether the fleet could take the job's next tasks if nothing were reserved for services.
+ */
+static gboolean
+fleet_could_take (HrCore *core, HrJob *job)
 {
-  gboolean is_reserved = hr_start_check_machine (core, job, machine) == HR_START_RESERVED;
-  g_info ("starving: job=%s tasks=%u listed=%u machine=%s capacity=%s", job->id, job->n_tasks,
-          job->plan.n_listed, machine->name, is_reserved ? "reserved" : "unreserved");
+  guint needed = hr_job_start_unit (job);
+  if (!job->spec.one_zone)
+    return count_places (core, job, HR_NONE) >= needed;
+  for (guint32 zone = 0; zone < core->names->zones.names->len; zone++)
+    if (count_places (core, job, zone) >= needed)
+      return TRUE;
+  return FALSE;
 }
 
-/* Starts as many of the job's tasks as fit into free capacity. */
+/* Returns whether no list takes the job, although the fleet could. Once that has made the job
+ * starve, it has a place because of its reservation alone (starvation_reservations.h). */
+static gboolean
+is_unplaceable (HrCore *core, HrJob *job)
+{
+  gboolean is_unlisted =
+      !job->plan.n_listed || (job->quota.is_starving && job->quota.is_unplaceable);
+  return is_unlisted && fleet_could_take (core, job);
+}
+
+/* Logs that the job starves, and what keeps it from starting. machine: has free capacity for it;
+ * NULL: no machine has, and no list takes the job. */
 static void
-start_on_free_capacity (HrCore *core, HrJob *job, const GPtrArray *machines)
+log_starving (HrCore *core, const HrJob *job, const HrMachine *machine)
 {
-  guint started = 0;
-  for (guint32 k = 0; k < job->n_tasks && hr_team_allows_start (core, job, 1); k++) {
-    if (job->tasks[k].state != HR_TASK_IDLE)
-      continue;
-    HrMachine *machine = find_free_machine (core, job, machines, FALSE);
-    if (!machine)
-      break;
-    hr_start_task (core, job, k, machine);
-    started++;
-  }
-  g_info ("job %s waited %.0f s despite free capacity; started %u of its tasks there", job->id,
-          STARVATION_LIMIT_S, started);
+  const char *capacity = !machine ? "none"
+                         : hr_start_check_machine (core, job, machine) == HR_START_RESERVED
+                             ? "reserved"
+                             : "unreserved";
+  g_info ("starving: job=%s tasks=%u listed=%u machine=%s capacity=%s", job->id, job->n_tasks,
+          job->plan.n_listed, machine ? machine->name : "-", capacity);
 }
 
 /* Returns whether a job is at least as hard to place as one that found no machine: it needs at
@@ -85,22 +107,26 @@
          !failed->one_zone && !failed->spread;
 }
 
-/* Updates since when the job has waited beside the machine, NULL if there is none. */
+void
+hr_starvation_ended (HrJob *job)
+{
+  HrJobQuota *quota = &job->quota;
+  quota->starving_since = quota->reservation_began_at = 0;
+  quota->is_starving = quota->is_unplaceable = FALSE;
+}
+
+/* Updates since when the job has waited beside the machine, or, if it is NULL, in no list. */
 static void
 update_clock (HrCore *core, HrJob *job, const HrMachine *machine)
 {
   HrJobQuota *quota = &job->quota;
-  if (!machine) {
-    quota->starving_since = 0;
-    quota->is_starving = FALSE;
-    return;
-  }
   if (!quota->starving_since)
     quota->starving_since = core->now;
   gboolean was_starving = quota->is_starving;
-  quota->is_starving = core->now - quota->starving_since >= STARVATION_LIMIT_S;
+  quota->is_starving = core->now - quota->starving_since >= HR_STARVATION_LIMIT_S;
   if (quota->is_starving && !was_starving)
     log_starving (core, job, machine);
+  core->scheduling.plan_is_stale |= quota->is_starving && !was_starving;
 }
 
 void
@@ -115,15 +141,19 @@
   const HrJobSpec *failed = NULL;
   for (guint i = 0; i < core->store.tables.open_jobs->len; i++) {
     HrJob *job = hr_open_job (core, i);
-    HrMachine *machine = NULL;
-    if (is_waiting (core, job)) {
-      if (!failed || !is_harder_to_place (&job->spec, failed))
-        machine = find_free_machine (core, job, machines, TRUE);
-      if (!machine)
-        failed = &job->spec;
+    if (!is_waiting (core, job)) {
+      hr_starvation_ended (job);
+      continue;
     }
-    update_clock (core, job, machine);
-    if (job->quota.is_starving && job->spec.shape == HR_BATCH)
-      start_on_free_capacity (core, job, machines);
+    const HrMachine *machine = NULL;
+    if (!failed || !is_harder_to_place (&job->spec, failed))
+      machine = find_free_machine (core, job, machines);
+    if (!machine)
+      failed = &job->spec;
+    job->quota.is_unplaceable = is_unplaceable (core, job);
+    if (machine || job->quota.is_unplaceable)
+      update_clock (core, job, machine);
+    else
+      hr_starvation_ended (job);
   }
 }
--- a/src/coordination/scheduling/tabu.c
+++ b/src/coordination/scheduling/tabu.c
@@ -66,8 +66,17 @@
   return best;
 }
 
-/* Returns the most tardy task of the list that is not tabu; its job is HR_NONE if there is none.
- * Tasks of gangs are not moved, because the slots of a gang have a common start. */
+/* Returns whether the task may be moved. Tasks of gangs are not moved, because the slots of a gang
+ * have a common start; nor are those of starving jobs, because capacity is reserved for them. */
+static gboolean
+is_movable (const TabuSearch *search, const HrJob *job, HrTaskRef ref)
+{
+  return job->spec.shape != HR_GANG && !job->tasks[ref.task].has_reservation &&
+         !is_tabu (search->tabu, ref);
+}
+
+/* Returns the most tardy task of the list that may be moved; its job is HR_NONE if there is none.
+ */
 static HrTaskRef
 most_tardy_task (HrCore *core, const TabuSearch *search, HrMachine *machine)
 {
@@ -81,7 +90,7 @@
     const HrJob *job = hr_job_of_task (core, ref);
     double run_time = hr_estimate_run_time (core, job, machine);
     double lateness = hr_task_lateness (core, job, starts[i], run_time);
-    if (lateness > max_lateness && job->spec.shape != HR_GANG && !is_tabu (search->tabu, ref)) {
+    if (lateness > max_lateness && is_movable (search, job, ref)) {
       max_lateness = lateness;
       worst = ref;
     }
--- a/src/coordination/scheduling/task_lists.c
+++ b/src/coordination/scheduling/task_lists.c
@@ -4,14 +4,20 @@
 #include "coordination/scheduling/projection.h"
 
 guint
-hr_list_position (const HrCore *core, const HrMachine *machine, const HrJob *job)
+hr_list_position (const HrCore *core, const HrMachine *machine, HrTaskRef ref)
 {
   const GArray *list = machine->plan.list;
+  const HrJob *job = hr_job_of_task (core, ref);
+  gboolean goes_first = job->tasks[ref.task].goes_first;
   guint i = 0;
-  while (i < list->len &&
-         hr_job_of_task (core, g_array_index (list, HrTaskRef, i))->plan.deadline <=
-             job->plan.deadline)
-    i++;
+  for (; i < list->len; i++) {
+    HrTaskRef listed = g_array_index (list, HrTaskRef, i);
+    const HrJob *listed_job = hr_job_of_task (core, listed);
+    if (listed_job->tasks[listed.task].goes_first)
+      continue;
+    if (goes_first || listed_job->plan.deadline > job->plan.deadline)
+      break;
+  }
   return i;
 }
 
@@ -20,7 +26,7 @@
 {
   HrJob *job = hr_job_of_task (core, ref);
   HrTask *task = &job->tasks[ref.task];
-  guint at = hr_list_position (core, machine, job);
+  guint at = hr_list_position (core, machine, ref);
   g_array_insert_val (machine->plan.list, at, ref);
   job->plan.n_listed += !task->is_listed;
   task->is_listed = 1;
@@ -44,7 +50,8 @@
 {
   if (!job->tasks || !job->tasks[task_index].is_listed)
     return;
-  job->tasks[task_index].is_listed = 0;
+  HrTask *task = &job->tasks[task_index];
+  task->is_listed = task->has_reservation = task->goes_first = 0;
   job->plan.n_listed--;
 }
 
--- a/src/coordination/scheduling/task_lists.h
+++ b/src/coordination/scheduling/task_lists.h
@@ -10,10 +10,10 @@
 /**
  * hr_list_position:
  *
- * Returns: the position of a task of the job in the machine's list, after the tasks with the same
- * deadline.
+ * Returns: the position of the task in the machine's list: after the tasks with the same deadline,
+ * or, if the task goes first, after the others that do.
  */
-guint hr_list_position (const HrCore *core, const HrMachine *machine, const HrJob *job);
+guint hr_list_position (const HrCore *core, const HrMachine *machine, HrTaskRef ref);
 
 /**
  * hr_list_insert:
--- a/src/coordination/scheduling/trial.c
+++ b/src/coordination/scheduling/trial.c
@@ -10,7 +10,7 @@
   HrMachinePlan *plan = &machine->plan;
   guint late_count = plan->late_count;
   double tardiness = plan->tardiness, ready_at = plan->ready_at;
-  guint at = hr_list_position (core, machine, hr_job_of_task (core, ref));
+  guint at = hr_list_position (core, machine, ref);
   g_array_insert_val (plan->list, at, ref);
   double *starts = hr_projection_scratch (plan->list->len);
   hr_project_list (core, machine, starts);
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -15,6 +15,10 @@
 
 #define DAY_S 420.0
 #define NO_FAULTS_FROM_S 1.0
+/* A job may wait this long beside free capacity (shared rules). */
+#define MAX_WAIT_S 90.0
+/* The time in which a replica of the users' services has to start. */
+#define MAX_REPLICA_START_S 12.0
 
 /* One job of a day: its tasks' needs, and when it is submitted. */
 typedef struct {
@@ -24,8 +28,21 @@
   double cpus, gpus, memory_gb;
   double run_s;
   const char *priority; /* NULL: the default of its shape */
+  gboolean one_zone, spot;
+  double cancel_after_s; /* 0: it is not cancelled */
 } WaitingJob;
 
+/* A service of one replica of the users' size: two of them use all accelerators of a machine. */
+#define SERVICE(at)                                                                                \
+  {                                                                                                \
+    .at_s = (at), .shape = HR_SERVICE, .tasks = 1, .cpus = 4, .gpus = 1, .memory_gb = 29           \
+  }
+/* A gang whose tasks take a whole machine each. */
+#define GANG(at, n, run)                                                                           \
+  {                                                                                                \
+    .at_s = (at), .shape = HR_GANG, .tasks = (n), .cpus = 10, .gpus = 2, .memory_gb = 77,          \
+    .run_s = (run)                                                                                 \
+  }
 static void
 submit_job (SimCluster *cluster, gpointer data)
 {
@@ -40,19 +57,37 @@
   job->image_gb = 1;
   job->run = plan->run_s;
   job->rank = plan->priority;
+  job->one_zone = plan->one_zone;
+  job->spot = plan->spot;
+  job->cancel = plan->cancel_after_s > 0;
+  job->cancel_at = cluster->now + plan->cancel_after_s;
   job_submit (cluster, job);
 }
 
+/* Returns a cluster whose cloud has this many machines, without faults. */
 static SimCluster *
-play (guint32 seed, guint machines, const WaitingJob *jobs, guint n_jobs)
+cluster_new (guint32 seed, guint machines)
 {
   SimCluster *cluster = sim_cluster_new (seed, 3);
   cluster->capacity = machines;
   users_init (cluster, 0, 0);
   faults_init (cluster, 0, 0, NO_FAULTS_FROM_S);
+  return cluster;
+}
+
+static void
+run_jobs (SimCluster *cluster, const WaitingJob *jobs, guint n_jobs)
+{
   for (guint i = 0; i < n_jobs; i++)
     sim_schedule (cluster, jobs[i].at_s, submit_job, (gpointer)&jobs[i]);
   sim_cluster_run (cluster, DAY_S);
+}
+
+static SimCluster *
+play (guint32 seed, guint machines, const WaitingJob *jobs, guint n_jobs)
+{
+  SimCluster *cluster = cluster_new (seed, machines);
+  run_jobs (cluster, jobs, n_jobs);
   return cluster;
 }
 
@@ -83,18 +118,51 @@
 gang_beside_headroom (void **state G_GNUC_UNUSED)
 {
   static const WaitingJob jobs[] = {
-      {5, HR_SERVICE, 1, 4, 1, 29, 0, NULL},
-      {5, HR_SERVICE, 1, 4, 1, 29, 0, NULL},
-      {80, HR_GANG, 1, 10, 2, 77, 60, NULL},
+      SERVICE (5),
+      SERVICE (5),
+      GANG (80, 1, 60),
   };
   assert_int_equal (play_seeds (1300, 1306, 2, jobs, G_N_ELEMENTS (jobs)), 0);
 }
 
+/* Reports the job with this number if it waited longer than this after its submission. */
+static void
+check_start (SimCluster *cluster, guint number, double within_s)
+{
+  const SimJob *job = cluster->jobs->pdata[number];
+  double waited_s = (job->first_run_at > 0 ? job->first_run_at : cluster->now) - job->accepted_at;
+  if (waited_s > within_s)
+    sim_report_violation (cluster, "starved", "%s, job %u, starts after %.0f s", job->id, number,
+                          waited_s);
+}
+
+/* A gang has started on the capacity that was reserved for the next replica of a service. Guards
+ * against a replica that then waits: it has to preempt the gang. */
+static void
+replica_after_the_gang (void **state G_GNUC_UNUSED)
+{
+  static const WaitingJob jobs[] = {
+      SERVICE (5),
+      SERVICE (5),
+      GANG (80, 1, 300),
+      SERVICE (200),
+  };
+  guint broken = 0;
+  for (guint32 seed = 1340; seed < 1346; seed++) {
+    SimCluster *cluster = play (seed, 2, jobs, G_N_ELEMENTS (jobs));
+    check_start (cluster, 2, MAX_WAIT_S);
+    check_start (cluster, 3, MAX_REPLICA_START_S);
+    broken += report_violations (cluster, seed);
+  }
+  assert_int_equal (broken, 0);
+}
+
 int
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (gang_beside_headroom),
+      cmocka_unit_test (replica_after_the_gang),
   };
   sim_log_init ();
   for (guint i = 0; argc == 2 && i < G_N_ELEMENTS (tests); i++)
