Serve jobs that starve by priority and deadline, not in the order of listing

What callers saw: two tasks of priority low and an urgent gang wait for one empty machine, on which capacity is kept for a service. The tasks run one after the other; the gang starts after 244 s or not at all. With one more small job every 15 s, some of these waited for 90 s beside free capacity.

Cause: starving jobs were served in the order of the table of open jobs, which has none (a row that leaves is replaced by the last one), and only jobs whose own 60 s were over took part, so that the earlier one of two took the capacity whatever its priority.

Change: by priority, then by deadline, with the comparison that limits of teams use. Before a starving job is served, jobs of higher priority that could start on the same machine are.

--- a/src/coordination/scheduling/starvation_reservations.c
+++ b/src/coordination/scheduling/starvation_reservations.c
@@ -1,6 +1,7 @@
 /* Reservations for starving jobs. */
 #include "coordination/scheduling/starvation_reservations.h"
 #include "coordination/scheduling/guarantees.h"
+#include "coordination/scheduling/job_order.h"
 #include "coordination/scheduling/lookups.h"
 #include "coordination/scheduling/mtedf.h"
 #include "coordination/scheduling/projection.h"
@@ -27,7 +28,7 @@
          hr_team_allows_start (core, job, hr_job_start_unit (job));
 }
 
-/* Returns the jobs that may start, if any of them starves. */
+/* Returns the jobs that may start, if any of them starves, by priority, then by deadline. */
 static GPtrArray *
 collect_jobs (HrCore *core)
 {
@@ -42,6 +43,7 @@
   }
   if (!any_starves)
     g_ptr_array_set_size (jobs, 0);
+  g_ptr_array_sort (jobs, hr_compare_by_priority_and_deadline);
   return jobs;
 }
 
@@ -247,12 +249,39 @@
     reserve_listed_gang (core, job);
 }
 
+/* Returns whether tasks of both jobs can start on the same machine now. */
+static gboolean
+compete (HrCore *core, const HrJob *left, const HrJob *right, const GPtrArray *machines)
+{
+  for (guint i = 0; i < machines->len; i++)
+    if (can_start_on (core, left, machines->pdata[i]) &&
+        can_start_on (core, right, machines->pdata[i]))
+      return TRUE;
+  return FALSE;
+}
+
 static gboolean
 is_placed_gang (const HrJob *job)
 {
   return job->spec.shape == HR_GANG && job->plan.n_listed;
 }
 
+/* Reserves capacity for the jobs of higher priority that wait for what the starving job at this
+ * position would get, although they have not waited as long yet. */
+static void
+reserve_for_competitors (HrCore *core, GPtrArray *lists, const GPtrArray *machines,
+                         const GPtrArray *jobs, guint position)
+{
+  const HrJob *starving = jobs->pdata[position];
+  for (guint i = 0; i < position; i++) {
+    HrJob *job = jobs->pdata[i];
+    if (!job->quota.is_starving && !is_placed_gang (job) &&
+        hr_job_priority (job) < hr_job_priority (starving) &&
+        compete (core, starving, job, machines))
+      reserve_for_job (core, lists, machines, job);
+  }
+}
+
 void
 hr_reserve_for_starving_jobs (HrCore *core, GPtrArray *lists)
 {
@@ -272,6 +301,7 @@
     HrJob *job = jobs->pdata[i];
     if (!job->quota.is_starving || is_placed_gang (job))
       continue;
+    reserve_for_competitors (core, lists, machines, jobs, i);
     reserve_for_job (core, lists, machines, job);
   }
 }
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -15,8 +15,10 @@
 
 #define DAY_S 420.0
 #define NO_FAULTS_FROM_S 1.0
-/* A job may wait this long beside free capacity (shared rules). */
+/* A job may wait this long beside free capacity, and the largest ones have to start within the
+ * second time (shared rules). */
 #define MAX_WAIT_S 90.0
+#define MAX_START_S 240.0
 /* The time in which a replica of the users' services has to start. */
 #define MAX_REPLICA_START_S 12.0
 
@@ -43,6 +45,13 @@
     .at_s = (at), .shape = HR_GANG, .tasks = (n), .cpus = 10, .gpus = 2, .memory_gb = 77,          \
     .run_s = (run)                                                                                 \
   }
+/* A single task of low priority that does not fit beside a replica and the headroom for another. */
+#define LARGE_TASK(at)                                                                             \
+  {                                                                                                \
+    .at_s = (at), .shape = HR_BATCH, .tasks = 1, .cpus = 9, .memory_gb = 30, .run_s = 60,          \
+    .priority = "low"                                                                              \
+  }
+
 static void
 submit_job (SimCluster *cluster, gpointer data)
 {
@@ -136,6 +145,59 @@
                           waited_s);
 }
 
+/* Guards against a gang that no list takes beside the headroom of a service, while one small job
+ * after the other starts on the machine that it needs. */
+static void
+gang_beside_small_jobs (void **state G_GNUC_UNUSED)
+{
+  static WaitingJob jobs[20] = {
+      SERVICE (5),
+      SERVICE (5),
+      GANG (80, 1, 60),
+  };
+  guint broken = 0;
+  for (guint i = 3; i < G_N_ELEMENTS (jobs); i++)
+    jobs[i] = (WaitingJob){.at_s = 82 + 15 * (i - 3),
+                           .shape = HR_BATCH,
+                           .tasks = 1,
+                           .cpus = 4,
+                           .gpus = 1,
+                           .memory_gb = 30,
+                           .run_s = 20,
+                           .priority = "low"};
+  for (guint32 seed = 1310; seed < 1316; seed++) {
+    SimCluster *cluster = play (seed, 2, jobs, G_N_ELEMENTS (jobs));
+    check_start (cluster, 2, MAX_START_S);
+    broken += report_violations (cluster, seed);
+  }
+  assert_int_equal (broken, 0);
+}
+
+/* Guards against capacity that is given to the job that comes first in the order of listing: of two
+ * jobs that starve, the one of higher priority has to start first. */
+static void
+priority_before_listing (void **state G_GNUC_UNUSED)
+{
+  static const WaitingJob jobs[] = {
+      SERVICE (5), SERVICE (5), LARGE_TASK (80), LARGE_TASK (81), GANG (82, 1, 60),
+  };
+  guint broken = 0;
+  for (guint32 seed = 1320; seed < 1326; seed++) {
+    SimCluster *cluster = play (seed, 2, jobs, G_N_ELEMENTS (jobs));
+    const SimJob *gang = cluster->jobs->pdata[4];
+    for (guint i = 2; i < 4; i++) {
+      const SimJob *array = cluster->jobs->pdata[i];
+      if (gang->first_run_at <= 0 ||
+          (array->first_run_at > 0 && array->first_run_at < gang->first_run_at))
+        sim_report_violation (cluster, "order", "%s starts before %s, whose priority is higher",
+                              array->id, gang->id);
+    }
+    check_start (cluster, 4, MAX_START_S);
+    broken += report_violations (cluster, seed);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* A gang has started on the capacity that was reserved for the next replica of a service. Guards
  * against a replica that then waits: it has to preempt the gang. */
 static void
@@ -162,6 +224,8 @@
 {
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (gang_beside_headroom),
+      cmocka_unit_test (gang_beside_small_jobs),
+      cmocka_unit_test (priority_before_listing),
       cmocka_unit_test (replica_after_the_gang),
   };
   sim_log_init ();
