Keep idle machines that a job waits for which no list takes

What callers saw: a cloud of three machines, two services on one of them, and a gang of two tasks of a whole machine each: not started in 320 s, 17 to 20 machines rented, since one goes back as idle while another boots.

Cause: a gang that needs more machines than are free is in no list, so its idle machines are not assigned anything and go back after idle_s, while scale-out requests machines for it. The pause of such requests counted machines that services fill as available, so it did not act.

Change: scale-out marks as many idle machines that fit as such a job has tasks, if it requests instances for the job; the pause counts machines on which a task fits beside services. Why it works: what scale-out counts on, scale-in does not return; where scale-out gives up, nothing is kept.

--- a/src/coordination/scaling/scale_out.c
+++ b/src/coordination/scaling/scale_out.c
@@ -62,8 +62,11 @@
   if (job->spec.shape != HR_GANG || job->plan.n_listed ||
       cloud_may_grant_instances (core, &job->spec))
     return FALSE;
-  for (guint i = 0; i < core->scaling.fleet->len; i++)
-    fleet += hr_job_allows_machine (core, job, core->scaling.fleet->pdata[i]);
+  for (guint i = 0; i < core->scaling.fleet->len; i++) {
+    const HrMachine *machine = core->scaling.fleet->pdata[i];
+    fleet += hr_job_allows_machine (core, job, machine) &&
+             hr_machine_fits_alongside_services (core, machine, &job->spec);
+  }
   if (fleet >= job->n_tasks)
     return FALSE;
   job->plan.scale_out_pause_s =
@@ -158,6 +161,23 @@
   return MIN (left, MAX_SCALE_OUT_TASKS);
 }
 
+/* Marks as many idle machines as the job has tasks, if these fit there, so that the machines are
+ * not returned. A job that no list takes yet, such as a gang that needs more machines, would only
+ * request them again. */
+static void
+keep_idle_machines (HrCore *core, HrFleetCapacity *fleet, const HrJob *job, guint n)
+{
+  for (guint i = fleet->n_booting; i < fleet->n && n; i++) {
+    HrFreeCapacity *capacity = &fleet->machines[i];
+    HrMachine *machine = capacity->machine;
+    if (machine->tasks->len || !hr_job_allows_machine (core, job, machine) ||
+        !hr_resources_cover (hr_machine_unused (machine), hr_resources_of_task (&job->spec)))
+      continue;
+    capacity->is_reserved = TRUE;
+    n--;
+  }
+}
+
 void
 hr_scale_out_for_lists (HrCore *core, HrFleetCapacity *fleet, HrDemandPlan *demand)
 {
@@ -166,6 +186,8 @@
     HrJob *job = hr_open_job (core, i);
     HrCapacityCursor cursor = {0};
     gint left = count_unlisted_tasks (core, job);
+    if (left > 0 && !job->plan.n_listed)
+      keep_idle_machines (core, fleet, job, left);
     for (gint k = 0; k < left; k++)
       hr_scale_out_for_task (core, fleet, &cursor, demand, job);
   }
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -1,6 +1,7 @@
 /* Simulated days (runs from one seed each) on which the cloud has few machines, and capacity is
  * kept for jobs that may never come or that cannot use it yet: no other job may wait beside it for
  * 90 s (rule `waits`, sim/invariant_checks.c), and a service still gets its replicas in time. */
+#include "coordination/state.h"
 #include "sim/faults.h"
 #include "sim/log.h"
 #include "sim/user.h"
@@ -21,6 +22,11 @@
 #define MAX_START_S 240.0
 /* The time in which a replica of the users' services has to start. */
 #define MAX_REPLICA_START_S 12.0
+/* Machines that may be returned and requested again for one waiting job. */
+#define MAX_RETURNS 2
+#define DRAWN_DAYS 40
+#define DRAWN_JOBS 14
+#define NODE_DOWN_S 5.0
 
 /* One job of a day: its tasks' needs, and when it is submitted. */
 typedef struct {
@@ -198,6 +204,28 @@
   assert_int_equal (broken, 0);
 }
 
+/* Guards against machines that are requested for a gang and returned as idle before it can start on
+ * them, again and again. */
+static void
+renting_for_a_gang (void **state G_GNUC_UNUSED)
+{
+  static const WaitingJob jobs[] = {
+      SERVICE (5),
+      SERVICE (5),
+      GANG (100, 2, 60),
+  };
+  guint broken = 0;
+  for (guint32 seed = 1330; seed < 1336; seed++) {
+    SimCluster *cluster = play (seed, 3, jobs, G_N_ELEMENTS (jobs));
+    check_start (cluster, 2, MAX_START_S);
+    if (cluster->machines->len > 3 + MAX_RETURNS)
+      sim_report_violation (cluster, "rented", "%u machines are rented where there are 3",
+                            cluster->machines->len);
+    broken += report_violations (cluster, seed);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* A gang has started on the capacity that was reserved for the next replica of a service. Guards
  * against a replica that then waits: it has to preempt the gang. */
 static void
@@ -219,14 +247,92 @@
   assert_int_equal (broken, 0);
 }
 
+/* Draws a job of any shape. The tasks of a gang take more than half of a machine, since a gang gets
+ * a machine for each of its tasks. */
+static WaitingJob
+draw_job (GRand *rand)
+{
+  static const char *const priorities[] = {"urgent", "normal", "low"};
+  double dice = g_rand_double (rand);
+  WaitingJob job = {.at_s = g_rand_double_range (rand, 3, 260),
+                    .cpus = g_rand_int_range (rand, 1, 13),
+                    .gpus = g_rand_int_range (rand, 0, 3),
+                    .memory_gb = g_rand_int_range (rand, 4, 90),
+                    .run_s = g_rand_double_range (rand, 8, 90),
+                    .priority = priorities[g_rand_int_range (rand, 0, 3)]};
+  job.shape = dice < 0.25 ? HR_SERVICE : dice < 0.6 ? HR_GANG : HR_BATCH;
+  job.tasks = g_rand_int_range (rand, 1, job.shape == HR_BATCH ? 7 : 4);
+  if (job.shape == HR_GANG) {
+    job.cpus = g_rand_int_range (rand, 7, 13);
+    job.one_zone = g_rand_boolean (rand);
+  }
+  job.spot = job.shape == HR_BATCH && g_rand_boolean (rand);
+  if (g_rand_double (rand) < 0.3)
+    job.cancel_after_s = g_rand_double_range (rand, 10, 150);
+  if (job.shape == HR_SERVICE) {
+    job.cpus = g_rand_int_range (rand, 1, 6);
+    job.gpus = g_rand_int_range (rand, 0, 2);
+    job.memory_gb = g_rand_int_range (rand, 4, 40);
+    job.priority = NULL;
+  }
+  return job;
+}
+
+static void
+replace_leader (SimCluster *cluster, gpointer data G_GNUC_UNUSED)
+{
+  for (int i = 0; i < cluster->n; i++)
+    if (cluster->nodes[i].up && cluster->nodes[i].core->leadership.is_leader) {
+      node_kill (cluster, i);
+      node_start_at (cluster, i, cluster->now + NODE_DOWN_S);
+    }
+}
+
+/* Draws a cluster of one to eight machines. Some have a plan in several shards, and some lose their
+ * leader. */
+static SimCluster *
+draw_cluster (guint32 seed, GRand *rand)
+{
+  SimCluster *cluster = cluster_new (seed, g_rand_int_range (rand, 1, 9));
+  if (g_rand_double (rand) < 0.25)
+    cluster->machines_per_part = 2;
+  sim_cluster_restart_nodes (cluster);
+  if (g_rand_double (rand) < 0.25)
+    sim_schedule (cluster, g_rand_double_range (rand, 60, 250), replace_leader, NULL);
+  return cluster;
+}
+
+/* Plays one day of drawn jobs on a drawn cluster. Returns the number of violations. */
+static guint
+play_drawn_day (guint32 seed)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+  WaitingJob jobs[DRAWN_JOBS];
+  for (guint i = 0; i < DRAWN_JOBS; i++)
+    jobs[i] = draw_job (rand);
+  SimCluster *cluster = draw_cluster (seed, rand);
+  run_jobs (cluster, jobs, DRAWN_JOBS);
+  return report_violations (cluster, seed);
+}
+
+/* Drawn jobs of all shapes on drawn clusters. Guards against any job that waits for 90 s although
+ * it fits on the free machines, whatever their capacity is kept for. */
+static void
+drawn_jobs (void **state G_GNUC_UNUSED)
+{
+  guint broken = 0;
+  for (guint32 seed = 1400; seed < 1400 + DRAWN_DAYS; seed++)
+    broken += play_drawn_day (seed);
+  assert_int_equal (broken, 0);
+}
+
 int
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test (gang_beside_headroom),
-      cmocka_unit_test (gang_beside_small_jobs),
-      cmocka_unit_test (priority_before_listing),
-      cmocka_unit_test (replica_after_the_gang),
+      cmocka_unit_test (gang_beside_headroom),    cmocka_unit_test (gang_beside_small_jobs),
+      cmocka_unit_test (priority_before_listing), cmocka_unit_test (renting_for_a_gang),
+      cmocka_unit_test (replica_after_the_gang),  cmocka_unit_test (drawn_jobs),
   };
   sim_log_init ();
   for (guint i = 0; argc == 2 && i < G_N_ELEMENTS (tests); i++)
