Reservations: no placing of gangs that have started, a bound on trials, holds counted while held

- A gang that lost a task within a second after its start still counted as starving, and could have been placed as a whole, tasks on machines included.
The guard and the reservations now share hr_job_waits_for_capacity().
- A starving gang was tried in every list of the fleet.
The trials of all starving jobs together now stay within pass_trials, as for other jobs.
- The 20 s for which a gang may keep idle capacity began with a placement that kept none.
- Whether a job of higher priority competes is looked up only on the machines on which the starving one can start.

--- a/src/coordination/scheduling/start_check.c
+++ b/src/coordination/scheduling/start_check.c
@@ -2,6 +2,7 @@
 #include "coordination/scheduling/start_check.h"
 #include "coordination/scheduling/guarantees.h"
 #include "coordination/scheduling/placement.h"
+#include "coordination/scheduling/quotas.h"
 #include "coordination/scheduling/reserved_capacity.h"
 #include "coordination/scheduling/resources.h"
 
@@ -12,6 +13,14 @@
          job->run.n_live + job->n_done < job->n_tasks && core->now >= job->run.retry_at;
 }
 
+gboolean
+hr_job_waits_for_capacity (HrCore *core, const HrJob *job)
+{
+  gboolean is_replacing = job->spec.shape == HR_GANG && job->run.n_live;
+  return job->spec.shape != HR_SERVICE && !is_replacing && hr_job_is_waiting (core, job) &&
+         hr_team_allows_start (core, job, hr_job_start_unit (job));
+}
+
 HrStartVerdict
 hr_start_check_job (HrCore *core, const HrJob *job, guint n)
 {
--- a/src/coordination/scheduling/start_check.h
+++ b/src/coordination/scheduling/start_check.h
@@ -25,6 +25,15 @@
  */
 gboolean hr_job_is_waiting (const HrCore *core, const HrJob *job);
 
+/**
+ * hr_job_waits_for_capacity:
+ *
+ * Returns: whether an array or a gang has tasks that may start as soon as there is capacity for
+ * them. A gang that lost a task before its start has none: its other tasks are on machines already
+ * (hr_start_lost_gang_tasks()).
+ */
+gboolean hr_job_waits_for_capacity (HrCore *core, const HrJob *job);
+
 /**
  * hr_start_check_job:
  * @n: number of tasks that would start together
--- a/src/coordination/scheduling/starvation_guard.c
+++ b/src/coordination/scheduling/starvation_guard.c
@@ -1,6 +1,5 @@
 /* Limits how long jobs wait despite free capacity. */
 #include "coordination/scheduling/starvation_guard.h"
-#include "coordination/scheduling/guarantees.h"
 #include "coordination/scheduling/lookups.h"
 #include "coordination/scheduling/placement.h"
 #include "coordination/scheduling/quotas.h"
@@ -11,16 +10,6 @@
 /* Time between two checks of all jobs, s. */
 #define CHECK_INTERVAL_S 1.0
 
-/* Returns whether the job waits for capacity. A gang that lost a task before its start does not:
- * its other tasks are on machines already (hr_start_lost_gang_tasks()). */
-static gboolean
-is_waiting (HrCore *core, const HrJob *job)
-{
-  gboolean is_replacing = job->spec.shape == HR_GANG && job->run.n_live;
-  return job->spec.shape != HR_SERVICE && !is_replacing && hr_job_is_waiting (core, job) &&
-         hr_team_allows_start (core, job, hr_job_start_unit (job));
-}
-
 /* Returns whether there is free capacity for a task of the job on the machine, reserved or not. */
 static gboolean
 fits_now (HrCore *core, const HrJob *job, const HrMachine *machine)
@@ -141,7 +130,7 @@
   const HrJobSpec *failed = NULL;
   for (guint i = 0; i < core->store.tables.open_jobs->len; i++) {
     HrJob *job = hr_open_job (core, i);
-    if (!is_waiting (core, job)) {
+    if (!hr_job_waits_for_capacity (core, job)) {
       hr_starvation_ended (job);
       continue;
     }
--- a/src/coordination/scheduling/starvation_reservations.c
+++ b/src/coordination/scheduling/starvation_reservations.c
@@ -20,15 +20,16 @@
 /* A projected start that is no later than this after now is one that can take place now, s. */
 #define NOW_S 1e-6
 
-/* Returns whether the job has waited beside free capacity, or in no list, and may start now. */
-static gboolean
-may_start (HrCore *core, const HrJob *job)
-{
-  return job->quota.starving_since && hr_job_is_waiting (core, job) &&
-         hr_team_allows_start (core, job, hr_job_start_unit (job));
-}
+/* What a pass makes reservations with. */
+typedef struct {
+  GPtrArray *lists;    /* HrMachine: the plannable machines */
+  GPtrArray *machines; /* HrMachine: those with free capacity */
+  GPtrArray *jobs;     /* HrJob: those that wait beside free capacity, or in no list */
+  guint max_trials;    /* of trial placements for a job */
+} Reservations;
 
-/* Returns the jobs that may start, if any of them starves, by priority, then by deadline. */
+/* Returns the jobs that wait beside free capacity, or in no list, by priority, then by deadline;
+ * none if no job starves. */
 static GPtrArray *
 collect_jobs (HrCore *core)
 {
@@ -36,7 +37,7 @@
   gboolean any_starves = FALSE;
   for (guint i = 0; i < core->store.tables.open_jobs->len; i++) {
     HrJob *job = hr_open_job (core, i);
-    if (!may_start (core, job))
+    if (!job->quota.starving_since || !hr_job_waits_for_capacity (core, job))
       continue;
     g_ptr_array_add (jobs, job);
     any_starves |= job->quota.is_starving;
@@ -116,10 +117,10 @@
 
 /* Lists the array's task in the order of deadlines, if a list can take it. */
 static void
-list_by_deadline (HrCore *core, GPtrArray *lists, HrJob *job, guint32 task_index)
+list_by_deadline (HrCore *core, const Reservations *pass, HrJob *job, guint32 task_index)
 {
-  g_autoptr (GPtrArray) candidates = hr_mtedf_candidates (core, lists, job);
-  if (hr_mtedf_place_task (core, candidates, job, task_index, lists->len))
+  g_autoptr (GPtrArray) candidates = hr_mtedf_candidates (core, pass->lists, job);
+  if (hr_mtedf_place_task (core, candidates, job, task_index, pass->max_trials))
     reserve_listed_task (core, job, task_index);
 }
 
@@ -142,13 +143,13 @@
 /* Reserves capacity for tasks of the array that can start now; if there is none, and no list took a
  * task of it, for one task that starts later. */
 static void
-reserve_for_array (HrCore *core, GPtrArray *lists, const GPtrArray *machines, HrJob *job)
+reserve_for_array (HrCore *core, const Reservations *pass, HrJob *job)
 {
-  if (reserve_array_start (core, machines, job) || !job->quota.is_unplaceable)
+  if (reserve_array_start (core, pass->machines, job) || !job->quota.is_unplaceable)
     return;
   guint32 task = next_idle_task (job, 0);
   if (task < job->n_tasks && !job->tasks[task].is_listed)
-    list_by_deadline (core, lists, job, task);
+    list_by_deadline (core, pass, job, task);
 }
 
 static void
@@ -182,13 +183,20 @@
     reserve_listed_task (core, job, i);
 }
 
+/* Places each task of the gang in a list of its own, if enough lists can take one. */
+static void
+place_gang (HrCore *core, const Reservations *pass, HrJob *job)
+{
+  hr_mtedf_place_gang (core, pass->lists, job, MAX (pass->max_trials, 2 * job->n_tasks));
+}
+
 /* Lists the gang ahead of all other tasks but those of starving jobs before it. Returns whether all
  * of its tasks can start there within this time; otherwise it is not listed. */
 static gboolean
-list_gang_first (HrCore *core, GPtrArray *lists, HrJob *job, double within_s)
+list_gang_first (HrCore *core, const Reservations *pass, HrJob *job, double within_s)
 {
   set_goes_first (job, TRUE);
-  hr_mtedf_place_gang (core, lists, job, lists->len);
+  place_gang (core, pass, job);
   if (job->plan.n_listed && job->plan.gang_start - core->now <= within_s)
     return TRUE;
   unlist_gang (core, job);
@@ -196,21 +204,30 @@
   return FALSE;
 }
 
-/* Reserves capacity on which the whole gang can start soon, ahead of other tasks, if some of it is
- * idle or no list takes the gang otherwise. Returns whether it did. */
+/* Returns whether the gang has kept idle capacity for too long; then its wait counts anew. */
 static gboolean
-reserve_gang_start (HrCore *core, GPtrArray *lists, HrJob *job)
+has_missed_its_start (HrCore *core, HrJob *job)
 {
   HrJobQuota *quota = &job->quota;
-  if (!list_gang_first (core, lists, job, MAX_RESERVATION_S))
-    return FALSE;
   if (!quota->reservation_began_at)
     quota->reservation_began_at = core->now;
-  if (core->now - quota->reservation_began_at > MAX_RESERVATION_S) {
-    g_info ("job %s did not start within %.0f s on the capacity reserved for it; it waits anew",
-            job->id, MAX_RESERVATION_S);
-    hr_starvation_ended (job);
-  } else if (quota->is_unplaceable || has_idle_slot (core, job)) {
+  if (core->now - quota->reservation_began_at <= MAX_RESERVATION_S)
+    return FALSE;
+  g_info ("job %s did not start within %.0f s on the capacity reserved for it; it waits anew",
+          job->id, MAX_RESERVATION_S);
+  hr_starvation_ended (job);
+  return TRUE;
+}
+
+/* Reserves capacity on which the whole gang can start soon, ahead of other tasks, if some of it is
+ * idle or no list takes the gang otherwise. Returns whether it did. */
+static gboolean
+reserve_gang_start (HrCore *core, const Reservations *pass, HrJob *job)
+{
+  if (!list_gang_first (core, pass, job, MAX_RESERVATION_S))
+    return FALSE;
+  if ((job->quota.is_unplaceable || has_idle_slot (core, job)) &&
+      !has_missed_its_start (core, job)) {
     reserve_listed_gang (core, job);
     return TRUE;
   }
@@ -219,43 +236,52 @@
 }
 
 static void
-reserve_for_gang (HrCore *core, GPtrArray *lists, HrJob *job)
+reserve_for_gang (HrCore *core, const Reservations *pass, HrJob *job)
 {
-  if (reserve_gang_start (core, lists, job) || !job->quota.is_unplaceable)
+  if (reserve_gang_start (core, pass, job) || !job->quota.is_unplaceable)
     return;
-  hr_mtedf_place_gang (core, lists, job, lists->len);
+  place_gang (core, pass, job);
   if (job->plan.n_listed)
     reserve_listed_gang (core, job);
 }
 
 static void
-reserve_for_job (HrCore *core, GPtrArray *lists, const GPtrArray *machines, HrJob *job)
+reserve_for_job (HrCore *core, const Reservations *pass, HrJob *job)
 {
   job->plan.shard = HR_NONE; /* free capacity in any shard counts */
   if (job->spec.shape == HR_GANG)
-    reserve_for_gang (core, lists, job);
+    reserve_for_gang (core, pass, job);
   else
-    reserve_for_array (core, lists, machines, job);
+    reserve_for_array (core, pass, job);
 }
 
 /* Reserves capacity for a job that has waited for its turn too long, if it can start now. */
 static void
-reserve_for_overdue (HrCore *core, GPtrArray *lists, const GPtrArray *machines, HrJob *job)
+reserve_for_overdue (HrCore *core, const Reservations *pass, HrJob *job)
 {
   job->plan.shard = HR_NONE;
   if (job->spec.shape != HR_GANG)
-    reserve_array_start (core, machines, job);
-  else if (list_gang_first (core, lists, job, NOW_S))
+    reserve_array_start (core, pass->machines, job);
+  else if (list_gang_first (core, pass, job, NOW_S))
     reserve_listed_gang (core, job);
 }
 
-/* Returns whether tasks of both jobs can start on the same machine now. */
+/* Returns the machines on which a task of the job can start now: (element-type HrMachine). */
+static GPtrArray *
+machines_to_start_on (HrCore *core, const HrJob *job, const GPtrArray *machines)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  for (guint i = 0; i < machines->len; i++)
+    if (can_start_on (core, job, machines->pdata[i]))
+      g_ptr_array_add (found, machines->pdata[i]);
+  return found;
+}
+
 static gboolean
-compete (HrCore *core, const HrJob *left, const HrJob *right, const GPtrArray *machines)
+can_start_on_any (HrCore *core, const HrJob *job, const GPtrArray *machines)
 {
   for (guint i = 0; i < machines->len; i++)
-    if (can_start_on (core, left, machines->pdata[i]) &&
-        can_start_on (core, right, machines->pdata[i]))
+    if (can_start_on (core, job, machines->pdata[i]))
       return TRUE;
   return FALSE;
 }
@@ -269,16 +295,40 @@
 /* Reserves capacity for the jobs of higher priority that wait for what the starving job at this
  * position would get, although they have not waited as long yet. */
 static void
-reserve_for_competitors (HrCore *core, GPtrArray *lists, const GPtrArray *machines,
-                         const GPtrArray *jobs, guint position)
+reserve_for_competitors (HrCore *core, const Reservations *pass, guint position)
 {
-  const HrJob *starving = jobs->pdata[position];
+  const HrJob *starving = pass->jobs->pdata[position];
+  g_autoptr (GPtrArray) machines = machines_to_start_on (core, starving, pass->machines);
   for (guint i = 0; i < position; i++) {
-    HrJob *job = jobs->pdata[i];
+    HrJob *job = pass->jobs->pdata[i];
     if (!job->quota.is_starving && !is_placed_gang (job) &&
         hr_job_priority (job) < hr_job_priority (starving) &&
-        compete (core, starving, job, machines))
-      reserve_for_job (core, lists, machines, job);
+        can_start_on_any (core, job, machines))
+      reserve_for_job (core, pass, job);
+  }
+}
+
+static gboolean
+is_overdue (const HrCore *core, const HrJob *job)
+{
+  return job->quota.is_starving &&
+         core->now - job->quota.starving_since > HR_STARVATION_LIMIT_S + MAX_RESERVATION_S;
+}
+
+static void
+make_reservations (HrCore *core, const Reservations *pass)
+{
+  for (guint i = 0; i < pass->jobs->len; i++) {
+    HrJob *job = pass->jobs->pdata[i];
+    if (is_overdue (core, job))
+      reserve_for_overdue (core, pass, job);
+  }
+  for (guint i = 0; i < pass->jobs->len; i++) {
+    HrJob *job = pass->jobs->pdata[i];
+    if (!job->quota.is_starving || is_placed_gang (job))
+      continue;
+    reserve_for_competitors (core, pass, i);
+    reserve_for_job (core, pass, job);
   }
 }
 
@@ -289,19 +339,8 @@
   if (!jobs->len)
     return;
   g_autoptr (GPtrArray) machines = hr_machines_with_capacity (core);
+  guint max_trials = MAX (core->policy.sample_lists, core->policy.pass_trials / jobs->len);
   for (guint i = 0; i < lists->len; i++)
     hr_project_list (core, lists->pdata[i], NULL);
-  for (guint i = 0; i < jobs->len; i++) {
-    HrJob *job = jobs->pdata[i];
-    if (job->quota.is_starving &&
-        core->now - job->quota.starving_since > HR_STARVATION_LIMIT_S + MAX_RESERVATION_S)
-      reserve_for_overdue (core, lists, machines, job);
-  }
-  for (guint i = 0; i < jobs->len; i++) {
-    HrJob *job = jobs->pdata[i];
-    if (!job->quota.is_starving || is_placed_gang (job))
-      continue;
-    reserve_for_competitors (core, lists, machines, jobs, i);
-    reserve_for_job (core, lists, machines, job);
-  }
+  make_reservations (core, &(Reservations){lists, machines, jobs, max_trials});
 }
