Reset reservations and waits of starving jobs when a term begins

A leader that begins a new term with the same process forgot which tasks were in lists, but not which of them had a reservation or go first, nor since when jobs starve. The marks lasted for a pass at least, and a wait that was measured before other leaders served counted as if it had gone on.

--- a/src/coordination/jobs/failover.c
+++ b/src/coordination/jobs/failover.c
@@ -7,6 +7,7 @@
 #include "coordination/jobs/task_lifecycle.h"
 #include "coordination/scaling/fleet.h"
 #include "coordination/scaling/machine_types.h"
+#include "coordination/scheduling/starvation_guard.h"
 #include "coordination/state.h"
 
 /* Upper bound of the attempts of one task in one leader's term. */
@@ -132,7 +133,8 @@
 take_over_task (HrCore *core, HrJob *job, guint32 task_index)
 {
   HrTask *task = &job->tasks[task_index];
-  task->write_in_flight = task->stop_wanted = task->is_listed = 0;
+  task->write_in_flight = task->stop_wanted = 0;
+  task->is_listed = task->has_reservation = task->goes_first = 0;
   task->reported_state = HR_NOT_REPORTED;
   task->state = HR_TASK_IDLE;
   reset_task_run (core, task);
@@ -155,6 +157,7 @@
   job->run.gang_incomplete_since = 0;
   job->run.failures = 0;
   job->plan.n_listed = 0;
+  hr_starvation_ended (job);
   /* Where the machines of the tasks are unknown, new attempts wait until every lease that an
    * earlier leader may have renewed has expired; workers that send heartbeats to this leader are
    * ordered to stop tasks that are not recorded. */
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -28,6 +28,7 @@
 #define LIMIT_DAYS 20
 #define DRAWN_JOBS 14
 #define NODE_DOWN_S 5.0
+#define CONTROLLERS 3
 
 /* One job of a day: its tasks' needs, and when it is submitted. */
 typedef struct {
@@ -82,11 +83,12 @@
   job_submit (cluster, job);
 }
 
-/* Returns a cluster whose cloud has this many machines, without faults. */
+/* Returns a cluster with this many controllers whose cloud has this many machines, without faults.
+ */
 static SimCluster *
-cluster_new (guint32 seed, guint machines)
+cluster_new (guint32 seed, guint controllers, guint machines)
 {
-  SimCluster *cluster = sim_cluster_new (seed, 3);
+  SimCluster *cluster = sim_cluster_new (seed, controllers);
   cluster->capacity = machines;
   users_init (cluster, 0, 0);
   faults_init (cluster, 0, 0, NO_FAULTS_FROM_S);
@@ -104,7 +106,7 @@
 static SimCluster *
 play (guint32 seed, guint machines, const WaitingJob *jobs, guint n_jobs)
 {
-  SimCluster *cluster = cluster_new (seed, machines);
+  SimCluster *cluster = cluster_new (seed, CONTROLLERS, machines);
   run_jobs (cluster, jobs, n_jobs);
   return cluster;
 }
@@ -250,6 +252,49 @@
   assert_int_equal (broken, 0);
 }
 
+/* The state store no longer has the changes that the leader would read next: it lists the store
+ * again and leads again, in a new term of the same process. */
+static void
+begin_new_term (SimCluster *cluster, gpointer data G_GNUC_UNUSED)
+{
+  cluster->nodes[0].compacted_epoch = cluster->epoch;
+}
+
+/* Capacity is reserved for a task that has to wait for a long one to end, when the leader begins a
+ * new term with the same process. Guards against reservations of the earlier term that keep the
+ * task from getting one in the next. */
+static void
+reservation_across_terms (void **state G_GNUC_UNUSED)
+{
+  static const WaitingJob jobs[] = {
+      SERVICE (5),
+      SERVICE (5),
+      {.at_s = 60,
+       .shape = HR_BATCH,
+       .tasks = 1,
+       .cpus = 4,
+       .gpus = 1,
+       .memory_gb = 30,
+       .run_s = 150},
+      {.at_s = 80,
+       .shape = HR_BATCH,
+       .tasks = 1,
+       .cpus = 10,
+       .gpus = 2,
+       .memory_gb = 77,
+       .run_s = 20},
+  };
+  guint broken = 0;
+  for (guint32 seed = 1350; seed < 1356; seed++) {
+    SimCluster *cluster = cluster_new (seed, 1, 2);
+    sim_schedule (cluster, 160, begin_new_term, NULL);
+    run_jobs (cluster, jobs, G_N_ELEMENTS (jobs));
+    check_start (cluster, 3, MAX_START_S);
+    broken += report_violations (cluster, seed);
+  }
+  assert_int_equal (broken, 0);
+}
+
 /* Draws a job of any shape. The tasks of a gang take more than half of a machine, since a gang gets
  * a machine for each of its tasks. */
 static WaitingJob
@@ -297,7 +342,7 @@
 static SimCluster *
 draw_cluster (guint32 seed, GRand *rand, gboolean has_limit)
 {
-  SimCluster *cluster = cluster_new (seed, g_rand_int_range (rand, 1, 9));
+  SimCluster *cluster = cluster_new (seed, CONTROLLERS, g_rand_int_range (rand, 1, 9));
   if (has_limit)
     cluster->quota_gpus = g_rand_int_range (rand, 6, 13);
   if (g_rand_double (rand) < 0.25)
@@ -347,9 +392,13 @@
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
-      cmocka_unit_test (gang_beside_headroom),    cmocka_unit_test (gang_beside_small_jobs),
-      cmocka_unit_test (priority_before_listing), cmocka_unit_test (renting_for_a_gang),
-      cmocka_unit_test (replica_after_the_gang),  cmocka_unit_test (drawn_jobs),
+      cmocka_unit_test (gang_beside_headroom),
+      cmocka_unit_test (gang_beside_small_jobs),
+      cmocka_unit_test (priority_before_listing),
+      cmocka_unit_test (renting_for_a_gang),
+      cmocka_unit_test (replica_after_the_gang),
+      cmocka_unit_test (reservation_across_terms),
+      cmocka_unit_test (drawn_jobs),
       cmocka_unit_test (drawn_jobs_at_a_limit),
   };
   sim_log_init ();
