--- a/tests/fault_scenarios.h
+++ b/tests/fault_scenarios.h
@@ -2,11 +2,10 @@
  * selection of one test from the command line. */
 #pragma once
 #include "sim/fault_scenario.h"
-#include "sim/log.h"
+#include "sim/test_runner.h"
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <cmocka.h>
 
@@ -39,12 +38,5 @@
     override_from = atoi (argv[2]);
     override_to = atoi (argv[3]);
   }
-  sim_log_init ();
-  if (argc == 1)
-    return _cmocka_run_group_tests ("fault scenarios", tests, n, NULL, NULL);
-  for (guint i = 0; i < n; i++)
-    if (g_str_equal (tests[i].name, argv[1]))
-      return _cmocka_run_group_tests (argv[1], &tests[i], 1, NULL, NULL);
-  fprintf (stderr, "no test is named %s\n", argv[1]);
-  return 2;
+  return sim_run_tests (argc, argv, NULL, tests, n);
 }
--- a/tests/sim/fault_scenario.c
+++ b/tests/sim/fault_scenario.c
@@ -1,7 +1,7 @@
 /* Plays days on which planned faults overlap, and checks the state at their end. */
 #include "sim/fault_scenario.h"
+#include "sim/test_runner.h"
 #include "sim/user.h"
-#include <stdio.h>
 
 #define DAY_S 700.0 /* leaves enough time after the last fault for all work to end */
 
@@ -47,13 +47,5 @@
     sim_report_violation (cluster, "started_withdrawn",
                           "%u tasks start after a confirmed cancellation",
                           cluster->started_cancelled);
-  guint broken = cluster->violations->len;
-  for (guint i = 0; i < MIN (broken, 12); i++)
-    fprintf (stderr, "seed %u: %s\n", seed, (char *)cluster->violations->pdata[i]);
-  if (g_getenv ("HR_SIM_VERBOSE"))
-    fprintf (
-        stderr, "seed %u: %u jobs, %u starts, %u of cancelled jobs, epoch %" G_GUINT64_FORMAT "\n",
-        seed, cluster->jobs->len, cluster->task_starts, cluster->started_cancelled, cluster->epoch);
-  sim_cluster_free (cluster);
-  return broken;
+  return sim_day_finish (cluster, seed);
 }
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -1,15 +1,13 @@
 /* Simulated days (runs from one seed each) on which a team is at its limit, its quota: which
  * machines are rented, which tasks start next, and that the limit holds under failures too. */
 #include "sim/limits.h"
-#include "sim/log.h"
+#include "sim/test_runner.h"
 #include "sim/troubles.h"
 #include "sim/user.h"
 #include "sim/worker.h"
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <cmocka.h>
 
 #define LIMIT_GPUS 24.0
@@ -27,19 +25,6 @@
   return cluster;
 }
 
-static guint
-report_violations (SimCluster *cluster, guint32 seed)
-{
-  guint broken = cluster->violations->len;
-  for (guint i = 0; i < MIN (broken, 12); i++)
-    fprintf (stderr, "seed %u: %s\n", seed, (char *)cluster->violations->pdata[i]);
-  if (g_getenv ("HR_SIM_VERBOSE"))
-    fprintf (stderr, "seed %u: %u jobs, %u starts, %u machines\n", seed, cluster->jobs->len,
-             cluster->task_starts, cluster->machines->len);
-  sim_cluster_free (cluster);
-  return broken;
-}
-
 static void
 check_jobs_done (SimCluster *cluster)
 {
@@ -52,12 +37,6 @@
   }
 }
 
-static double
-wait_s (const SimCluster *cluster, const SimJob *job)
-{
-  return (job->first_run_at > 0 ? job->first_run_at : cluster->now) - job->accepted_at;
-}
-
 /* Guards against machines rented for tasks that the limit keeps from starting, and against machines
  * returned and rented again in cycles, when the team has far more work than its limit allows. */
 static void
@@ -79,7 +58,7 @@
     if (cluster->machines->len > 2 * needed)
       sim_report_violation (cluster, "rented", "%u machines rented where %u hold all that may run",
                             cluster->machines->len, needed);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -104,7 +83,7 @@
     if (up > needed + needed / 4)
       sim_report_violation (cluster, "rented",
                             "%u machines are kept where %u hold all that may run", up, needed);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -124,11 +103,11 @@
     check_jobs_done (cluster);
     for (guint i = 0; i < cluster->jobs->len; i++) {
       SimJob *job = cluster->jobs->pdata[i];
-      if (wait_s (cluster, job) > (job->large ? 180 : 240))
+      if (sim_job_start_wait_s (cluster, job) > (job->large ? 180 : 240))
         sim_report_violation (cluster, "starved", "%s of %u tasks starts after %.0f s", job->id,
-                              job->tasks, wait_s (cluster, job));
+                              job->tasks, sim_job_start_wait_s (cluster, job));
     }
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -152,13 +131,13 @@
     sim_cluster_run (cluster, 1500);
     check_jobs_done (cluster);
     for (guint i = 1; i < 5; i++)
-      if (wait_s (cluster, limits_job (cluster, i)) > 45)
+      if (sim_job_start_wait_s (cluster, limits_job (cluster, i)) > 45)
         sim_report_violation (
             cluster, "order", "%s starts after %.0f s, although its priority is higher",
-            limits_job (cluster, i)->id, wait_s (cluster, limits_job (cluster, i)));
+            limits_job (cluster, i)->id, sim_job_start_wait_s (cluster, limits_job (cluster, i)));
     if (limits_job (cluster, 4)->done_at > limits_job (cluster, 3)->done_at)
       sim_report_violation (cluster, "order", "the job with the later deadline is done first");
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -200,7 +179,7 @@
     guint starts = recorded_starts (cluster, limits_job (cluster, 3));
     if (starts > short_tasks + short_tasks / 4)
       sim_report_violation (cluster, "churn", "%u starts of %u short tasks", starts, short_tasks);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -223,12 +202,12 @@
     sim_cluster_run (cluster, DAY_S);
     for (guint i = 0; i < cluster->jobs->len; i++) {
       SimJob *job = cluster->jobs->pdata[i];
-      if (!job->large && wait_s (cluster, job) > 90)
+      if (!job->large && sim_job_start_wait_s (cluster, job) > 90)
         sim_report_violation (cluster, "idle",
                               "%s waits %.0f s under the limit, although a machine has room",
-                              job->id, wait_s (cluster, job));
+                              job->id, sim_job_start_wait_s (cluster, job));
     }
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -255,11 +234,11 @@
     sim_cluster_run (cluster, DAY_S);
     for (guint i = 0; i < cluster->jobs->len; i++) {
       SimJob *job = cluster->jobs->pdata[i];
-      if (!job->large && wait_s (cluster, job) > 90)
+      if (!job->large && sim_job_start_wait_s (cluster, job) > 90)
         sim_report_violation (cluster, "idle", "%s waits %.0f s although a machine has room",
-                              job->id, wait_s (cluster, job));
+                              job->id, sim_job_start_wait_s (cluster, job));
     }
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -296,7 +275,7 @@
     faults_plan (cluster, day, G_N_ELEMENTS (day));
     sim_cluster_run (cluster, DAY_S);
     check_jobs_done (cluster);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -314,11 +293,5 @@
       cmocka_unit_test (guarantee_without_machines),
       cmocka_unit_test (leader_changes),
   };
-  sim_log_init ();
-  for (guint i = 0; argc == 2 && i < G_N_ELEMENTS (tests); i++)
-    if (g_str_equal (tests[i].name, argv[1])) {
-      const struct CMUnitTest part[] = {tests[i]};
-      return cmocka_run_group_tests_name (argv[1], part, NULL, NULL);
-    }
-  return argc == 2 ? 2 : cmocka_run_group_tests (tests, NULL, NULL);
+  return sim_run_tests (argc, argv, NULL, tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_pipelines.c
+++ b/tests/test_pipelines.c
@@ -4,6 +4,7 @@
  * besides all other rules. */
 #include "sim/faults.h"
 #include "sim/log.h"
+#include "sim/test_runner.h"
 #include "sim/pipeline.h"
 #include "sim/store.h"
 #include "sim/upgrade.h"
@@ -11,7 +12,6 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
@@ -19,19 +19,6 @@
 #define FAULTS_END_S 320
 #define DAY_S 800
 
-static guint
-finish_day (SimCluster *cluster, guint32 seed)
-{
-  for (guint i = 0; i < MIN (cluster->violations->len, 12); i++)
-    fprintf (stderr, "seed %u: %s\n", seed, (char *)cluster->violations->pdata[i]);
-  if (g_getenv ("HR_SIM_VERBOSE"))
-    fprintf (stderr, "seed %u: %u jobs, %u starts, %u machines\n", seed, cluster->jobs->len,
-             cluster->task_starts, cluster->machines->len);
-  guint violations = cluster->violations->len;
-  sim_cluster_free (cluster);
-  return violations;
-}
-
 static guint
 play (SimCluster *cluster, guint32 seed, guint faults, gboolean crash_after_cancel)
 {
@@ -57,7 +44,7 @@
   if (store_count_obsolete_pages (cluster))
     sim_report_violation (cluster, "garbage", "%u pages of final jobs are kept",
                           store_count_obsolete_pages (cluster));
-  return finish_day (cluster, seed);
+  return sim_day_finish (cluster, seed);
 }
 
 static void
@@ -160,9 +147,9 @@
 int
 main (int argc, char **argv)
 {
-  sim_log_init ();
   if (argc == 4) { /* manual runs: test_pipelines FROM TO FAULTS */
     guint violations = 0;
+    sim_log_init ();
     for (int seed = atoi (argv[1]); seed < atoi (argv[2]); seed++)
       violations += play (sim_cluster_new (seed, 3), seed, atoi (argv[3]), seed % 3 == 0);
     return violations != 0;
@@ -178,14 +165,6 @@
       cmocka_unit_test (days_with_one_or_five_controllers),
       cmocka_unit_test (days_of_an_upgrade),
   };
-  for (guint i = 0; argc == 2 && i < G_N_ELEMENTS (parts); i++)
-    if (g_str_equal (parts[i], argv[1])) {
-      const struct CMUnitTest part[] = {tests[i]};
-      return cmocka_run_group_tests_name (argv[1], part, NULL, NULL);
-    }
-  if (argc == 2) {
-    fprintf (stderr, "no test is named %s\n", argv[1]);
-    return 2;
-  }
-  return cmocka_run_group_tests (tests, NULL, NULL);
+  G_STATIC_ASSERT (G_N_ELEMENTS (parts) == G_N_ELEMENTS (tests));
+  return sim_run_tests (argc, argv, parts, tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -2,6 +2,7 @@
  * the protocol, and that all work is done once the faults are over. */
 #include "sim/faults.h"
 #include "sim/log.h"
+#include "sim/test_runner.h"
 #include "sim/store.h"
 #include "sim/upgrade.h"
 #include "sim/user.h"
@@ -11,25 +12,10 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <cmocka.h>
 
 /* Prints the day's violations, frees the simulation and returns the number of violations. */
-static guint
-finish_day (SimCluster *cluster, guint32 seed)
-{
-  for (guint i = 0; i < MIN (cluster->violations->len, 12); i++)
-    fprintf (stderr, "seed %u: %s\n", seed, (char *)cluster->violations->pdata[i]);
-  if (g_getenv ("HR_SIM_VERBOSE"))
-    fprintf (stderr, "seed %u: %u jobs, %u starts, %u machines, epoch %" G_GUINT64_FORMAT "\n",
-             seed, cluster->jobs->len, cluster->task_starts, cluster->machines->len,
-             cluster->epoch);
-  guint violations = cluster->violations->len;
-  sim_cluster_free (cluster);
-  return violations;
-}
-
 /* Checks that every job reached its final state, or ran if it is a service. */
 static guint
 check_end_of_day (SimCluster *cluster, guint32 seed)
@@ -51,7 +37,7 @@
     else if (!job->cancel_requested && job->shape == HR_SERVICE && !job->started)
       sim_report_violation (cluster, "liveness", "%s never ran", job->id);
   }
-  return finish_day (cluster, seed);
+  return sim_day_finish (cluster, seed);
 }
 
 static guint
@@ -204,7 +190,7 @@
     if (!((SimJob *)cluster->jobs->pdata[i])->started)
       sim_report_violation (cluster, "liveness", "%s never ran",
                             ((SimJob *)cluster->jobs->pdata[i])->id);
-  return finish_day (cluster, seed);
+  return sim_day_finish (cluster, seed);
 }
 
 /* A new leader takes over and the state store then refuses every node. By its peers' attestation
@@ -241,7 +227,7 @@
     }
     if (cluster->machines->len > 7 * cluster->capacity)
       sim_report_violation (cluster, "rented", "%u machines", cluster->machines->len);
-    violations += finish_day (cluster, seed);
+    violations += sim_day_finish (cluster, seed);
   }
   assert_int_equal (violations, 0);
 }
@@ -265,7 +251,7 @@
             cluster, "liveness", "%s of %u tasks starts after %.0f s", job->id, job->tasks,
             (job->first_run_at ? job->first_run_at : cluster->now) - job->accepted_at);
     }
-    violations += finish_day (cluster, seed);
+    violations += sim_day_finish (cluster, seed);
   }
   assert_int_equal (violations, 0);
 }
@@ -290,7 +276,7 @@
         sim_report_violation (cluster, "liveness", "%s is not done", job->id);
       restarted += g_hash_table_contains (cluster->assignment_recorders, second_attempt);
     }
-    violations += finish_day (cluster, seed);
+    violations += sim_day_finish (cluster, seed);
   }
   assert_int_equal (violations, 0);
   assert_true (lost >= 16);
@@ -330,7 +316,7 @@
                               (job->first_run_at ? job->first_run_at : cluster->now) -
                                   job->accepted_at);
     }
-    violations += finish_day (cluster, seed);
+    violations += sim_day_finish (cluster, seed);
   }
   assert_int_equal (violations, 0);
 }
@@ -353,7 +339,7 @@
     if (cluster->machines->len > 4 * gangs)
       sim_report_violation (cluster, "rented", "%u machines for %u gangs of two",
                             cluster->machines->len, gangs);
-    violations += finish_day (cluster, seed);
+    violations += sim_day_finish (cluster, seed);
   }
   assert_int_equal (violations, 0);
 }
@@ -473,7 +459,7 @@
             cluster, "guarantee", "%s of %u tasks is done after %.0f s", job->id, job->tasks,
             (job->done_reply_at ? job->done_reply_at : cluster->now) - job->accepted_at);
     }
-    violations += finish_day (cluster, seed);
+    violations += sim_day_finish (cluster, seed);
   }
   assert_int_equal (violations, 0);
 }
@@ -491,7 +477,7 @@
     sim_cluster_run (cluster, 600);
     if (!((SimJob *)cluster->jobs->pdata[0])->done_reply_at)
       sim_report_violation (cluster, "liveness", "the job is not done");
-    violations += finish_day (cluster, seed);
+    violations += sim_day_finish (cluster, seed);
   }
   assert_int_equal (violations, 0);
 }
@@ -530,7 +516,7 @@
       sim_report_violation (cluster, "liveness", "%s (%d, %u tasks) is not done", job->id,
                             job->shape, job->tasks);
   }
-  assert_int_equal (finish_day (cluster, seed), 0);
+  assert_int_equal (sim_day_finish (cluster, seed), 0);
 }
 
 static void
@@ -590,7 +576,6 @@
       violations += play (seed, atoi (argv[3]), atof (argv[4]), seed % 5 == 0 ? 4 : 0);
     return violations != 0;
   }
-  sim_log_init ();
   const struct CMUnitTest tests[] = {
       cmocka_unit_test (days_without_faults),
       cmocka_unit_test (days_with_one_fault),
@@ -621,20 +606,11 @@
       cmocka_unit_test (days_with_unread_cancellations),
       cmocka_unit_test (days_of_an_upgrade),
   };
-  if (argc == 2) { /* a single test */
-    static const char *const parts[] = {
-        "quiet",       "one",          "many",        "limit",     "parts",      "copies",
-        "nodes",       "stream",       "deaf",        "owners",    "cut",        "gangs",
-        "attestation", "places",       "late_orders", "oversized", "fetch",      "freeze",
-        "unreached",   "half",         "large3",      "large5",    "unreadable", "guarantee",
-        "two",         "changes_gone", "gap",         "upgrade"};
-    for (guint i = 0; i < G_N_ELEMENTS (parts); i++)
-      if (g_str_equal (parts[i], argv[1])) {
-        const struct CMUnitTest part[] = {tests[i]};
-        return cmocka_run_group_tests_name (argv[1], part, NULL, NULL);
-      }
-    fprintf (stderr, "no test is named %s\n", argv[1]);
-    return 2;
-  }
-  return cmocka_run_group_tests (tests, NULL, NULL);
+  static const char *const parts[] = {
+      "quiet",       "one",        "many",      "limit",  "parts",        "copies",      "nodes",
+      "stream",      "deaf",       "owners",    "cut",    "gangs",        "attestation", "places",
+      "late_orders", "oversized",  "fetch",     "freeze", "unreached",    "half",        "large3",
+      "large5",      "unreadable", "guarantee", "two",    "changes_gone", "gap",         "upgrade"};
+  G_STATIC_ASSERT (G_N_ELEMENTS (parts) == G_N_ELEMENTS (tests));
+  return sim_run_tests (argc, argv, parts, tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -3,15 +3,13 @@
  * 90 s (rule `waits`, sim/invariant_checks.c), and a service still gets its replicas in time. */
 #include "coordination/state.h"
 #include "sim/faults.h"
-#include "sim/log.h"
+#include "sim/test_runner.h"
 #include "sim/user.h"
 #include "sim/worker.h"
 #include "sim/cluster.h"
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <cmocka.h>
 
 #define DAY_S 420.0
@@ -111,24 +109,13 @@
   return cluster;
 }
 
-/* Prints the violations and frees the cluster. Returns the number of violations. */
-static guint
-report_violations (SimCluster *cluster, guint32 seed)
-{
-  guint broken = cluster->violations->len;
-  for (guint i = 0; i < broken; i++)
-    fprintf (stderr, "seed %u: %s\n", seed, (char *)cluster->violations->pdata[i]);
-  sim_cluster_free (cluster);
-  return broken;
-}
-
 /* Plays the jobs on several seeds. Returns the number of violations. */
 static guint
 play_seeds (guint32 from, guint32 to, guint machines, const WaitingJob *jobs, guint n_jobs)
 {
   guint broken = 0;
   for (guint32 seed = from; seed < to; seed++)
-    broken += report_violations (play (seed, machines, jobs, n_jobs), seed);
+    broken += sim_day_finish (play (seed, machines, jobs, n_jobs), seed);
   return broken;
 }
 
@@ -150,7 +137,7 @@
 check_start (SimCluster *cluster, guint number, double within_s)
 {
   const SimJob *job = cluster->jobs->pdata[number];
-  double waited_s = (job->first_run_at > 0 ? job->first_run_at : cluster->now) - job->accepted_at;
+  double waited_s = sim_job_start_wait_s (cluster, job);
   if (waited_s > within_s)
     sim_report_violation (cluster, "starved", "%s, job %u, starts after %.0f s", job->id, number,
                           waited_s);
@@ -179,7 +166,7 @@
   for (guint32 seed = 1310; seed < 1316; seed++) {
     SimCluster *cluster = play (seed, 2, jobs, G_N_ELEMENTS (jobs));
     check_start (cluster, 2, MAX_START_S);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -204,7 +191,7 @@
                               array->id, gang->id);
     }
     check_start (cluster, 4, MAX_START_S);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -226,7 +213,7 @@
     if (cluster->machines->len > 3 + MAX_RETURNS)
       sim_report_violation (cluster, "rented", "%u machines are rented where there are 3",
                             cluster->machines->len);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -247,7 +234,7 @@
     SimCluster *cluster = play (seed, 2, jobs, G_N_ELEMENTS (jobs));
     check_start (cluster, 2, MAX_WAIT_S);
     check_start (cluster, 3, MAX_REPLICA_START_S);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -290,7 +277,7 @@
     sim_schedule (cluster, 160, begin_new_term, NULL);
     run_jobs (cluster, jobs, G_N_ELEMENTS (jobs));
     check_start (cluster, 3, MAX_START_S);
-    broken += report_violations (cluster, seed);
+    broken += sim_day_finish (cluster, seed);
   }
   assert_int_equal (broken, 0);
 }
@@ -363,7 +350,7 @@
     jobs[i] = draw_job (rand);
   SimCluster *cluster = draw_cluster (seed, rand, has_limit);
   run_jobs (cluster, jobs, DRAWN_JOBS);
-  return report_violations (cluster, seed);
+  return sim_day_finish (cluster, seed);
 }
 
 /* Drawn jobs of all shapes on drawn clusters. Guards against any job that waits for 90 s although
@@ -401,11 +388,5 @@
       cmocka_unit_test (drawn_jobs),
       cmocka_unit_test (drawn_jobs_at_a_limit),
   };
-  sim_log_init ();
-  for (guint i = 0; argc == 2 && i < G_N_ELEMENTS (tests); i++)
-    if (g_str_equal (tests[i].name, argv[1])) {
-      const struct CMUnitTest part[] = {tests[i]};
-      return cmocka_run_group_tests_name (argv[1], part, NULL, NULL);
-    }
-  return argc == 2 ? 2 : cmocka_run_group_tests (tests, NULL, NULL);
+  return sim_run_tests (argc, argv, NULL, tests, G_N_ELEMENTS (tests));
 }
